Add leases and barrier, the gate's sync loop, and virtual time for proofs

Cause: the view needs its lease and barrier before any daemon can serve, and scenarios need virtual time outside their own Test functions. Change: membership (Lease at the gate, Table at the leader) over a clock that goes on while a host is suspended; leader.Caller; the gate's registry, syncer, courier and watcher; prove.Virtual. Ruled out: a sesame-prove program: testing/synctest works in test binaries alone (a trial outside ran no scenario), so the matrix is a test binary. Go's monotonic clock for leases: it stands still while a host is suspended.

--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,11 @@
 demo: build
 	BIN=$(BIN) bash scripts/demo.sh
 
-prove: build
-	$(BIN)/sesame-prove --seed $(SEED)
+# The fault matrix, one row for each promise, fault and step. The rows run in
+# virtual time, which only test binaries have.
+prove:
+	$(GO) test -c -o $(BIN)/prove.test ./pkg/prove/matrix
+	$(BIN)/prove.test -matrix -seed $(SEED)
 
 bench:
 	bash scripts/bench.sh
--- a/pkg/control/methods.go
+++ b/pkg/control/methods.go
@@ -10,6 +10,7 @@
 	MethodOnceIntent        Method = "once.intent"       // record a once-only request before it runs
 	MethodOnceOutcome       Method = "once.outcome"      // record how it ended
 	MethodCrashReport       Method = "suspect.crash"     // requests that ran on an upstream when it crashed
+	MethodRanWell           Method = "suspect.ranwell"   // a suspect ran alone and its upstream lived
 	MethodApply             Method = "operator.apply"    // check and publish a set of objects
 	MethodCheck             Method = "operator.check"    // check only
 	MethodGet               Method = "operator.get"      // objects in force
--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -49,4 +49,5 @@
 	Orders      []order.Order `json:"orders,omitempty"`
 	OrderTTLMS  int64         `json:"order_ttl_ms"`     // counted from the sending of the request
 	Resend      bool          `json:"resend,omitempty"` // send all announcements in full
+	Leader      string        `json:"leader,omitempty"` // set by a keeper that passed the request on
 }
--- /dev/null
+++ b/pkg/gate/events.go
@@ -0,0 +1,14 @@
+package gate
+
+import (
+	"github.com/sesamemux/sesamemux/pkg/edge/order"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// Events takes what belongs on the time line.
+type Events interface {
+	Installed(r view.Revision)
+	LeaseChanged(valid bool, r view.Revision)
+	OrderDelivered(o order.Order, err error)
+	Announced(h view.Host)
+}
--- /dev/null
+++ b/pkg/gate/watcher.go
@@ -0,0 +1,214 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/edge/report"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+const (
+	// watchInterval is the time between two reports asked of one host.
+	watchInterval = 500 * time.Millisecond
+	// watchTimeout bounds one report.
+	watchTimeout = 400 * time.Millisecond
+	// watchWorkers bounds the reports asked for at the same time.
+	watchWorkers = 16
+	// maxReport bounds a report's size in bytes.
+	maxReport = 4 << 20
+	// staleReport is the age at which a report says nothing any more.
+	staleReport = 1500 * time.Millisecond
+	// missedReports is how many reports in a row a host may miss.
+	missedReports = 2
+)
+
+// watched is what is known of one host from its own reports.
+type watched struct {
+	report report.Report
+	at     clock.Moment
+	missed int
+	after  uint64 // sequence of the last cache event
+}
+
+// CacheListener takes the cache events of a group's head.
+type CacheListener interface {
+	CacheEvents(g view.Group, events []report.CacheEvent)
+}
+
+// watcher asks the hosts of serving groups for reports, so that this gate
+// sees a missing member before the keepers do.
+type watcher struct {
+	clock    clock.Clock
+	client   *http.Client
+	view     func() *view.View
+	registry *registry
+	listener CacheListener
+
+	mu    sync.RWMutex
+	hosts map[view.HostName]*watched
+}
+
+func newWatcher(c clock.Clock, client *http.Client, v func() *view.View, r *registry) *watcher {
+	return &watcher{clock: c, client: client, view: v, registry: r, hosts: make(map[view.HostName]*watched)}
+}
+
+// run asks for reports until ctx ends.
+func (w *watcher) run(ctx context.Context) {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			w.round(ctx)
+		}
+	}
+}
+
+// round asks every member of every group once.
+func (w *watcher) round(ctx context.Context) {
+	v := w.view()
+	var work errgroup.Group
+	work.SetLimit(watchWorkers)
+	present := make(map[view.HostName]struct{})
+	for _, e := range v.Groups.Entries {
+		g := e.Value
+		if g.State != view.StateServing {
+			continue
+		}
+		for _, m := range g.Members {
+			present[m.Host] = struct{}{}
+			work.Go(func() error {
+				w.ask(ctx, g, m)
+				return nil
+			})
+		}
+	}
+	_ = work.Wait()
+	w.forget(present)
+}
+
+// forget drops hosts that are in no serving group any more.
+func (w *watcher) forget(present map[view.HostName]struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range w.hosts {
+		if _, ok := present[name]; !ok {
+			delete(w.hosts, name)
+		}
+	}
+}
+
+// ask gets one member's report.
+func (w *watcher) ask(ctx context.Context, g view.Group, m view.Member) {
+	after := w.lastEvent(m.Host)
+	r, err := w.fetch(ctx, m.Address, after)
+	if err != nil {
+		w.miss(m, err)
+		return
+	}
+	w.mu.Lock()
+	k, ok := w.hosts[m.Host]
+	if !ok {
+		k = &watched{}
+		w.hosts[m.Host] = k
+	}
+	k.report = r
+	k.at = w.clock.Now()
+	k.missed = 0
+	if n := len(r.Events); n > 0 {
+		k.after = r.Events[n-1].Sequence
+	}
+	w.mu.Unlock()
+	if m.Rank == 0 && w.listener != nil && len(r.Events) > 0 {
+		w.listener.CacheEvents(g, r.Events)
+	}
+}
+
+func (w *watcher) lastEvent(name view.HostName) uint64 {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if k, ok := w.hosts[name]; ok {
+		return k.after
+	}
+	return 0
+}
+
+// miss counts a report that did not come. A host that refuses connections is
+// told to the leader.
+func (w *watcher) miss(m view.Member, err error) {
+	if eris.Is(err, syscall.ECONNREFUSED) {
+		w.registry.refused(m.Host, m.Incarnation)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k, ok := w.hosts[m.Host]
+	if !ok {
+		k = &watched{}
+		w.hosts[m.Host] = k
+	}
+	k.missed++
+}
+
+func (w *watcher) fetch(ctx context.Context, address string, after uint64) (report.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	var r report.Report
+	url := fmt.Sprintf("http://%s%s?after=%d", address, report.Path, after)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return r, eris.Wrap(err, "build report request")
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return r, eris.Wrap(err, "ask for report")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return r, eris.Errorf("report status %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&r)
+	return r, eris.Wrap(err, "decode report")
+}
+
+// MemberOK tells whether a member's own reports allow work on its group. Until
+// its first report the view alone decides.
+func (w *watcher) MemberOK(m view.Member, g view.Group) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	k, ok := w.hosts[m.Host]
+	if !ok {
+		return true
+	}
+	if k.missed >= missedReports {
+		return false
+	}
+	if k.at == 0 || w.clock.Now().Sub(k.at) > staleReport {
+		return k.missed == 0
+	}
+	s := k.report.Status
+	return s.Incarnation == m.Incarnation && s.Epoch == g.Epoch && s.Group == g.ID && s.Rank == m.Rank && s.Phase == report.PhaseReady
+}
+
+// Load returns the latest load that a host reported.
+func (w *watcher) Load(name view.HostName) (report.Load, bool) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	k, ok := w.hosts[name]
+	if !ok || k.at == 0 {
+		return report.Load{}, false
+	}
+	return k.report.Load, true
+}
--- a/pkg/view/table.go
+++ b/pkg/view/table.go
@@ -93,6 +93,7 @@
 	}
 	for _, g := range d.Delete {
 		delete(t.Entries, g.Key)
+		t.Tombstones[g.Key] = g.Removed
 	}
 }
 
@@ -105,7 +106,7 @@
 	}
 }
 
-// Clone returns a copy that shares values.
+// Clone returns a copy that shares values and has no tombstones.
 func (t *Table[K, V]) Clone() *Table[K, V] {
 	c := NewTable[K, V]()
 	for k, e := range t.Entries {
