--- /dev/null
+++ b/pkg/raft/change.go
@@ -0,0 +1,62 @@
+package raft
+
+// AddLearner adds a replica that takes the log but doesn't vote. Its ID must
+// be above all IDs used so far.
+func (c *Core) AddLearner(id ID, address string) (index, term uint64, err error) {
+	return c.change(func(ms Membership) (Membership, error) {
+		return ms.withLearner(id, address)
+	})
+}
+
+// Promote makes a learner a voter, and records its store. The learner must
+// hold nearly the whole log.
+func (c *Core) Promote(id ID) (index, term uint64, err error) {
+	return c.change(func(ms Membership) (Membership, error) {
+		p := c.progress[id]
+		if p == nil {
+			return Membership{}, ErrNotMember
+		}
+		if p.match < c.log.committed || p.match < c.termStart || p.store == 0 {
+			return Membership{}, ErrLearnerBehind
+		}
+		return ms.withVoter(id, p.store)
+	})
+}
+
+// Remove takes a replica out. Its ID is never used again.
+func (c *Core) Remove(id ID) (index, term uint64, err error) {
+	return c.change(func(ms Membership) (Membership, error) {
+		return ms.without(id)
+	})
+}
+
+// change appends a membership that differs by one server. The one before
+// must be committed, and so must an entry of this term.
+func (c *Core) change(edit func(Membership) (Membership, error)) (index, term uint64, err error) {
+	if c.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	if c.transferTo != 0 {
+		return 0, 0, ErrTransferring
+	}
+	if c.log.committed < c.termStart || c.log.committed < c.members.changedAt() {
+		return 0, 0, ErrChangePending
+	}
+	next, err := edit(c.Membership())
+	if err != nil {
+		return 0, 0, err
+	}
+	c.fillStores(&next)
+	index = c.appendOwn(Entry{Type: EntryMembership, Data: next.encode()})
+	c.sendAppends()
+	return index, c.term, nil
+}
+
+// fillStores lets newcomers learn the stores of the initial members.
+func (c *Core) fillStores(ms *Membership) {
+	for i, m := range ms.Members {
+		if m.Store == 0 && !m.Learner {
+			ms.Members[i].Store = c.stores[m.ID]
+		}
+	}
+}
--- /dev/null
+++ b/pkg/raft/greeting.go
@@ -0,0 +1,136 @@
+package raft
+
+import "slices"
+
+// greeting is the state of a replica that may not take part yet.
+type greeting struct {
+	open    bool
+	nonce   uint64
+	agreed  map[ID]bool
+	elapsed int
+}
+
+// startGreeting decides whether others must be asked first. A replica that
+// joins on an empty folder has nothing to lose; its votes count only once its
+// store is recorded.
+func (c *Core) startGreeting() {
+	if c.cfg.Unsafe.NoIdentityCheck {
+		c.active = true
+		return
+	}
+	ms := c.Membership()
+	joined := len(c.cfg.Identity.Initial) == 0
+	fresh := c.cfg.Incarnation == 1
+	alone := slices.Equal(ms.Voters(), []ID{c.id})
+	if alone || joined && fresh {
+		c.setActive()
+		return
+	}
+	c.greeting = greeting{open: true, nonce: c.cfg.Nonce, agreed: map[ID]bool{}}
+	c.greetAll()
+}
+
+func (c *Core) setActive() {
+	c.greeting = greeting{}
+	if !c.active {
+		c.active = true
+		c.identityChanged = true
+	}
+	c.resetElection()
+}
+
+func (c *Core) tickGreeting() {
+	c.greeting.elapsed++
+	if c.greeting.elapsed >= c.cfg.HeartbeatTicks {
+		c.greeting.elapsed = 0
+		c.greetAll()
+	}
+}
+
+func (c *Core) greetAll() {
+	for _, m := range c.Membership().Members {
+		if m.ID != c.id && !c.greeting.agreed[m.ID] {
+			c.greet(m.ID)
+		}
+	}
+}
+
+func (c *Core) greet(to ID) {
+	c.send(Message{
+		Type:  MessageHello,
+		To:    to,
+		Index: c.log.last(),
+		Round: c.greeting.nonce,
+	})
+}
+
+// stepHello answers whether there is evidence against the sender.
+func (c *Core) stepHello(m Message) {
+	reason := c.refusal(m)
+	if reason == RefusalNone {
+		c.bindStore(m.From, m.Store)
+	}
+	c.send(Message{
+		Type:   MessageHelloReply,
+		To:     m.From,
+		Round:  m.Round,
+		Reject: reason != RefusalNone,
+		Reason: reason,
+		Leader: c.role == Leader,
+	})
+}
+
+func (c *Core) refusal(m Message) Refusal {
+	ms := c.Membership()
+	_, member := ms.Member(m.From)
+	if !member && m.From <= ms.HighestID {
+		return RefusalRemoved
+	}
+	if !c.knownStore(m.From, m.Store) {
+		return RefusalStore
+	}
+	if c.marks[m.From].behind(m.Term, m.Index) {
+		return RefusalRolledBack
+	}
+	return RefusalNone
+}
+
+// bindStore records the store of an initial member when it is first seen.
+func (c *Core) bindStore(id ID, store uint64) {
+	if _, ok := c.Membership().Member(id); !ok || c.storeOf(id) != 0 {
+		return
+	}
+	c.stores[id] = store
+	c.identityChanged = true
+}
+
+func (c *Core) stepHelloReply(m Message) {
+	if !c.greeting.open || m.Round != c.greeting.nonce {
+		return
+	}
+	if m.Reject {
+		c.refused = m.Reason
+		return
+	}
+	c.bindStore(m.From, m.Store)
+	c.greeting.agreed[m.From] = true
+	if c.greetingDone(m.Leader) {
+		c.setActive()
+	}
+}
+
+// greetingDone: on its first start a replica needs every other member; later
+// a leader or a majority, itself counted.
+func (c *Core) greetingDone(leader bool) bool {
+	ms := c.Membership()
+	n := 0
+	for _, id := range ms.Voters() {
+		if id == c.id || c.greeting.agreed[id] {
+			n++
+		}
+	}
+	if !c.active {
+		return n == len(ms.Voters()) && n > 0
+	}
+	return leader || n >= ms.Quorum() && n > 1
+}
--- /dev/null
+++ b/pkg/raft/leader.go
@@ -0,0 +1,258 @@
+package raft
+
+import "slices"
+
+func (c *Core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.id
+	c.votes = nil
+	c.progress = map[ID]*progress{}
+	c.heartbeatElapsed = 0
+	c.quorumElapsed = 0
+	c.round = 0
+	c.transferTo = 0
+	c.syncProgress()
+	c.termStart = c.appendOwn(Entry{Type: EntryNoop})
+	c.sendAppends()
+}
+
+func (c *Core) dropLeadership() {
+	for _, r := range c.reads.clear() {
+		c.readsDone = append(c.readsDone, Read{Token: r.token})
+	}
+	c.progress = nil
+	c.transferTo = 0
+}
+
+// syncProgress follows a change of the membership.
+func (c *Core) syncProgress() {
+	ms := c.Membership()
+	for id := range c.progress {
+		if _, ok := ms.Member(id); !ok {
+			delete(c.progress, id)
+		}
+	}
+	for _, m := range ms.Members {
+		if m.ID == c.id || c.progress[m.ID] != nil {
+			continue
+		}
+		c.progress[m.ID] = &progress{next: c.log.last() + 1, probing: true, active: true}
+	}
+}
+
+// peers returns the followers in order of ID.
+func (c *Core) peers() []ID {
+	ids := make([]ID, 0, len(c.progress))
+	for id := range c.progress {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *Core) tickLeader() {
+	c.quorumElapsed++
+	if c.quorumElapsed >= c.cfg.ElectionTicks {
+		c.quorumElapsed = 0
+		if !c.checkQuorum() {
+			c.becomeFollower(c.term, 0)
+			return
+		}
+	}
+	c.tickTransfer()
+	c.heartbeatElapsed++
+	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
+		c.heartbeatElapsed = 0
+		c.sendHeartbeats()
+	}
+}
+
+// checkQuorum tells whether a majority was heard of since the last check.
+func (c *Core) checkQuorum() bool {
+	if c.cfg.Unsafe.NoCheckQuorum {
+		return true
+	}
+	ms := c.Membership()
+	n := 0
+	for _, id := range ms.Voters() {
+		if id == c.id {
+			n++
+			continue
+		}
+		if c.progress[id].active {
+			n++
+		}
+	}
+	for _, p := range c.progress {
+		p.active = false
+	}
+	return n >= ms.Quorum()
+}
+
+func (c *Core) sendHeartbeats() {
+	marks := c.spreadMarks()
+	for _, id := range c.peers() {
+		p := c.progress[id]
+		c.sendEarly(Message{
+			Type:   MessageHeartbeat,
+			To:     id,
+			Commit: min(p.match, c.log.committed),
+			Round:  c.round,
+			Marks:  marks,
+		})
+		c.tickChunk(id, p)
+	}
+}
+
+// spreadMarks adds the leader's own promise to those of the others.
+func (c *Core) spreadMarks() []Mark {
+	marks := c.sortedMarks()
+	own := Mark{ID: c.id, Term: c.term, Index: c.log.persisted}
+	return append(slices.DeleteFunc(marks, func(m Mark) bool { return m.ID == c.id }), own)
+}
+
+func (c *Core) sendAppends() {
+	for _, id := range c.peers() {
+		c.sendAppend(id, c.progress[id])
+	}
+}
+
+// sendAppend sends all that the follower's window allows.
+func (c *Core) sendAppend(id ID, p *progress) {
+	for !p.snapshot && p.room(c.cfg.Inflight) && (p.next <= c.log.last() || p.probing) {
+		prev := p.next - 1
+		term, ok := c.log.term(prev)
+		if !ok {
+			c.startSnapshot(id, p)
+			return
+		}
+		es := c.log.slice(p.next, c.log.last(), c.cfg.BatchBytes)
+		c.sendEarly(Message{
+			Type:    MessageAppend,
+			To:      id,
+			Index:   prev,
+			LogTerm: term,
+			Entries: es,
+			Commit:  c.log.committed,
+		})
+		p.inflight++
+		if !p.probing {
+			p.next += uint64(len(es))
+		}
+	}
+}
+
+// stepReply takes a follower's answer of this term.
+func (c *Core) stepReply(m Message) {
+	p := c.progress[m.From]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.active = true
+	p.store = m.Store
+	c.mark(m.From, m.Term, 0)
+	switch m.Type {
+	case MessageAppendReply:
+		c.stepAppendReply(m, p)
+	case MessageHeartbeatReply:
+		c.stepHeartbeatReply(m, p)
+	case MessageSnapshotReply:
+		c.stepSnapshotReply(m, p)
+	}
+}
+
+func (c *Core) stepAppendReply(m Message, p *progress) {
+	if m.Reject {
+		c.stepAppendReject(m, p)
+		return
+	}
+	if p.ack(m.Index) {
+		c.mark(m.From, c.term, m.Index)
+		c.maybeCommit()
+	}
+	if c.role != Leader {
+		return
+	}
+	if p.snapshot && p.match >= p.snapshotAt {
+		p.snapshot = false
+		p.retreat(p.match + 1)
+	}
+	c.sendAppend(m.From, p)
+	c.continueTransfer(m.From, p)
+}
+
+func (c *Core) stepAppendReject(m Message, p *progress) {
+	if m.Index <= p.match || p.snapshot {
+		return // older than what it acknowledged
+	}
+	p.retreat(min(m.Hint, m.Index))
+	c.sendAppend(m.From, p)
+}
+
+func (c *Core) stepHeartbeatReply(m Message, p *progress) {
+	p.round = max(p.round, m.Round)
+	c.confirmReads()
+	if p.match < c.log.last() && !p.moved && !p.snapshot {
+		p.retreat(p.match + 1) // what was sent may be lost
+		c.sendAppend(m.From, p)
+	}
+	p.moved = false
+}
+
+// maybeCommit commits what a majority holds, if it is of this term. The
+// leader counts itself only for what it has synced.
+func (c *Core) maybeCommit() {
+	if c.role != Leader {
+		return
+	}
+	ms := c.Membership()
+	matches := make([]uint64, 0, len(ms.Members))
+	for _, id := range ms.Voters() {
+		matches = append(matches, c.matchOf(id))
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-ms.Quorum()]
+	if index <= c.log.committed || !c.log.matches(index, c.term) {
+		return
+	}
+	c.log.committed = index
+	c.sendCommit()
+	c.startReads()
+	c.leaveIfRemoved()
+}
+
+func (c *Core) matchOf(id ID) uint64 {
+	if id == c.id {
+		return c.log.persisted
+	}
+	return c.progress[id].match
+}
+
+// sendCommit tells followers that hold everything of the new commit index.
+func (c *Core) sendCommit() {
+	for _, id := range c.peers() {
+		p := c.progress[id]
+		if p.snapshot || p.probing {
+			continue
+		}
+		prev := p.next - 1
+		term, ok := c.log.term(prev)
+		if !ok {
+			continue
+		}
+		c.sendEarly(Message{
+			Type:    MessageAppend,
+			To:      id,
+			Index:   prev,
+			LogTerm: term,
+			Commit:  c.log.committed,
+		})
+	}
+}
+
+// leaveIfRemoved ends the leadership of a replica whose removal is committed.
+func (c *Core) leaveIfRemoved() {
+	if c.log.committed >= c.members.changedAt() && !c.isVoter() {
+		c.becomeFollower(c.term, 0)
+	}
+}
--- /dev/null
+++ b/pkg/raft/log.go
@@ -0,0 +1,101 @@
+package raft
+
+// entryLog holds the entries after baseIndex in memory.
+// Invariant: handed <= committed <= last, and persisted <= last.
+type entryLog struct {
+	baseIndex uint64
+	baseTerm  uint64
+	entries   []Entry
+	committed uint64
+	persisted uint64
+	handed    uint64 // given to the applier
+}
+
+func (l *entryLog) last() uint64 {
+	return l.baseIndex + uint64(len(l.entries))
+}
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term returns the term of an entry, if it is known.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	if index == l.baseIndex {
+		return l.baseTerm, true
+	}
+	if index < l.baseIndex || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.baseIndex-1].Term, true
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// upToDate tells whether a candidate's last entry is at least this log's.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.last()
+}
+
+// slice returns entries from..to within a size, at least one if there is any.
+func (l *entryLog) slice(from, to uint64, maxBytes int) []Entry {
+	to = min(to, l.last())
+	if from > to || from <= l.baseIndex {
+		return nil
+	}
+	part := l.entries[from-l.baseIndex-1 : to-l.baseIndex]
+	size := 0
+	for i := range part {
+		size += part[i].size()
+		if i > 0 && size > maxBytes {
+			return part[:i:i]
+		}
+	}
+	return part[:len(part):len(part)]
+}
+
+func (l *entryLog) append(es ...Entry) {
+	l.entries = append(l.entries, es...)
+}
+
+// cutFrom drops the entries from index on. Committed entries are never cut.
+func (l *entryLog) cutFrom(index uint64) {
+	if index <= l.committed {
+		panic("raft: a committed entry would be cut")
+	}
+	keep := index - l.baseIndex - 1
+	l.entries = append([]Entry(nil), l.entries[:keep]...)
+	l.persisted = min(l.persisted, index-1)
+}
+
+// compact drops the entries up to index.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.baseIndex {
+		return
+	}
+	term, ok := l.term(index)
+	if !ok {
+		return
+	}
+	l.entries = append([]Entry(nil), l.entries[index-l.baseIndex:]...)
+	l.baseIndex = index
+	l.baseTerm = term
+}
+
+// reset replaces everything by a snapshot's end.
+func (l *entryLog) reset(meta SnapshotMeta) {
+	*l = entryLog{
+		baseIndex: meta.Index,
+		baseTerm:  meta.Term,
+		committed: meta.Index,
+		persisted: meta.Index,
+		handed:    meta.Index,
+	}
+}
--- /dev/null
+++ b/pkg/raft/progress.go
@@ -0,0 +1,45 @@
+package raft
+
+// progress is what a leader knows of a follower.
+type progress struct {
+	match    uint64
+	next     uint64
+	inflight int  // appends sent since the last reply that told something
+	probing  bool // one append at a time until a match is found
+	moved    bool // match grew since the last heartbeat reply
+	active   bool // heard of since the last check of the quorum
+	round    uint64
+	store    uint64
+
+	snapshot    bool // a snapshot is being sent
+	snapshotAt  uint64
+	chunkOffset uint64
+	chunkTicks  int // since the last chunk was sent or acknowledged
+}
+
+func (p *progress) room(limit int) bool {
+	if p.probing {
+		return p.inflight == 0
+	}
+	return p.inflight < limit
+}
+
+// ack records a match and tells whether it grew.
+func (p *progress) ack(match uint64) bool {
+	p.probing = false
+	p.inflight = max(0, p.inflight-1)
+	p.next = max(p.next, match+1)
+	if match <= p.match {
+		return false
+	}
+	p.match = match
+	p.moved = true
+	return true
+}
+
+// retreat tries again from next, after a rejected append.
+func (p *progress) retreat(next uint64) {
+	p.next = max(next, p.match+1)
+	p.inflight = 0
+	p.probing = true
+}
