Add the machine that decides the life of model groups

Cause: the replicated state needs the decisions on placement, roles, repair, loads and rollout of model groups. Ruled out: a replacement that needs the whole group to start anew; a prepared host takes the seat over while the silent member may still return. Conclusion: a first cut to build against.

--- /dev/null
+++ b/pkg/group/role.go
@@ -0,0 +1,37 @@
+package group
+
+import (
+	"slices"
+
+	"github.com/sesamemux/sesamemux/pkg/edge/report"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// role is what a host should run. An empty Group means nothing.
+type role struct {
+	Group    view.GroupID
+	Epoch    view.Epoch
+	Version  string
+	Adapters []string
+	Rank     int
+}
+
+// reportedBy tells whether a status is of this role, whatever its phase.
+func (r role) reportedBy(s report.Status) bool {
+	return s.Group == r.Group &&
+		s.Epoch == r.Epoch &&
+		s.Version == r.Version &&
+		s.Rank == r.Rank &&
+		slices.Equal(s.Adapters, r.Adapters)
+}
+
+// loadedBy tells whether a status has this role's weights in memory, under
+// whichever group and epoch.
+func (r role) loadedBy(s report.Status) bool {
+	return s.Phase == report.PhaseReady && s.Version == r.Version && s.Rank == r.Rank
+}
+
+// sameWeights tells whether two roles fetch the same weights.
+func (r role) sameWeights(o role) bool {
+	return r.Group != "" && o.Group != "" && r.Version == o.Version && r.Rank == o.Rank
+}
--- /dev/null
+++ b/pkg/group/trouble.go
@@ -0,0 +1,94 @@
+package group
+
+import (
+	"time"
+)
+
+// trouble says what is wrong with a seat.
+type trouble int
+
+const (
+	troubleNone   trouble = iota
+	troubleLight          // the group can serve, but the host should be replaced
+	troubleSilent         // the host may come back by itself
+	troubleOut            // the host was taken out or is leaving
+	troubleGone           // the host will not come back by itself
+)
+
+// trouble tells what is wrong with a rank of a group.
+func (m *Machine) trouble(g *group, rank int) trouble {
+	h := m.seated(g, rank)
+	switch {
+	case h == nil:
+		return troubleGone
+	case m.out(h):
+		return troubleOut
+	case !h.Present:
+		return troubleSilent
+	case h.failed() || m.orderOverdue(h) || m.loadOverdue(h, g.Weights):
+		return troubleGone
+	case h.Slow || h.Faults.flapping(m.now):
+		return troubleLight
+	default:
+		return troubleNone
+	}
+}
+
+// replaceNow tells whether the time to prepare another host for a rank has
+// come.
+func (m *Machine) replaceNow(g *group, rank int) bool {
+	switch m.trouble(g, rank) {
+	case troubleNone:
+		return false
+	case troubleSilent:
+		h := m.seated(g, rank)
+		return time.Duration(m.now-h.LostAt) >= m.grace(g, h)
+	default:
+		return true
+	}
+}
+
+// grace is how long a silent member is waited for before a spare loads.
+func (m *Machine) grace(g *group, h *host) time.Duration {
+	mod := m.models[g.Model]
+	switch {
+	case m.opts.FixedGrace > 0:
+		return m.opts.FixedGrace
+	case m.opts.FixedGrace < 0 || h.Faults.flapping(m.now):
+		return 0
+	default:
+		return m.returns.Grace(m.opts.loadTime(g.Weights), mod.want.PauseGrace)
+	}
+}
+
+// missing counts the ranks that need another host now.
+func (m *Machine) missing(g *group) int {
+	n := 0
+	for rank := range g.Seats {
+		if m.trouble(g, rank) > troubleLight && m.replaceNow(g, rank) {
+			n++
+		}
+	}
+	return n
+}
+
+// allOut tells whether every member that is left was taken out, so that the
+// group can only wait.
+func (m *Machine) allOut(g *group) bool {
+	for rank := range g.Seats {
+		h := m.seated(g, rank)
+		if h != nil && !m.out(h) {
+			return false
+		}
+	}
+	return true
+}
+
+// prepared gives the host that is to take a rank over, or nil.
+func (m *Machine) prepared(g *group, rank int) *host {
+	name := g.Seats[rank].Next
+	if name == "" {
+		return nil
+	}
+	return m.hosts[name]
+}
