Add the permit allocator, the gate's local permits and the engine stand-in

Cause: the gate path needs bounded work per target over all gates, and something to talk to. Change: pkg/permit (Allocator, Local), pkg/edge/infer, pkg/edge/health, pkg/fake/engine and cmd/sesame-fake engine. Contract additions: view.Share gets Cold and Falls, view.TargetUse gets InForce (filled by Local.Uses), so that a lowering settles only on work counted at a view that holds it. GateSeen must be applied before a gate incarnation gets its first view.

--- a/cmd/sesame-fake/main.go
+++ b/cmd/sesame-fake/main.go
@@ -1,13 +1,21 @@
-// Command sesame-fake is not built yet.
+// Command sesame-fake runs small stand-ins of upstreams for tests and the demo.
 package main
 
 import (
-	"fmt"
-	"net"
-	"os"
+	"github.com/alecthomas/kong"
 )
 
+// cli holds the subcommands.
+type cli struct {
+	Engine engineCommand `cmd:"" help:"Run one member of a model engine."`
+}
+
 func main() {
-	fmt.Fprintln(os.Stderr, "sesame-fake: not built yet", net.IPv4len)
-	os.Exit(1)
+	var c cli
+	k := kong.Parse(&c,
+		kong.Name("sesame-fake"),
+		kong.Description("Small stand-ins of upstreams, for tests and the demo."),
+		kong.UsageOnError(),
+	)
+	k.FatalIfErrorf(k.Run())
 }
--- /dev/null
+++ b/pkg/edge/infer/header.go
@@ -0,0 +1,15 @@
+package infer
+
+// Headers of requests and answers.
+const (
+	HeaderOrganisation = "Sesame-Organisation"
+	HeaderPriority     = "Sesame-Priority"    // 0 to 9, higher first
+	HeaderDeadline     = "Sesame-Deadline-Ms" // milliseconds from now
+	HeaderRequestID    = "Sesame-Request-Id"
+	HeaderAttempt      = "Sesame-Attempt"
+	HeaderGroup        = "Sesame-Group"  // group that the request is meant for
+	HeaderEpoch        = "Sesame-Epoch"  // and its epoch
+	HeaderGate         = "Sesame-Gate"   // gate that served or refused
+	HeaderHop          = "Sesame-Hop"    // handed over by this gate
+	HeaderServed       = "Sesame-Served" // target that answers
+)
--- /dev/null
+++ b/pkg/permit/ramp.go
@@ -0,0 +1,52 @@
+package permit
+
+import (
+	"math/bits"
+
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// rampSteps is the number of doublings from the cold bound to the maximum.
+func (t *target) rampSteps() int {
+	return max(1, bits.Len(uint((t.Max-1)/t.Cold)))
+}
+
+// grow doubles the bound when its time and its proof are reached.
+func (t *target) grow(now view.Time) bool {
+	if t.Bound >= t.Max {
+		return false
+	}
+	stepTime := view.Time(t.RampTime) / view.Time(t.rampSteps())
+	if now-t.StepSince < stepTime || t.StepProof < t.Bound {
+		return false
+	}
+	t.Bound = min(2*t.Bound, t.Max)
+	t.StepSince = now
+	t.StepProof = 0
+	return true
+}
+
+// fall takes the bound back to cold.
+func (t *target) fall(now view.Time, rev view.Revision) {
+	t.Bound = min(t.Cold, t.Max)
+	t.StepSince = now
+	t.StepProof = 0
+	t.Falls++
+	t.FellAt = rev
+}
+
+// prove counts the requests that ended on the target since the last report of
+// the gate. A failure starts the proof of the step again.
+func (t *target) prove(h *holding, u view.TargetUse) {
+	if !h.Known {
+		h.Known, h.Finished, h.Failed = true, u.Finished, u.Failed
+		return
+	}
+	if u.Finished > h.Finished {
+		t.StepProof = min(t.StepProof+int(u.Finished-h.Finished), 2*t.Max)
+	}
+	if u.Failed > h.Failed {
+		t.StepProof = 0
+	}
+	h.Finished, h.Failed = u.Finished, u.Failed
+}
--- /dev/null
+++ b/pkg/permit/snapshot.go
@@ -0,0 +1,45 @@
+package permit
+
+import (
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// ErrSnapshot says that a snapshot can't be read.
+var ErrSnapshot = eris.New("permit snapshot can't be read")
+
+// snapshot is the whole state, in order.
+type snapshot struct {
+	Gates   map[view.GateName]view.Incarnation
+	Leaving map[view.GateName]bool
+	Targets []*target
+}
+
+// Snapshot returns the whole state. Equal states give equal bytes.
+func (a *Allocator) Snapshot() ([]byte, error) {
+	return json.Marshal(snapshot{Gates: a.gates, Leaving: a.leaving, Targets: a.sorted()})
+}
+
+// Restore replaces the whole state.
+func (a *Allocator) Restore(b []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(b, &s); err != nil {
+		return eris.Wrap(ErrSnapshot, err.Error())
+	}
+	a.gates = s.Gates
+	if a.gates == nil {
+		a.gates = make(map[view.GateName]view.Incarnation)
+	}
+	a.leaving = s.Leaving
+	if a.leaving == nil {
+		a.leaving = make(map[view.GateName]bool)
+	}
+	a.targets = make(map[view.TargetID]*target, len(s.Targets))
+	for _, t := range s.Targets {
+		a.targets[t.ID] = t
+	}
+	return nil
+}
--- a/pkg/view/share.go
+++ b/pkg/view/share.go
@@ -19,5 +19,7 @@
 	Target      TargetID
 	Incarnation Incarnation // of the head host; a share is void for any other
 	Bound       int
-	Gates       []GateShare // sorted by gate
+	Cold        int         // bound of a just-started target; a suspected one falls back to it
+	Falls       int         // times that the bound fell back to Cold in this incarnation
+	Gates       []GateShare // sorted by gate; 0 permits: was lowered, work may still run
 }
