Add the replicated life of once-only requests

Cause: no key may run twice over gates, restarts and expiry. Ruled out: forgetting a key after its retention (a late resend would run), tombstones with an age (the same, later).

--- /dev/null
+++ b/pkg/once/decision.go
@@ -0,0 +1,48 @@
+package once
+
+import (
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// Kind says what an Intent led to.
+type Kind string
+
+// The decisions. Only Run lets the attempt send anything.
+const (
+	Run          Kind = "run"           // this attempt owns the key
+	InProgress   Kind = "in-progress"   // another attempt owns the key and has not ended
+	Recorded     Kind = "recorded"      // it ran; Answer is what the service said
+	Unknown      Kind = "unknown"       // an attempt may have run; the key is not run again
+	KeyReused    Kind = "key-reused"    // the key belongs to a request with another digest
+	Full         Kind = "full"          // no room for another record
+	OpaqueFull   Kind = "opaque-full"   // no room for another key that carries no time
+	Expired      Kind = "expired"       // the key is older than what is still known
+	KeyAhead     Kind = "key-ahead"     // the key's time lies too far in the future
+	Invalid      Kind = "invalid"       // a field is missing or too long
+	NotDeclared  Kind = "not-declared"  // no such service in the objects in force
+	AttemptEnded Kind = "attempt-ended" // this attempt was concluded as not run; it must not run now
+)
+
+// Decision answers an Intent.
+type Decision struct {
+	Kind       Kind          `json:"kind"`
+	Answer     *Answer       `json:"answer,omitempty"`
+	Attempt    string        `json:"attempt,omitempty"` // that owns the key
+	Host       view.HostName `json:"host,omitempty"`    // that the owner was to send to
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+}
+
+// Outcome tells what is known of the request of a decision, other than Run.
+func (d Decision) Outcome() outcome.Outcome {
+	switch d.Kind {
+	case Recorded:
+		return outcome.Ran
+	case KeyReused, Full, OpaqueFull, KeyAhead, Invalid, NotDeclared, AttemptEnded:
+		return outcome.NotRun
+	default:
+		return outcome.Unknown
+	}
+}
--- /dev/null
+++ b/pkg/once/options.go
@@ -0,0 +1,50 @@
+package once
+
+import "time"
+
+// Defaults of Options.
+const (
+	DefaultMaxTombstones = 1 << 20
+	DefaultKeyAhead      = 10 * time.Minute
+	DefaultConcludeTime  = time.Minute
+	DefaultNotRunTime    = time.Minute
+)
+
+// Options bounds a machine. Every replica must have the same. Zero fields take
+// the defaults.
+type Options struct {
+	MaxTombstones int           // opaque keys that a service remembers, alive or expired
+	KeyAhead      time.Duration // how far the time of a key may lie in the future
+	ConcludeTime  time.Duration // beyond the service's timeout, until a record in progress becomes unknown
+	NotRunTime    time.Duration // how long a record that did not run is kept
+
+	unguarded unguarded
+}
+
+// unguarded switches protections off, for proofs that the checks see the
+// fault.
+type unguarded struct {
+	forgetUnknown bool // a gate that is gone frees its keys
+	forgetExpired bool // expired keys leave no trace
+}
+
+// Unguarded returns options with one protection off. Only proofs use it.
+func Unguarded(forgetUnknown, forgetExpired bool) Options {
+	return Options{unguarded: unguarded{forgetUnknown: forgetUnknown, forgetExpired: forgetExpired}}
+}
+
+func (o Options) withDefaults() Options {
+	if o.MaxTombstones == 0 {
+		o.MaxTombstones = DefaultMaxTombstones
+	}
+	if o.KeyAhead == 0 {
+		o.KeyAhead = DefaultKeyAhead
+	}
+	if o.ConcludeTime == 0 {
+		o.ConcludeTime = DefaultConcludeTime
+	}
+	if o.NotRunTime == 0 {
+		o.NotRunTime = DefaultNotRunTime
+	}
+	return o
+}
