Add suspects: fingerprints, the replicated machine and the gate's guard

Cause: one request must not cost more than a bounded number of upstreams, and no neighbour may be convicted for it. Change: pkg/suspect; view.Quarantine gains Trial, the only gate that may run a suspect, which bounds the loss whatever the number of gates. Ruled out: conviction by any second crash (a dark failure domain convicts a popular prompt), trials by every gate (one upstream lost per gate).

--- /dev/null
+++ b/pkg/suspect/guard_test.go
@@ -0,0 +1,69 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+func TestGuard(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := view.New()
+	g := NewGuard("g1", func() *view.View { return v })
+	put := func(f view.Fingerprint, crashes int, isolate bool, trial view.GateName) {
+		q := view.Quarantine{Fingerprint: f, Crashes: crashes, Isolate: isolate, Trial: trial, Until: view.Time(now.Add(time.Hour).UnixNano())}
+		v.Quarantines.Put(f, q, 1)
+	}
+	check := func(f view.Fingerprint, want VerdictKind) {
+		t.Helper()
+		if got := g.Check(now, f).Kind; got != want {
+			t.Fatalf("%s is %s, want %s", f, got, want)
+		}
+	}
+	start := func(f view.Fingerprint, host view.HostName, want bool) *Run {
+		t.Helper()
+		r, ok := g.Start(now, f, "o", host, 1)
+		if ok != want {
+			t.Fatalf("start of %s on %s: %v, want %v", f, host, ok, want)
+		}
+		return r
+	}
+
+	check("f", Free)
+	f, a := start("f", "u1", true), start("a", "u1", true)
+	f.End(now, EndedBroken)
+	a.End(now, EndedGiven)
+	report, ok := g.Crashed(now, "u1", 1)
+	if !ok || len(report.Running) != 2 || report.Running[0].Trial {
+		t.Fatalf("report after all runs had ended: %+v", report)
+	}
+	put("f", 1, true, "g1")
+	put("a", 1, true, "g1")
+	put("e", 1, true, "g2")
+	put("c", 2, false, "g1")
+	check("e", Elsewhere)
+	check("c", Refused)
+	check("f", Trial)
+	f = start("f", "u2", true)
+	check("f", Waiting)
+	start("a", "u2", false)
+	start("c", "u3", false)
+	a = start("a", "u3", true)
+	a.End(now, EndedWell)
+	if well := g.TakeWell(); len(well) != 1 || well[0] != "a" {
+		t.Fatalf("ended well: %v", well)
+	}
+	f.End(now, EndedBroken)
+	check("f", Waiting)
+	report, _ = g.Crashed(now, "u2", 1)
+	if len(report.Running) != 1 || !report.Running[0].Trial {
+		t.Fatalf("report of the trial: %+v", report)
+	}
+	put("f", 2, true, "g1")
+	check("f", Trial)
+	now = now.Add(time.Minute)
+	if _, ok := g.Crashed(now, "u2", 1); ok {
+		t.Fatal("a request that ended a minute ago is blamed")
+	}
+}
--- /dev/null
+++ b/pkg/suspect/options.go
@@ -0,0 +1,48 @@
+package suspect
+
+import "time"
+
+// Defaults of Options.
+const (
+	DefaultSuspectTime   = 10 * time.Minute
+	DefaultConvictedTime = time.Hour
+	DefaultCrashTime     = 10 * time.Minute
+	DefaultMassWindow    = 5 * time.Second
+	DefaultMassCrashes   = 4
+	DefaultMaxSuspects   = 1024
+)
+
+// Options bounds a machine. Every replica must have the same. Zero fields take
+// the defaults.
+type Options struct {
+	SuspectTime   time.Duration // since its last crash, until a suspect is free again
+	ConvictedTime time.Duration // since its last crash, until a convicted fingerprint is free again
+	CrashTime     time.Duration // how long a crash is remembered, at least SuspectTime
+	// MassCrashes within MassWindow that share no fingerprint are a failure of
+	// the platform: they make no new suspects and convict none.
+	MassWindow  time.Duration
+	MassCrashes int
+	MaxSuspects int // fingerprints held at most; beyond it a crash makes no new ones
+}
+
+func (o Options) withDefaults() Options {
+	if o.SuspectTime == 0 {
+		o.SuspectTime = DefaultSuspectTime
+	}
+	if o.ConvictedTime == 0 {
+		o.ConvictedTime = DefaultConvictedTime
+	}
+	if o.CrashTime == 0 {
+		o.CrashTime = DefaultCrashTime
+	}
+	if o.MassWindow == 0 {
+		o.MassWindow = DefaultMassWindow
+	}
+	if o.MassCrashes == 0 {
+		o.MassCrashes = DefaultMassCrashes
+	}
+	if o.MaxSuspects == 0 {
+		o.MaxSuspects = DefaultMaxSuspects
+	}
+	return o
+}
--- a/pkg/view/quarantine.go
+++ b/pkg/view/quarantine.go
@@ -13,4 +13,6 @@
 	// Isolate marks a suspect: it may run, alone, on one upstream at a time.
 	// A convicted fingerprint has Isolate false and is refused.
 	Isolate bool
+	// Trial is the only gate that may run a suspect; "" while there is none.
+	Trial GateName
 }
