Add objects, settings, logging and the time line

Change: pkg/inifile reads INI with lines and typed fields; pkg/object parses, checks, formats and compares sets; pkg/settings loads the settings of each program; pkg/logging and pkg/timeline as their doc.go tells. Service gains the field services, whose chains may not return to their start. pkg/control gains TimelineRequest and TimelineResult. Ruled out: line numbers from the INI library, which has none; reflection over struct tags, which could not tell ranges and defaults in one place.

--- /dev/null
+++ b/pkg/object/parse.go
@@ -0,0 +1,139 @@
+package object
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/sesamemux/sesamemux/pkg/inifile"
+)
+
+// kinds lists all kinds in the order in which they are written.
+var kinds = []Kind{
+	KindFailureDomain, KindFabricDomain, KindVersion, KindAdapter, KindModelGroup, KindService, KindOrganisation,
+}
+
+// Parse reads a set from INI text without checking it as a whole. file is
+// named in problems. Fields that are not given have their default values.
+func Parse(file string, text []byte) (Set, []Problem) {
+	s, _, problems := parse(file, text)
+	return s, problems
+}
+
+// Load reads and checks a set. A set with problems must not be published.
+func Load(file string, text []byte) (Set, []Problem) {
+	s, at, problems := parse(file, text)
+	problems = append(problems, Check(s, at)...)
+	sortProblems(problems)
+	return s, bound(file, problems)
+}
+
+// maxProblems are told at once, beside a last one that counts those left out.
+const maxProblems = inifile.MaxIssues + 1
+
+// bound keeps the answer to a hopeless text at a size that can be sent.
+func bound(file string, problems []Problem) []Problem {
+	extra := len(problems) - maxProblems
+	if extra <= 0 {
+		return problems
+	}
+	last := Problem{File: file, Message: fmt.Sprintf("%d more problems are left out", extra)}
+	return append(problems[:maxProblems:maxProblems], last)
+}
+
+func parse(file string, text []byte) (Set, *Positions, []Problem) {
+	r := &reader{at: newPositions(file)}
+	doc, issues := inifile.Read(text)
+	for _, i := range issues {
+		r.problems = append(r.problems, Problem{File: file, Line: i.Line, Object: i.Section, Field: i.Key, Message: i.Message})
+	}
+	for _, s := range doc.Sections {
+		r.section(s)
+	}
+	r.set.sort()
+	sortProblems(r.problems)
+	return r.set, r.at, r.problems
+}
+
+// reader builds a set from the sections of a text.
+type reader struct {
+	set      Set
+	at       *Positions
+	problems []Problem
+}
+
+func (r *reader) section(s inifile.Section) {
+	ref, ok := r.ref(s)
+	if !ok {
+		return
+	}
+	first, again := r.at.lines[ref]
+	target := &r.set
+	if again {
+		r.problem(s, s.Line, "", fmt.Sprintf("is defined twice, first on line %d", first.header))
+		target = new(Set) // its fields are read for their errors only
+	}
+	fields, _ := target.add(ref)
+	at := place{header: s.Line, fields: make(map[string]int, len(s.Keys))}
+	for _, k := range s.Keys {
+		at.fields[k.Name] = k.Line
+		if !r.field(s, fields, k) {
+			at.broken = with(at.broken, k.Name)
+		}
+	}
+	if !again {
+		r.at.lines[ref] = at
+	}
+}
+
+func with(set map[string]bool, key string) map[string]bool {
+	if set == nil {
+		set = make(map[string]bool)
+	}
+	set[key] = true
+	return set
+}
+
+// ref reads a section's header.
+func (r *reader) ref(s inifile.Section) (Ref, bool) {
+	kind, name, _ := strings.Cut(s.Name, " ")
+	ref := Ref{Kind: Kind(kind), Name: name}
+	if _, ok := new(Set).add(ref); !ok {
+		r.problem(s, s.Line, "", fmt.Sprintf("unknown kind %q; kinds are %s", kind, joinKinds()))
+		return ref, false
+	}
+	if name == "" {
+		r.problem(s, s.Line, "", fmt.Sprintf("object has no name; write [%s NAME]", kind))
+		return ref, false
+	}
+	return ref, true
+}
+
+func joinKinds() string {
+	words := make([]string, len(kinds))
+	for i, k := range kinds {
+		words[i] = string(k)
+	}
+	return strings.Join(words, ", ")
+}
+
+// field reads one key into the object's field and tells whether it could.
+func (r *reader) field(s inifile.Section, fields []inifile.Field, k inifile.Key) bool {
+	names := make([]string, 0, len(fields))
+	for _, f := range fields {
+		if f.Key != k.Name {
+			names = append(names, f.Key)
+			continue
+		}
+		if err := f.Set(k.Value); err != nil {
+			r.problem(s, k.Line, k.Name, fmt.Sprintf("%v; allowed: %s", err, f.Allowed))
+			return false
+		}
+		return true
+	}
+	r.problem(s, k.Line, k.Name, "unknown field; fields are "+strings.Join(names, ", "))
+	return true
+}
+
+func (r *reader) problem(s inifile.Section, line int, field, message string) {
+	r.problems = append(r.problems, Problem{File: r.at.file, Line: line, Object: s.Name, Field: field, Message: message})
+}
--- a/pkg/object/service.go
+++ b/pkg/object/service.go
@@ -23,4 +23,5 @@
 	ColdInFlight int           // requests in flight on a just-started host
 	RampTime     time.Duration // least time from cold to proven
 	ModelGroups  []string      // model groups that it calls; refer to ModelGroups
+	Services     []string      // services that it calls; refer to Services; no chain of calls may return to its start
 }
