Add mutual TLS, roles and API keys

Cause: operators' commands and links between processes need authentication. Change: pkg/access: identities by certificate URI, sources that read their files again, the table of methods by role, digests of API keys, and an authority that issues a small deployment's certificates. Ruled out: checks by DNS name or without the chain: processes know each other by IP number, so certificates hold IP numbers and the standard check applies. Conclusion: the RPC server does not ask Authorize yet; it needs a hook that knows the connection's identity.

--- /dev/null
+++ b/pkg/access/access_test.go
@@ -0,0 +1,215 @@
+package access
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/hex"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/object"
+)
+
+var loopback = net.IPv4(127, 0, 0, 1)
+
+func newAuthority(t *testing.T, cluster string) *Authority {
+	t.Helper()
+	now := time.Now()
+	a, err := NewAuthority(cluster, now, now.Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// issue writes the files of a holder that trusts an authority.
+func issue(t *testing.T, a, trusted *Authority, role Role, name string, ips ...net.IP) Files {
+	t.Helper()
+	dir := t.TempDir()
+	p, err := a.Issue(role, name, time.Now(), ips...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ca, err := trusted.Pair()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(p.Write(dir, "cert.pem", "key.pem"), ca.Write(dir, AuthorityCertFile, AuthorityKeyFile)); err != nil {
+		t.Fatal(err)
+	}
+	return Files{filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, AuthorityCertFile)}
+}
+
+func newSource(t *testing.T, f Files, now func() time.Time) *Source {
+	t.Helper()
+	s, err := NewSource(Options{Files: f, Now: now})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// connect plays one handshake and returns who the server saw.
+func connect(t *testing.T, server, client *Source, taken, wanted []Role) (Identity, error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	type seen struct {
+		id  Identity
+		err error
+	}
+	result := make(chan seen, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			result <- seen{err: err}
+			return
+		}
+		defer func() { _ = c.Close() }()
+		id, err := Peer(context.Background(), tls.Server(c, server.ServerConfig(taken...)))
+		result <- seen{id, err}
+	}()
+	c, dialErr := client.Dial(wanted...)(context.Background(), l.Addr().String())
+	if dialErr == nil {
+		defer func() { _ = c.Close() }()
+	}
+	got := <-result
+	return got.id, errors.Join(dialErr, got.err)
+}
+
+func TestOnlyHoldersOfTheDeploymentConnect(t *testing.T) {
+	a := newAuthority(t, "shops")
+	stranger := newAuthority(t, "shops")
+	other := newAuthority(t, "other")
+	keeper := newSource(t, issue(t, a, a, Keeper, "k1", loopback), nil)
+	cases := []struct {
+		name          string
+		server        *Source
+		client        Files
+		taken, wanted []Role
+		ok            bool
+	}{
+		{"operator", keeper, issue(t, a, a, Operator, "ana"), nil, []Role{Keeper}, true},
+		{"role not taken", keeper, issue(t, a, a, Upstream, "u1"), []Role{Keeper, Gate}, nil, false},
+		{"server in the wrong role", keeper, issue(t, a, a, Operator, "ana"), nil, []Role{Gate}, false},
+		{"client of another authority", keeper, issue(t, stranger, a, Operator, "eve"), nil, nil, false},
+		{"server of another authority", keeper, issue(t, a, stranger, Operator, "ana"), nil, nil, false},
+		{"server without the IP number", newSource(t, issue(t, a, a, Keeper, "k2", net.IPv4(10, 0, 0, 1)), nil), issue(t, a, a, Operator, "ana"), nil, nil, false},
+		{"other deployment", newSource(t, issue(t, other, a, Keeper, "k1", loopback), nil), issue(t, a, other, Operator, "ana"), nil, nil, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			id, err := connect(t, c.server, newSource(t, c.client, nil), c.taken, c.wanted)
+			if (err == nil) != c.ok {
+				t.Fatalf("error is %v", err)
+			}
+			if c.ok && id != (Identity{"shops", Operator, "ana"}) {
+				t.Fatalf("server saw %v", id)
+			}
+		})
+	}
+}
+
+// TestFilesAreReadAgain replaces a keeper's certificate under way, first by
+// damage and then by a good one.
+func TestFilesAreReadAgain(t *testing.T) {
+	a := newAuthority(t, "shops")
+	files := issue(t, a, a, Keeper, "k1", loopback)
+	now := time.Now()
+	var failures int
+	s, err := NewSource(Options{Files: files, Now: func() time.Time { return now }, Failed: func(error) { failures++ }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	replace := func(cert, key []byte) {
+		now = now.Add(2 * checkInterval)
+		if err := errors.Join(os.WriteFile(files.Cert, cert, 0o600), os.WriteFile(files.Key, key, 0o600),
+			os.Chtimes(files.Cert, now, now)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	replace([]byte("damaged"), []byte("damaged"))
+	if s.Identity().Name != "k1" || failures != 1 {
+		t.Fatalf("holds %v after %d failures", s.Identity(), failures)
+	}
+	p, err := a.Issue(Keeper, "k9", now, loopback)
+	if err != nil {
+		t.Fatal(err)
+	}
+	replace(p.Cert, p.Key)
+	if s.Identity().Name != "k9" {
+		t.Fatalf("holds %v", s.Identity())
+	}
+}
+
+func TestEachMethodHasItsCallers(t *testing.T) {
+	all := []control.Method{
+		control.MethodRaft, control.MethodGateSync, control.MethodOnceIntent, control.MethodOnceOutcome, control.MethodCrashReport,
+		control.MethodApply, control.MethodCheck, control.MethodGet, control.MethodHistory, control.MethodRollback,
+		control.MethodDrain, control.MethodRestore, control.MethodStatus, control.MethodWait, control.MethodKeeperReplace,
+		control.MethodKeeperStatus, control.MethodQuarantineList, control.MethodQuarantineRelease, control.MethodTimeline,
+	}
+	forOperators := []control.Method{
+		control.MethodApply, control.MethodCheck, control.MethodGet, control.MethodHistory, control.MethodRollback,
+		control.MethodDrain, control.MethodRestore, control.MethodStatus, control.MethodWait, control.MethodKeeperReplace,
+		control.MethodKeeperStatus, control.MethodQuarantineList, control.MethodQuarantineRelease, control.MethodTimeline,
+	}
+	for _, m := range all {
+		if Allow(Upstream, m) {
+			t.Errorf("an upstream may call %s", m)
+		}
+		if Allow(Operator, m) != slices.Contains(forOperators, m) {
+			t.Errorf("operator and %s: %v", m, Allow(Operator, m))
+		}
+	}
+	if Allow(Operator, "operator.unheard-of") || Allow("", control.MethodStatus) {
+		t.Error("what is not listed is allowed")
+	}
+	if Authorize(Identity{Role: Upstream}, control.MethodApply) == nil {
+		t.Error("an upstream's change was authorised")
+	}
+}
+
+func TestAPIKeys(t *testing.T) {
+	digest := func(key string) string {
+		d := sha256.Sum256([]byte(key))
+		return hex.EncodeToString(d[:])
+	}
+	k := NewKeys([]object.Organisation{
+		{Name: "a", KeySHA256: digest("key of a")}, {Name: "open"}, {Name: "b", KeySHA256: digest("key of b")}, {Name: "bad", KeySHA256: "zz"},
+	})
+	for key, want := range map[string]string{"key of a": "a", "key of b": "b", "": "", "key of c": "", digest("key of a"): ""} {
+		got, ok := k.Organisation(key)
+		if got != want || ok != (want != "") {
+			t.Errorf("key %q is of %q, %v", key, got, ok)
+		}
+	}
+}
+
+func TestKeysAreNotOverwritten(t *testing.T) {
+	dir := t.TempDir()
+	p, err := newAuthority(t, "shops").Pair()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Write(dir, "c.pem", "k.pem"); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Write(dir, "c.pem", "k.pem"); !errors.Is(err, ErrExists) {
+		t.Fatal(err)
+	}
+	info, err := os.Stat(filepath.Join(dir, "k.pem"))
+	if err != nil || info.Mode().Perm() != 0o600 {
+		t.Fatal(info.Mode(), err)
+	}
+}
--- /dev/null
+++ b/pkg/access/source.go
@@ -0,0 +1,153 @@
+package access
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	dialTimeout   = 500 * time.Millisecond
+	checkInterval = time.Second // between two looks at the files
+)
+
+// Options configure a Source.
+type Options struct {
+	Files Files
+	Now   func() time.Time // time.Now when nil
+	// Failed is told when changed files could not be read; may be nil.
+	Failed func(error)
+}
+
+// Source gives TLS configurations from files and reads them again when they
+// change.
+type Source struct {
+	options Options
+
+	mu     sync.Mutex
+	held   *material
+	looked time.Time
+}
+
+// NewSource reads the files.
+func NewSource(o Options) (*Source, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Failed == nil {
+		o.Failed = func(error) {}
+	}
+	m, err := o.Files.load()
+	if err != nil {
+		return nil, err
+	}
+	return &Source{options: o, held: m, looked: o.Now()}, nil
+}
+
+// current returns what the files hold, at most checkInterval late.
+func (s *Source) current() *material {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	if now.Sub(s.looked) < checkInterval {
+		return s.held
+	}
+	s.looked = now
+	times, err := s.options.Files.changed()
+	if err == nil && times == s.held.changed {
+		return s.held
+	}
+	m, err := s.options.Files.load()
+	if err != nil {
+		s.options.Failed(err)
+		return s.held
+	}
+	s.held = m
+	return m
+}
+
+// Identity returns the holder of this process's certificate.
+func (s *Source) Identity() Identity { return s.current().identity }
+
+// ServerConfig returns a configuration that takes only connections from
+// holders of certificates of this deployment, in one of the roles; no roles
+// stand for all.
+func (s *Source) ServerConfig(roles ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			m := s.current()
+			return &tls.Config{
+				MinVersion:       tls.VersionTLS13,
+				Certificates:     []tls.Certificate{m.certificate},
+				ClientAuth:       tls.RequireAndVerifyClientCert,
+				ClientCAs:        m.authorities,
+				VerifyConnection: m.verify(roles),
+			}, nil
+		},
+	}
+}
+
+// clientConfig returns a configuration for one connection to a host.
+func (s *Source) clientConfig(host string, roles []Role) *tls.Config {
+	m := s.current()
+	return &tls.Config{
+		MinVersion:       tls.VersionTLS13,
+		ServerName:       host,
+		Certificates:     []tls.Certificate{m.certificate},
+		RootCAs:          m.authorities,
+		VerifyConnection: m.verify(roles),
+	}
+}
+
+// verify checks who the other side is, after its chain was verified.
+func (m *material) verify(roles []Role) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		id, err := peerIdentity(state)
+		if err != nil {
+			return err
+		}
+		if id.Cluster != m.identity.Cluster {
+			return ErrCluster
+		}
+		if len(roles) > 0 && !slices.Contains(roles, id.Role) {
+			return eris.Wrapf(ErrIdentity, "role %s is not taken here", id.Role)
+		}
+		return nil
+	}
+}
+
+// Dial returns a function that connects to host:port of a server in one of
+// the roles; no roles stand for all. The server's certificate must hold the
+// host's IP number. It fits rpc.DialFunc.
+func (s *Source) Dial(roles ...Role) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, eris.Wrap(err, "address")
+		}
+		d := &tls.Dialer{
+			NetDialer: &net.Dialer{Timeout: dialTimeout},
+			Config:    s.clientConfig(host, roles),
+		}
+		return d.DialContext(ctx, "tcp", address)
+	}
+}
+
+// Peer returns the identity at the other end of a connection, after its
+// handshake.
+func Peer(ctx context.Context, c net.Conn) (Identity, error) {
+	t, ok := c.(*tls.Conn)
+	if !ok {
+		return Identity{}, ErrNoPeer
+	}
+	if err := t.HandshakeContext(ctx); err != nil {
+		return Identity{}, eris.Wrap(err, "TLS handshake")
+	}
+	return peerIdentity(t.ConnectionState())
+}
