Add sesamectl and the page of the time line

Cause: operators need commands that find the leader, survive lost replies and say what to do. Ruled out: kongplete's command for installing completions, since it starts other programs to find the shell; sesamectl prints the line instead. A default base revision of what is in force, since it would overwrite a change that the operator never saw; a file carries the mark of its revision. Conclusion: commands stand against stubs; not yet run against a real keeper.

--- a/cmd/sesamectl/main.go
+++ b/cmd/sesamectl/main.go
@@ -1,13 +1,13 @@
-// Command sesamectl is not built yet.
+// Command sesamectl edits and shows a sesamemux deployment.
 package main
 
 import (
-	"fmt"
-	"net"
 	"os"
+
+	"github.com/sesamemux/sesamemux/pkg/ctl"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "sesamectl: not built yet", net.IPv4len)
-	os.Exit(1)
+	code := ctl.Run(os.Args[1:], ctl.Environment{Stdout: os.Stdout, Stderr: os.Stderr, Environ: os.Environ()})
+	os.Exit(int(code))
 }
--- a/pkg/access/access_test.go
+++ b/pkg/access/access_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"crypto/tls"
-	"encoding/hex"
 	"errors"
 	"net"
 	"os"
@@ -181,14 +179,10 @@
 }
 
 func TestAPIKeys(t *testing.T) {
-	digest := func(key string) string {
-		d := sha256.Sum256([]byte(key))
-		return hex.EncodeToString(d[:])
-	}
 	k := NewKeys([]object.Organisation{
-		{Name: "a", KeySHA256: digest("key of a")}, {Name: "open"}, {Name: "b", KeySHA256: digest("key of b")}, {Name: "bad", KeySHA256: "zz"},
+		{Name: "a", KeySHA256: Digest("key of a")}, {Name: "open"}, {Name: "b", KeySHA256: Digest("key of b")}, {Name: "bad", KeySHA256: "zz"},
 	})
-	for key, want := range map[string]string{"key of a": "a", "key of b": "b", "": "", "key of c": "", digest("key of a"): ""} {
+	for key, want := range map[string]string{"key of a": "a", "key of b": "b", "": "", "key of c": "", Digest("key of a"): ""} {
 		got, ok := k.Organisation(key)
 		if got != want || ok != (want != "") {
 			t.Errorf("key %q is of %q, %v", key, got, ok)
--- a/pkg/access/keys.go
+++ b/pkg/access/keys.go
@@ -49,3 +49,9 @@
 	}
 	return k.entries[found].organisation, true
 }
+
+// Digest returns the digest of an API key as objects hold it.
+func Digest(key string) string {
+	d := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(d[:])
+}
--- /dev/null
+++ b/pkg/ctl/check.go
@@ -0,0 +1,54 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sesamemux/sesamemux/pkg/object"
+)
+
+// checkCommand checks files without a server.
+type checkCommand struct {
+	Files []string `arg:"" predictor:"file" help:"Files, each with a complete set of objects."`
+}
+
+// Help implements kong.HelpProvider.
+func (*checkCommand) Help() string {
+	return `Lists every error with file, line, object and field.
+
+Examples:
+  sesamectl check objects.ini
+  sesamectl check -o json objects.ini`
+}
+
+// checkOutput tells of one file without problems.
+type checkOutput struct {
+	File    string `json:"file"`
+	Objects int    `json:"objects"`
+}
+
+// Run implements the command.
+func (c *checkCommand) Run(s *session) error {
+	var problems []object.Problem
+	good := []checkOutput{}
+	for _, name := range c.Files {
+		f, err := readSet(name)
+		if err == nil {
+			good = append(good, checkOutput{name, f.set.Len()})
+			continue
+		}
+		failure, ok := err.(*Failure)
+		if !ok || len(failure.Problems) == 0 {
+			return err
+		}
+		problems = append(problems, failure.Problems...)
+	}
+	if len(problems) > 0 {
+		return &Failure{Code: ExitRefused, Message: fmt.Sprintf("%d problems in the objects", len(problems)), Problems: problems}
+	}
+	return s.print(good, func(w io.Writer) {
+		for _, g := range good {
+			say(w, "%s: %d objects are in order", g.File, g.Objects)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/ctl/diff.go
@@ -0,0 +1,71 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sesamemux/sesamemux/pkg/object"
+)
+
+// diffCommand compares sets of objects.
+type diffCommand struct {
+	File string `arg:"" optional:"" predictor:"file" help:"File to compare with the objects in force."`
+	From uint64 `placeholder:"N" help:"Object revision to compare from; in force if not given."`
+	To   uint64 `placeholder:"N" help:"Object revision to compare to in place of a file; in force if not given."`
+}
+
+// Help implements kong.HelpProvider.
+func (*diffCommand) Help() string {
+	return `Examples:
+  sesamectl diff objects.ini     # what apply would change
+  sesamectl diff --from 7        # what changed since revision 7
+  sesamectl diff --from 7 --to 9`
+}
+
+// Run implements the command.
+func (d *diffCommand) Run(s *session) error {
+	before, err := s.set(d.From)
+	if err != nil {
+		return err
+	}
+	after, err := d.after(s)
+	if err != nil {
+		return err
+	}
+	list := object.Diff(before, after)
+	if list == nil {
+		list = []object.Difference{}
+	}
+	return s.print(list, func(w io.Writer) {
+		for _, one := range list {
+			say(w, "%s", one)
+		}
+		if len(list) == 0 {
+			say(w, "no differences")
+		}
+	})
+}
+
+func (d *diffCommand) after(s *session) (object.Set, error) {
+	if d.File == "" {
+		return s.set(d.To)
+	}
+	f, err := readSet(d.File)
+	return f.set, err
+}
+
+// set asks for the objects of a revision and reads them.
+func (s *session) set(revision uint64) (object.Set, error) {
+	result, err := s.objects(revision)
+	if err != nil {
+		return object.Set{}, err
+	}
+	set, problems := object.Parse(fmt.Sprintf("revision %d", result.ObjectRevision), []byte(result.Text))
+	if len(problems) > 0 {
+		f := problemsFailure(problems)
+		f.Message = "the server's objects could not be read"
+		f.Hint = "the server may be of a newer version than " + programName
+		return set, f
+	}
+	return set, nil
+}
--- /dev/null
+++ b/pkg/ctl/keeper.go
@@ -0,0 +1,118 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/sesamemux/sesamemux/pkg/control"
+)
+
+// keeperCommand groups the commands about keepers.
+type keeperCommand struct {
+	Status  keeperStatusCommand  `cmd:"" help:"Ask each keeper for its part in the quorum."`
+	Replace keeperReplaceCommand `cmd:"" help:"Replace a lost keeper by a new one."`
+}
+
+// keeperStatusCommand asks each keeper by itself.
+type keeperStatusCommand struct{}
+
+// Help implements kong.HelpProvider.
+func (*keeperStatusCommand) Help() string {
+	return `Asks the servers of the settings and every keeper that they name; it needs no leader.
+
+Examples:
+  sesamectl keeper status`
+}
+
+// keeperAnswer is what one keeper said, or why it didn't.
+type keeperAnswer struct {
+	Address string                `json:"address"`
+	Status  *control.KeeperStatus `json:"status,omitempty"`
+	Error   string                `json:"error,omitempty"`
+}
+
+// Run implements the command.
+func (*keeperStatusCommand) Run(s *session) error {
+	if err := s.online(); err != nil {
+		return err
+	}
+	answers := s.askKeepers()
+	err := s.print(answers, func(w io.Writer) { writeKeepers(w, answers) })
+	if err == nil && !slices.ContainsFunc(answers, func(a keeperAnswer) bool { return a.Status != nil }) {
+		return &Failure{Code: ExitUnavailable, Message: "no keeper answered", Hint: "are the servers right (--servers)?"}
+	}
+	return err
+}
+
+// askKeepers asks the known servers, and those that their answers name.
+func (s *session) askKeepers() []keeperAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Timeout)
+	defer cancel()
+	pending := slices.Clone(s.settings.Servers)
+	var answers []keeperAnswer
+	for i := 0; i < len(pending); i++ {
+		a := keeperAnswer{Address: pending[i]}
+		var status control.KeeperStatus
+		if err := s.caller.once(ctx, a.Address, control.MethodKeeperStatus, struct{}{}, &status); err != nil {
+			a.Error = err.Error()
+		} else {
+			a.Status = &status
+		}
+		answers = append(answers, a)
+		for _, m := range status.Members {
+			if !slices.Contains(pending, m.Address) {
+				pending = append(pending, m.Address)
+			}
+		}
+	}
+	return answers
+}
+
+func writeKeepers(w io.Writer, answers []keeperAnswer) {
+	t := newTable(w, "ADDRESS\tID\tROLE\tLEADER\tTERM\tCOMMIT\tAPPLIED\tLOG BYTES")
+	for _, a := range answers {
+		if a.Status == nil {
+			t.row("%s\t-\tsilent\t-\t-\t-\t-\t-", a.Address)
+			continue
+		}
+		k := a.Status
+		t.row("%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d", a.Address, k.ID, k.Role, k.Leader, k.Term, k.Commit, k.Applied, k.LogBytes)
+	}
+	t.end()
+	for _, a := range answers {
+		if a.Error != "" {
+			say(w, "%s: %s", a.Address, a.Error)
+		}
+	}
+}
+
+// keeperReplaceCommand replaces one keeper.
+type keeperReplaceCommand struct {
+	Old     uint64 `arg:"" help:"ID of the lost keeper."`
+	New     uint64 `arg:"" help:"ID of the new keeper, never used before."`
+	Address string `arg:"" help:"IP:port of the new keeper."`
+}
+
+// Help implements kong.HelpProvider.
+func (*keeperReplaceCommand) Help() string {
+	return `Start the new keeper first, with an empty data folder and join = yes. It learns the
+state before it counts in the quorum.
+
+Examples:
+  sesamectl keeper replace 2 4 10.0.0.9:7700`
+}
+
+// Run implements the command.
+func (r *keeperReplaceCommand) Run(s *session) error {
+	params := control.KeeperReplaceRequest{Old: r.Old, New: r.New, Address: r.Address}
+	s.progress("replacing keeper %d by %d at %s", r.Old, r.New, r.Address)
+	var result struct{}
+	if err := s.call(request{method: control.MethodKeeperReplace, params: params, changes: true}, &result); err != nil {
+		return err
+	}
+	return s.print(params, func(w io.Writer) {
+		say(w, "%s", fmt.Sprintf("keeper %d was replaced by %d; %s keeper status shows it", r.Old, r.New, programName))
+	})
+}
--- /dev/null
+++ b/pkg/ctl/session.go
@@ -0,0 +1,119 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/sesamemux/sesamemux/pkg/access"
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/object"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
+	"github.com/sesamemux/sesamemux/pkg/settings"
+)
+
+// session is one command under way.
+type session struct {
+	env      Environment
+	flags    globals
+	settings settings.Ctl
+	problems []settings.Problem
+	caller   *caller
+}
+
+func newSession(g globals, env Environment) *session {
+	sets := g.Set
+	if len(g.Servers) > 0 {
+		sets = append(sets, "servers="+strings.Join(g.Servers, ","))
+	}
+	if g.Timeout != 0 {
+		sets = append(sets, "timeout="+g.Timeout.String())
+	}
+	s := &session{env: env, flags: g}
+	s.settings, s.problems = settings.Load[settings.Ctl](g.Settings, env.Environ, sets)
+	return s
+}
+
+// online makes the session ready to call servers.
+func (s *session) online() error {
+	if s.caller != nil {
+		return nil
+	}
+	if len(s.problems) > 0 {
+		return s.settingsFailure()
+	}
+	dial, err := s.dial()
+	if err != nil {
+		return err
+	}
+	s.caller = newCaller(s.settings.Servers, dial)
+	return nil
+}
+
+func (s *session) settingsFailure() error {
+	f := &Failure{
+		Code:    ExitRefused,
+		Message: fmt.Sprintf("%d problems in the settings", len(s.problems)),
+		Hint:    programName + " settings print explains each key",
+	}
+	for _, p := range s.problems {
+		f.Problems = append(f.Problems, object.Problem{File: p.File, Line: p.Line, Field: p.Key, Message: p.Message + "; allowed: " + p.Allowed})
+	}
+	return f
+}
+
+func (s *session) dial() (rpc.DialFunc, error) {
+	if s.env.Dial != nil {
+		return s.env.Dial, nil
+	}
+	t := s.settings.TLS
+	if !t.Enabled() {
+		return rpc.DialTCP(nil), nil
+	}
+	source, err := access.NewSource(access.Options{Files: access.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}})
+	if err != nil {
+		return nil, &Failure{Code: ExitRefused, Message: err.Error(), Hint: "check tls_cert, tls_key and tls_ca in the settings"}
+	}
+	return source.Dial(access.Keeper, access.Gate), nil
+}
+
+func (s *session) close() {
+	if s.caller != nil {
+		s.caller.close()
+	}
+}
+
+// read asks the leader and changes nothing.
+func (s *session) read(m control.Method, params, result any) error {
+	return s.call(request{method: m, params: params, resend: true}, result)
+}
+
+// change sends a change under its change ID.
+func (s *session) change(m control.Method, id string, params, result any) error {
+	return s.call(request{method: m, params: params, changeID: id, resend: true, changes: true}, result)
+}
+
+func (s *session) call(r request, result any) error {
+	if err := s.online(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Timeout)
+	defer cancel()
+	return s.caller.call(ctx, r, result)
+}
+
+// changeID returns the given change ID or a new one, and tells it before
+// anything is sent.
+func (s *session) changeID(given string) string {
+	id := given
+	if id == "" {
+		id = s.env.NewID()
+	}
+	s.progress("change ID %s", id)
+	return id
+}
+
+// progress tells the operator of something under way.
+func (s *session) progress(format string, args ...any) {
+	_, _ = fmt.Fprintf(s.env.Stderr, format+"\n", args...)
+}
--- /dev/null
+++ b/pkg/ctl/wait.go
@@ -0,0 +1,103 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// waitRound is how long a server may hold one wait before it answers.
+const waitRound = 2 * time.Second
+
+// waitFlags are the flags of commands that can wait.
+type waitFlags struct {
+	Wait        bool          `help:"Wait until the change is in force on every gate that may take work."`
+	WaitTimeout time.Duration `default:"60s" help:"Longest wait."`
+}
+
+// waitCommand waits for a revision.
+type waitCommand struct {
+	Revision    uint64        `arg:"" optional:"" help:"View revision; the one published last if not given."`
+	WaitTimeout time.Duration `default:"60s" help:"Longest wait."`
+}
+
+// Help implements kong.HelpProvider.
+func (*waitCommand) Help() string {
+	return `A gate that does not get the revision takes no new work once its lease has lapsed,
+and then no longer counts.
+
+Examples:
+  sesamectl wait
+  sesamectl wait 17 --wait-timeout 10s`
+}
+
+// Run implements the command.
+func (c *waitCommand) Run(s *session) error {
+	revision := view.Revision(c.Revision)
+	if revision == 0 {
+		status, err := s.status()
+		if err != nil {
+			return err
+		}
+		revision = status.ViewRevision
+	}
+	if err := s.waitFor(revision, c.WaitTimeout); err != nil {
+		return err
+	}
+	return s.print(control.WaitResult{InForce: true, Barrier: revision}, func(w io.Writer) {
+		say(w, "view revision %d is in force everywhere", revision)
+	})
+}
+
+// waitFor waits in rounds and tells of progress.
+func (s *session) waitFor(revision view.Revision, timeout time.Duration) error {
+	if err := s.online(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	told := ""
+	for {
+		var result control.WaitResult
+		r := request{method: control.MethodWait, resend: true, params: control.WaitRequest{ViewRevision: revision, TimeoutMS: waitRound.Milliseconds()}}
+		err := s.caller.call(ctx, r, &result)
+		if err == nil && result.InForce {
+			return nil
+		}
+		if err != nil && exitCode(err) != ExitUnavailable {
+			return err
+		}
+		if text := describeWait(revision, result); err == nil && text != told {
+			s.progress("%s", text)
+			told = text
+		}
+		if err != nil || !pause(ctx, retryInterval) {
+			return waitTimedOut(revision, timeout, result)
+		}
+	}
+}
+
+func describeWait(revision view.Revision, r control.WaitResult) string {
+	return fmt.Sprintf("waiting for view revision %d: everywhere up to %d, behind: %s", revision, r.Barrier, orDash(joinNames(r.Behind)))
+}
+
+func joinNames(names []view.GateName) string {
+	words := make([]string, len(names))
+	for i, n := range names {
+		words[i] = string(n)
+	}
+	return strings.Join(words, " ")
+}
+
+func waitTimedOut(revision view.Revision, timeout time.Duration, r control.WaitResult) *Failure {
+	return &Failure{
+		Code:    ExitTimedOut,
+		Message: fmt.Sprintf("view revision %d was accepted, but is not known to be in force everywhere after %s; behind: %s", revision, timeout, orDash(joinNames(r.Behind))),
+		Hint:    fmt.Sprintf("it stays accepted; %s wait %d waits on, %s status shows each gate's lease", programName, revision, programName),
+	}
+}
--- a/pkg/object/item.go
+++ b/pkg/object/item.go
@@ -18,9 +18,7 @@
 
 // items lists all objects of a set, by kind and then in the set's order.
 func (s *Set) items() []item {
-	n := len(s.FailureDomains) + len(s.FabricDomains) + len(s.Versions) + len(s.Adapters) +
-		len(s.ModelGroups) + len(s.Services) + len(s.Organisations)
-	list := make([]item, 0, n)
+	list := make([]item, 0, s.Len())
 	add := func(k Kind, name string, fields []inifile.Field) {
 		list = append(list, item{Ref{k, name}, fields})
 	}
--- a/pkg/object/problem.go
+++ b/pkg/object/problem.go
@@ -11,9 +11,16 @@
 	Message string `json:"message"`
 }
 
-// Error gives the problem as file:line: object: field: message.
+// Error gives the problem as file:line: [object] field: message, without what
+// is not known.
 func (p Problem) Error() string {
-	s := fmt.Sprintf("%s:%d: ", p.File, p.Line)
+	s := ""
+	switch {
+	case p.Line > 0:
+		s = fmt.Sprintf("%s:%d: ", p.File, p.Line)
+	case p.File != "":
+		s = p.File + ": "
+	}
 	if p.Object != "" {
 		s += "[" + p.Object + "] "
 	}
--- a/pkg/object/set.go
+++ b/pkg/object/set.go
@@ -11,3 +11,9 @@
 	Services       []Service
 	Organisations  []Organisation
 }
+
+// Len counts the objects.
+func (s *Set) Len() int {
+	return len(s.FailureDomains) + len(s.FabricDomains) + len(s.Versions) + len(s.Adapters) +
+		len(s.ModelGroups) + len(s.Services) + len(s.Organisations)
+}
--- a/pkg/timeline/timeline_test.go
+++ b/pkg/timeline/timeline_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,3 +138,29 @@
 		}
 	}
 }
+
+func TestPageShowsLanesAndEscapes(t *testing.T) {
+	events := []Event{
+		{At: HLC{Wall: 1e9}, Process: "keeper/1", Kind: ChangeAccepted, Change: "c-1", Revision: 7},
+		{At: HLC{Wall: 2e9}, Process: "gate/g1", Kind: ViewInstalled, Change: "c-1", Revision: 7},
+		{At: HLC{Wall: 3e9}, Process: "gate/g1", Kind: OrderSent, Group: "assistant-1", Host: "h1", Domain: "fd-a", Text: "<script>alert(1)</script>"},
+	}
+	var b strings.Builder
+	if err := WriteHTML(&b, events); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"process keeper/1", "process gate/g1", "views", "orders", "domain fd-a", "group assistant-1", "<polyline", "change=c-1"} {
+		if !strings.Contains(b.String(), part) {
+			t.Errorf("page has no %q", part)
+		}
+	}
+	for _, part := range []string{"<script", "href=", "src=", "url("} {
+		if strings.Contains(b.String(), part) {
+			t.Errorf("page has %q", part)
+		}
+	}
+	many := make([]Event, maxPageEvents+5)
+	if p := newPage(many); p.Left != 5 || len(p.Lines) != maxPageEvents {
+		t.Errorf("%d left out, %d lines", p.Left, len(p.Lines))
+	}
+}
