Compose the replicated state and run it in the keeper daemon

Cause: the machines for objects, groups, permits, once-only records and suspects stood apart. Change: state.State gives each command to the machines it concerns and publishes what they change as the next revision; the keeper daemon grants leases after a confirmed round, collects what gates hear (liveness), hands out orders one at a time to a host (dispatch), registers and unregisters gate sessions in the log before and after their leases, answers operators. Ruled out: gate leases in the log (a write per renewal; the lease table of a new leader starts from the registered sessions instead); granting a lease to a session whose removal is proposed (its permits could be given away while it takes work).

--- a/cmd/sesame-keeper/main.go
+++ b/cmd/sesame-keeper/main.go
@@ -1,13 +1,37 @@
-// Command sesame-keeper is not built yet.
+// Command sesame-keeper holds one replica of the system's state.
 package main
 
 import (
-	"fmt"
-	"net"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/sesamemux/sesamemux/pkg/keeper"
+	"github.com/sesamemux/sesamemux/pkg/settings"
 )
 
+// cli holds the flags.
+type cli struct {
+	settings.Flags
+}
+
 func main() {
-	fmt.Fprintln(os.Stderr, "sesame-keeper: not built yet", net.IPv4len)
-	os.Exit(1)
+	var c cli
+	kong.Parse(&c,
+		kong.Name("sesame-keeper"),
+		kong.Description("Holds one replica of the system's state. Settings come from an INI file, the environment and --set."),
+		kong.UsageOnError(),
+	)
+	s, run, exit := settings.Prepare[settings.Keeper](c.Flags, os.Environ(), os.Stdout, os.Stderr)
+	if !run {
+		os.Exit(exit)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := keeper.RunDaemon(ctx, s, os.Stderr); err != nil {
+		os.Exit(1)
+	}
 }
--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -34,6 +34,7 @@
 	Uses    []view.TargetUse `json:"uses,omitempty"`
 	Orders  []OrderResult    `json:"orders,omitempty"`
 	Settled []view.GroupID   `json:"settled,omitempty"` // draining groups without work here
+	Relayed bool             `json:"relayed,omitempty"` // passed on by a keeper that does not lead
 }
 
 // Gone is an upstream that refused or reset connections, seen by a gate.
--- /dev/null
+++ b/pkg/keeper/errors.go
@@ -0,0 +1,74 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/replica"
+)
+
+// notLeader is the answer of a keeper that does not lead.
+func notLeader(address string) error {
+	return coded(control.CodeNotLeader, "this keeper does not lead", control.NotLeader{Leader: address})
+}
+
+// coded builds an error of the JSON-RPC interface.
+func coded(code int64, message string, data any) error {
+	e := &jsonrpc2.Error{Code: code, Message: message}
+	if data == nil {
+		return e
+	}
+	raw, err := json.Marshal(data)
+	if err != nil {
+		return e
+	}
+	r := json.RawMessage(raw)
+	e.Data = &r
+	return e
+}
+
+// translate turns an error of the replicated log into one of the interface.
+func (k *Keeper) translate(err error) error {
+	var other *replica.NotLeaderError
+	switch {
+	case err == nil:
+		return nil
+	case eris.As(err, &other):
+		return notLeader(k.leaderAddress())
+	case eris.Is(err, replica.ErrUnknownOutcome), eris.Is(err, context.DeadlineExceeded), eris.Is(err, context.Canceled):
+		return coded(control.CodeUnknown, "it may or may not have taken effect; ask again with the same change ID", nil)
+	case eris.Is(err, replica.ErrStopped):
+		return coded(control.CodeUnavailable, "the keeper is stopping", nil)
+	default:
+		return err
+	}
+}
+
+// statusTimeout bounds a question to this process's own replica.
+const statusTimeout = 500 * time.Millisecond
+
+// replicaStatus returns the state of this process's replica, empty when it has
+// stopped.
+func (k *Keeper) replicaStatus() replica.Status {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	st, err := k.log.Status(ctx)
+	if err != nil {
+		return replica.Status{}
+	}
+	return st
+}
+
+// leaderAddress returns the address of the leader, "" when none is known.
+func (k *Keeper) leaderAddress() string {
+	st := k.replicaStatus()
+	if m, ok := st.Membership.Member(st.Leader); ok {
+		return m.Address
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/state/store.go
@@ -0,0 +1,85 @@
+package state
+
+import (
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Store is a State that one goroutine changes and others read. It implements
+// replica.Applier.
+type Store struct {
+	mu      sync.RWMutex
+	state   *State
+	changed chan struct{} // closed and replaced at each new revision
+}
+
+// NewStore returns a store with the state before the first command.
+func NewStore() *Store {
+	return &Store{state: New(), changed: make(chan struct{})}
+}
+
+// Encode gives the log form of a command.
+func Encode(c Command) ([]byte, error) {
+	b, err := msgpack.Marshal(&c)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode command")
+	}
+	return b, nil
+}
+
+// Apply implements replica.Applier; it returns a Result.
+func (s *Store) Apply(_ uint64, command []byte) any {
+	var c Command
+	if err := msgpack.Unmarshal(command, &c); err != nil {
+		// Every replica sees the same bytes and so takes the same way.
+		return Result{Err: eris.Wrap(err, "decode command")}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.state.Revision()
+	r := s.state.Apply(c)
+	if r.Revision != before {
+		s.wake()
+	}
+	return r
+}
+
+// wake tells waiting readers that there is a new revision.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Snapshot implements replica.Applier.
+func (s *Store) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.state.Snapshot()
+}
+
+// Restore implements replica.Applier.
+func (s *Store) Restore(snapshot []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.state.Restore(snapshot); err != nil {
+		return err
+	}
+	s.wake()
+	return nil
+}
+
+// Read gives f the state; f keeps nothing of it and changes nothing.
+func (s *Store) Read(f func(*State)) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	f(s.state)
+}
+
+// Changed returns a channel that is closed at the next new revision.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changed
+}
