--- a/pkg/permit/allocator.go
+++ b/pkg/permit/allocator.go
@@ -84,7 +84,7 @@
 	if len(t.Orphans) == 0 {
 		delete(a.targets, e.Target)
 	}
-	return []Change{DeleteShare{Target: e.Target}}
+	return []Change{DeleteShare(e)}
 }
 
 func (a *Allocator) gateSeen(now view.Time, rev view.Revision, e GateSeen) []Change {
--- /dev/null
+++ b/pkg/routing/pick_best.go
@@ -0,0 +1,28 @@
+package routing
+
+// Best picks the highest score; among equals the random number decides.
+type Best struct{}
+
+// Pick returns an index into the list.
+func (Best) Pick(list []Scored, random uint64) int {
+	top, equal := 0, 0
+	for i := range list {
+		switch {
+		case i == 0 || list[i].Score > list[top].Score:
+			top, equal = i, 1
+		case list[i].Score == list[top].Score:
+			equal++
+		}
+	}
+	skip := int(random % uint64(equal))
+	for i := top; i < len(list); i++ {
+		if list[i].Score != list[top].Score {
+			continue
+		}
+		if skip == 0 {
+			return i
+		}
+		skip--
+	}
+	return top
+}
--- /dev/null
+++ b/pkg/routing/pick_random.go
@@ -0,0 +1,7 @@
+package routing
+
+// Random picks any candidate; it is the baseline of measures.
+type Random struct{}
+
+// Pick returns an index into the list.
+func (Random) Pick(list []Scored, random uint64) int { return int(random % uint64(len(list))) }
--- /dev/null
+++ b/pkg/stream/reader.go
@@ -0,0 +1,118 @@
+package stream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/edge/infer"
+)
+
+// maxEvent bounds the bytes of one event.
+const maxEvent = 1 << 20
+
+// Event is one server-sent event.
+type Event struct {
+	ID    infer.EventID
+	HasID bool
+	Data  []byte // valid until the next call
+}
+
+// Reader reads server-sent events.
+type Reader struct {
+	r    *bufio.Reader
+	data []byte
+}
+
+// NewReader reads events from a body.
+func NewReader(r io.Reader) *Reader {
+	if b, ok := r.(*bufio.Reader); ok {
+		return &Reader{r: b}
+	}
+	return &Reader{r: bufio.NewReader(r)}
+}
+
+// Next returns the next complete event that has data. It returns io.EOF when
+// the body ended between events, and ErrTruncated when it ended inside one.
+func (r *Reader) Next() (Event, error) {
+	var ev Event
+	r.data = r.data[:0]
+	started := false
+	for {
+		line, err := r.line()
+		if err != nil {
+			return Event{}, endOf(err, started || len(line) > 0)
+		}
+		if len(line) == 0 {
+			if len(r.data) == 0 {
+				ev, started = Event{}, false
+				continue
+			}
+			ev.Data = r.data[:len(r.data)-1]
+			return ev, nil
+		}
+		started = true
+		if err := r.field(&ev, line); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+func endOf(err error, inside bool) error {
+	switch {
+	case err == io.EOF && !inside:
+		return io.EOF
+	case err == io.EOF || err == io.ErrUnexpectedEOF:
+		return ErrTruncated
+	default:
+		return err
+	}
+}
+
+// line returns a line without its end. On an error it returns what came of it.
+func (r *Reader) line() ([]byte, error) {
+	line, err := r.r.ReadSlice('\n')
+	if err == bufio.ErrBufferFull {
+		line, err = r.longLine(line)
+	}
+	if err != nil {
+		return line, err
+	}
+	return bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'}), nil
+}
+
+func (r *Reader) longLine(start []byte) ([]byte, error) {
+	line := bytes.Clone(start)
+	for {
+		more, err := r.r.ReadSlice('\n')
+		line = append(line, more...)
+		if len(line) > maxEvent {
+			return line, ErrEventTooLarge
+		}
+		if err != bufio.ErrBufferFull {
+			return line, err
+		}
+	}
+}
+
+func (r *Reader) field(ev *Event, line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte{':'})
+	value = bytes.TrimPrefix(value, []byte{' '})
+	switch string(name) {
+	case "id":
+		id, ok := infer.ParseEventID(string(value))
+		if !ok {
+			return eris.Wrapf(ErrMalformed, "event id %q", value)
+		}
+		ev.ID, ev.HasID = id, true
+	case "data":
+		r.data = append(r.data, value...)
+		r.data = append(r.data, '\n')
+		if len(r.data) > maxEvent {
+			return ErrEventTooLarge
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/upstream/errors.go
@@ -0,0 +1,18 @@
+package upstream
+
+import "github.com/rotisserie/eris"
+
+var (
+	// ErrNotSent says that no byte of the request left this process.
+	ErrNotSent = eris.New("request was not sent")
+	// ErrUnreachable says that no connection could be opened; the request was
+	// not sent.
+	ErrUnreachable = eris.Wrap(ErrNotSent, "upstream is unreachable")
+	// ErrIncarnation says that another incarnation answers at the address; the
+	// request was not sent.
+	ErrIncarnation = eris.Wrap(ErrNotSent, "another incarnation answers")
+	// ErrSilent says that the connection made no progress.
+	ErrSilent = eris.New("connection went silent")
+	// ErrBroken says that the connection was closed or reset.
+	ErrBroken = eris.New("connection broke")
+)
--- /dev/null
+++ b/pkg/upstream/options.go
@@ -0,0 +1,60 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// DialFunc opens a connection to host:port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Options sets a pool.
+type Options struct {
+	Dial         DialFunc
+	Guard        *sync.RWMutex // see the package's contract; nil: none
+	ProbePath    string        // GET path that a live connection answers
+	ProbeTimeout time.Duration // for dialling and probing, each; default 500 ms
+	ProbeAfter   time.Duration // idle time after which a connection is probed; default 1 s
+	IdleTimeout  time.Duration // idle time after which a connection is closed; default 60 s
+	MaxIdle      int           // idle connections kept for each upstream; default 64
+	FirstByte    time.Duration // from the request to the first byte of its answer; default 10 s
+	Stall        time.Duration // between two bytes of an answer; default 3 s
+	WriteTimeout time.Duration // for writing the request; default 3 s
+}
+
+const (
+	defaultProbeTimeout = 500 * time.Millisecond
+	defaultProbeAfter   = time.Second
+	defaultIdleTimeout  = time.Minute
+	defaultMaxIdle      = 64
+	defaultFirstByte    = 10 * time.Second
+	defaultStall        = 3 * time.Second
+	defaultWriteTimeout = 3 * time.Second
+)
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.ProbeTimeout, defaultProbeTimeout)
+	setDefault(&o.ProbeAfter, defaultProbeAfter)
+	setDefault(&o.IdleTimeout, defaultIdleTimeout)
+	setDefault(&o.FirstByte, defaultFirstByte)
+	setDefault(&o.Stall, defaultStall)
+	setDefault(&o.WriteTimeout, defaultWriteTimeout)
+	if o.MaxIdle == 0 {
+		o.MaxIdle = defaultMaxIdle
+	}
+	if o.Dial == nil {
+		o.Dial = DialTCP
+	}
+	if o.Guard == nil {
+		o.Guard = &sync.RWMutex{}
+	}
+	return o
+}
--- /dev/null
+++ b/pkg/upstream/request.go
@@ -0,0 +1,37 @@
+package upstream
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// Request is one message to an upstream.
+type Request struct {
+	Address     string
+	Incarnation view.Incarnation // 0: any
+	Method      string
+	Path        string
+	Header      http.Header
+	Body        []byte
+	// BeforeSend may refuse the request right before its first byte.
+	BeforeSend func() error
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// head writes the request line and headers.
+func (r *Request) head(b *bytes.Buffer) {
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Path)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Address)
+	b.WriteString("\r\nContent-Length: ")
+	b.WriteString(strconv.Itoa(len(r.Body)))
+	b.WriteString("\r\n")
+	_ = r.Header.Write(b)
+	b.WriteString("\r\n")
+}
