--- /dev/null
+++ b/pkg/edge/plaincall/header.go
@@ -0,0 +1,32 @@
+package plaincall
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHop are headers for one connection only, and those by which a caller
+// could make a service see another method than the gate.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+	"X-Http-Method-Override", "X-Http-Method", "X-Method-Override",
+}
+
+// EndToEnd returns a copy of a header without what belongs to one connection.
+func EndToEnd(h http.Header) http.Header {
+	c := h.Clone()
+	if c == nil {
+		c = make(http.Header)
+	}
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			c.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		c.Del(name)
+	}
+	return c
+}
