Add the stand-in for a plain service and the form of asking for outcomes

Cause: proofs need a service with its own record of executions. Change: pkg/fake/service with faults to order, pkg/edge/ask.

--- /dev/null
+++ b/pkg/edge/ask/doc.go
@@ -0,0 +1,4 @@
+// Package ask is the wire format by which a plain service tells how the
+// request of a key ended: GET <outcome path>/<key> with the organisation in
+// HeaderOrganisation, answered by a JSON Reply.
+package ask
--- /dev/null
+++ b/pkg/fake/service/config.go
@@ -0,0 +1,25 @@
+package service
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// Config tells a stand-in what to be. Only Host and a Listener are needed.
+type Config struct {
+	// Host is what it announces. Kind and Address are filled in.
+	Host     view.Host
+	Listener net.Listener
+	Gates    []string     // host:port of gates to announce to
+	Client   *http.Client // for announcements; nil for a plain one
+	Record   *Record      // shared with other hosts; nil for its own
+	Bars     bool         // it bars a key that is asked for before it ran
+	Logger   *log.Logger  // nil for none
+}
+
+// KeyHeader carries the caller's key.
+const KeyHeader = "Idempotency-Key"
