Add the gate daemon around request handlers

Cause: the gate's duties had no process. Permits of a group are bound to its head's incarnation. Ruled out: acknowledging a revision before the handlers have it in force (a request chosen under the old view could start after the barrier passed).

--- /dev/null
+++ b/pkg/gate/config.go
@@ -0,0 +1,59 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/labstack/echo/v4"
+
+	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/edge/report"
+	"github.com/sesamemux/sesamemux/pkg/leader"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// Handlers serves requests; each proxy package brings one. Its methods are
+// safe for concurrent use.
+type Handlers interface {
+	// RegisterCallers puts routes on the callers' port.
+	RegisterCallers(e *echo.Echo)
+	// RegisterPeers puts routes on the port for other gates.
+	RegisterPeers(e *echo.Echo)
+	// ViewChanged brings the gate's current view into force. When it has
+	// returned, nothing starts any more that the view forbids.
+	ViewChanged()
+	// Drain makes callers look for another gate, while requests are still
+	// taken.
+	Drain()
+	// Finish waits for what goes on after the callers' connections ended.
+	Finish(ctx context.Context) error
+}
+
+// Config holds what a gate is built from.
+type Config struct {
+	Self      view.Gate
+	Caller    *leader.Caller
+	Clock     clock.Clock
+	Events    Events
+	Logger    *log.Logger
+	Source    Source
+	Limits    Limits
+	Listeners Listeners
+}
+
+// Limits bounds what callers may send and how long a shutdown takes.
+type Limits struct {
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	MaxConnections int
+	HeaderTimeout  time.Duration
+	RequestTime    time.Duration // one request with its answer, at most
+	ShutdownNotice time.Duration // from health off to the last accepted request
+}
+
+// Health tells what the members of groups say of themselves.
+type Health interface {
+	MemberOK(m view.Member, g view.Group) bool
+	Load(name view.HostName) (report.Load, bool)
+}
--- a/pkg/gate/syncer.go
+++ b/pkg/gate/syncer.go
@@ -50,12 +50,11 @@
 	courier  *courier
 	events   Events
 	logger   *log.Logger
-	install  func(*view.View) // called before the revision counts as in force
+	changed  func() // brings the stored view into force before it is acknowledged
 
-	view    atomic.Pointer[view.View]
-	full    bool // the next sync asks for the whole view
-	leaving bool
-	held    bool // the lease was valid after the last sync
+	view atomic.Pointer[view.View]
+	full bool // the next sync asks for the whole view
+	held bool // the lease was valid after the last sync
 }
 
 // current returns the view in force; revision 0 before the first sync.
@@ -135,8 +134,8 @@
 		return false
 	}
 	s.full = false
-	s.install(next)
 	s.view.Store(next)
+	s.changed()
 	s.events.Installed(next.Revision)
 	return true
 }
--- a/pkg/state/publication.go
+++ b/pkg/state/publication.go
@@ -54,13 +54,23 @@
 	}
 	p.permits(permit.TargetUp{
 		Target:      target,
-		Incarnation: view.Incarnation(g.Epoch),
+		Incarnation: headIncarnation(g),
 		Max:         mg.MaxInFlight,
 		Cold:        mg.ColdInFlight,
 		RampTime:    mg.RampTime,
 	})
 }
 
+// headIncarnation is the incarnation that a group's permits are for.
+func headIncarnation(g view.Group) view.Incarnation {
+	for _, m := range g.Members {
+		if m.Rank == 0 {
+			return m.Incarnation
+		}
+	}
+	return 0
+}
+
 func (p *publication) deleteGroup(id view.GroupID) {
 	p.state.view.Groups.Delete(id, p.revision)
 	p.changed = true
