Add the gate's proxy for plain services

Cause: once-only calls need intent, lease check, first byte, outcome and reply in this order. Change: pkg/serviceproxy; once.Intent gains Look, which asks for a record without taking the key.

--- a/pkg/edge/plaincall/answer.go
+++ b/pkg/edge/plaincall/answer.go
@@ -17,11 +17,14 @@
 // Whole tells whether the body was kept in whole.
 func (a *Answer) Whole() bool { return a.Size == int64(len(a.Body)) }
 
-// StatusOutcome tells what a status says of a request. A service that fails,
-// or something in front of it that is busy, is no proof that nothing ran.
+// StatusOutcome tells what a status says of a request. A service that fails or
+// sends the request elsewhere, or something in front of it that is busy, is no
+// proof that nothing ran.
 func StatusOutcome(status int) outcome.Outcome {
 	switch {
 	case status >= http.StatusInternalServerError,
+		status == http.StatusTemporaryRedirect,
+		status == http.StatusPermanentRedirect,
 		status == http.StatusRequestTimeout,
 		status == http.StatusTooEarly,
 		status == http.StatusTooManyRequests,
--- a/pkg/once/decision.go
+++ b/pkg/once/decision.go
@@ -23,6 +23,7 @@
 	KeyAhead     Kind = "key-ahead"     // the key's time lies too far in the future
 	Invalid      Kind = "invalid"       // a field is missing or too long
 	NotDeclared  Kind = "not-declared"  // no such service in the objects in force
+	Absent       Kind = "absent"        // a look found no attempt that may have run
 	AttemptEnded Kind = "attempt-ended" // this attempt was concluded as not run; it must not run now
 )
 
@@ -40,7 +41,7 @@
 	switch d.Kind {
 	case Recorded:
 		return outcome.Ran
-	case KeyReused, Full, OpaqueFull, KeyAhead, Invalid, NotDeclared, AttemptEnded:
+	case KeyReused, Full, OpaqueFull, KeyAhead, Invalid, NotDeclared, Absent, AttemptEnded:
 		return outcome.NotRun
 	default:
 		return outcome.Unknown
--- a/pkg/once/intent.go
+++ b/pkg/once/intent.go
@@ -19,6 +19,8 @@
 	GateIncarnation view.Incarnation `json:"gate_incarnation"`
 	Attempt         string           `json:"attempt"` // unique among all attempts of all gates
 	Host            view.HostName    `json:"host"`    // the service host that it will be sent to
+	// Look only asks what is known of the key; the attempt won't run.
+	Look bool `json:"look,omitempty"`
 }
 
 // valid tells whether every field is there and within its limit.
--- a/pkg/once/machine_test.go
+++ b/pkg/once/machine_test.go
@@ -219,11 +219,14 @@
 			t.Fatalf("conclusion %s: %s, want %s", o, r.Kind, kind)
 		}
 	}
+	look := with(func(i *Intent) { i.Look = true; i.Attempt = "l" })
+	want("look at a new key", look, Absent)
 	second := with(func(i *Intent) { i.Attempt = "a2"; i.Gate = "g2" })
 
 	want("first", intent, Run)
 	want("lost reply of the log", intent, Run)
 	want("second attempt", second, InProgress)
+	want("look at a key in progress", look, InProgress)
 	want("other body", with(func(i *Intent) { i.Digest = "e" }), KeyReused)
 	want("other organisation", with(func(i *Intent) { i.Organisation = "nile"; i.Attempt = "a3" }), Run)
 	conclude(second, outcome.Ran, &Answer{Status: 200}, Superseded)
--- a/pkg/once/service_records.go
+++ b/pkg/once/service_records.go
@@ -59,6 +59,9 @@
 	if ok && r.State != stateNotRun {
 		return s.known(now, r, i)
 	}
+	if i.Look {
+		return s.look(now, i)
+	}
 	if ok && r.Attempt == i.Attempt {
 		return Decision{Kind: AttemptEnded, Attempt: r.Attempt}
 	}
@@ -73,6 +76,14 @@
 	return s.run(now, r, i)
 }
 
+// look tells what is known of a key that no attempt may have run.
+func (s *serviceRecords) look(now view.Time, i Intent) Decision {
+	if d := s.refuseNew(now, i); d.Kind == Expired {
+		return d
+	}
+	return Decision{Kind: Absent}
+}
+
 // run gives the key to the intent's attempt.
 func (s *serviceRecords) run(now view.Time, r *record, i Intent) Decision {
 	deadline := after(now, s.limits.Timeout+s.options.ConcludeTime)
--- /dev/null
+++ b/pkg/serviceproxy/config.go
@@ -0,0 +1,48 @@
+package serviceproxy
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxBody     = 8 << 20  // bytes of a caller's body
+	DefaultMaxAnswer   = 32 << 20 // bytes of a once-only answer that are relayed
+	DefaultMaxPending  = 1024     // conclusions that are tried again in the background
+	defaultCallTimeout = 30 * time.Second
+)
+
+// Config holds what a Proxy works with. View, Lease, Records and Permits must
+// be set.
+type Config struct {
+	Gate        view.GateName
+	Incarnation view.Incarnation
+	View        func() *view.View
+	Lease       Lease
+	Records     Records
+	Permits     Permits
+	Timeline    Timeline              // nil: none
+	Transport   *plaincall.Transport  // nil: over TCP
+	Logger      *log.Logger           // nil: none
+	Registerer  prometheus.Registerer // nil: metrics are kept but not registered
+	MaxBody     int64                 // 0: DefaultMaxBody
+	MaxAnswer   int64                 // 0: DefaultMaxAnswer
+	MaxPending  int                   // 0: DefaultMaxPending
+
+	unguarded unguarded
+}
+
+// unguarded switches protections off, for proofs that the checks see the
+// fault.
+type unguarded struct {
+	noIntent    bool // once-only calls run without a record
+	resend      bool // an unknown outcome is sent again
+	noLateCheck bool // the lease isn't checked before the first byte
+	trustStatus bool // an answer of 5xx counts as not run
+}
--- /dev/null
+++ b/pkg/serviceproxy/errors.go
@@ -0,0 +1,13 @@
+package serviceproxy
+
+import "github.com/rotisserie/eris"
+
+var (
+	// errNoLease says that the lease lapsed before the first byte.
+	errNoLease = eris.New("the gate's lease has lapsed")
+	// errHostGone says that the host left between the choice and the first
+	// byte.
+	errHostGone = eris.New("the host takes no new work")
+	// errBadReply says that a service's word on an outcome can't be read.
+	errBadReply = eris.New("the reply about an outcome can't be read")
+)
--- /dev/null
+++ b/pkg/serviceproxy/metrics.go
@@ -0,0 +1,54 @@
+package serviceproxy
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sesamemux/sesamemux/pkg/outcome"
+)
+
+// metrics counts calls of plain services.
+type metrics struct {
+	calls    *prometheus.CounterVec
+	replayed *prometheus.CounterVec
+	asked    *prometheus.CounterVec
+	failures *prometheus.CounterVec
+	pending  prometheus.Gauge
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_service_calls_total",
+			Help: "Calls of plain services by how they ended.",
+		}, []string{"service", "once", "outcome"}),
+		replayed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_once_replayed_total",
+			Help: "Once-only calls that were answered from the record.",
+		}, []string{"service"}),
+		asked: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_once_asked_total",
+			Help: "Unknown outcomes that a service was asked for, by what it told.",
+		}, []string{"service", "outcome"}),
+		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_once_record_failures_total",
+			Help: "Failed calls to the replicated records.",
+		}, []string{"step"}),
+		pending: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sesame_once_pending_conclusions",
+			Help: "Outcomes that are not recorded yet and are tried again.",
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.calls, m.replayed, m.asked, m.failures, m.pending)
+	}
+	return m
+}
+
+// end counts a call. Names that callers make up are not used as labels.
+func (m *metrics) end(c *call, o outcome.Outcome) {
+	once := "no"
+	if c.once() {
+		once = "yes"
+	}
+	m.calls.WithLabelValues(c.service.Name, once, string(o)).Inc()
+}
--- /dev/null
+++ b/pkg/serviceproxy/organisation.go
@@ -0,0 +1,58 @@
+package serviceproxy
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
+	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+const (
+	headerAuthorization = "Authorization"
+	bearer              = "Bearer "
+)
+
+// identify finds the organisation of a request: by its API key, or by name for
+// one that has no key.
+func (p *Proxy) identify(r *http.Request, c *call) *refusal {
+	v := p.config.View()
+	if token, ok := strings.CutPrefix(r.Header.Get(headerAuthorization), bearer); ok {
+		c.organisation, ok = byKey(v, token)
+		if ok {
+			return nil
+		}
+		return notRun(http.StatusUnauthorized, outcome.ReasonUnauthorised, "no organisation has this key")
+	}
+	name := r.Header.Get(HeaderOrganisation)
+	o, ok := v.Organisations.Get(name)
+	if !ok || o.KeySHA256 != "" {
+		return notRun(http.StatusUnauthorized, outcome.ReasonUnauthorised, "send the organisation's key, or the name of one without a key")
+	}
+	c.organisation = name
+	return nil
+}
+
+// byKey finds the organisation of an API key.
+func byKey(v *view.View, token string) (string, bool) {
+	sum := sha256.Sum256([]byte(token))
+	digest := hex.EncodeToString(sum[:])
+	for name, e := range v.Organisations.Entries {
+		if strings.EqualFold(e.Value.KeySHA256, digest) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// forwarded returns the headers for the service: its own connection's apart,
+// without the API key, and with the organisation that the gate found.
+func forwarded(h http.Header, organisation string) http.Header {
+	f := plaincall.EndToEnd(h)
+	f.Del(headerAuthorization)
+	f.Set(HeaderOrganisation, organisation)
+	return f
+}
