--- /dev/null
+++ b/pkg/raft/rules_test.go
@@ -0,0 +1,171 @@
+package raft
+
+import (
+	"errors"
+	"math/rand/v2"
+	"testing"
+)
+
+// voterOf returns replica 1 of a cluster with the given entries on disk, all
+// of terms as listed.
+func voterOf(size int, learners int, terms ...uint64) *Core {
+	var ms []Member
+	for id := ID(1); int(id) <= size+learners; id++ {
+		ms = append(ms, Member{ID: id, Address: "sim", Learner: int(id) > size})
+	}
+	cfg := Config{
+		ID:          1,
+		Incarnation: 2,
+		Identity:    Identity{Active: true, Initial: ms},
+		Rand:        rand.New(rand.NewPCG(1, 1)),
+		Unsafe:      Unsafe{NoIdentityCheck: true},
+	}
+	for i, term := range terms {
+		cfg.Entries = append(cfg.Entries, Entry{Index: uint64(i) + 1, Term: term})
+		cfg.HardState.Term = term
+	}
+	return New(cfg)
+}
+
+// settle syncs everything and returns what was sent.
+func settle(c *Core) []Message {
+	var sent []Message
+	for c.HasReady() {
+		rd := c.Ready()
+		sent = append(sent, rd.Early...)
+		c.Advance(rd)
+		sent = append(sent, rd.Messages...)
+	}
+	return sent
+}
+
+// lead makes replica 1 the leader by the votes of replica 2.
+func lead(c *Core) {
+	for c.role == Follower {
+		c.Tick()
+	}
+	settle(c)
+	c.Step(Message{Type: MessagePreVoteReply, From: 2, To: 1, Term: c.term + 1})
+	settle(c)
+	c.Step(Message{Type: MessageVoteReply, From: 2, To: 1, Term: c.term})
+	settle(c)
+}
+
+func ack(c *Core, from ID, index uint64) {
+	c.Step(Message{Type: MessageAppendReply, From: from, To: 1, Term: c.term, Index: index})
+	settle(c)
+}
+
+func TestEntriesOfOldTermsCommitOnlyWithOneOfThisTerm(t *testing.T) {
+	c := voterOf(3, 0, 1, 2)
+	lead(c)
+	ack(c, 2, 2)
+	if c.log.committed != 0 {
+		t.Fatalf("committed %d on an old term's entry", c.log.committed)
+	}
+	ack(c, 2, 3)
+	if c.log.committed != 3 {
+		t.Fatalf("committed %d", c.log.committed)
+	}
+}
+
+func TestNoMembershipChangeBeforeACommitOfThisTerm(t *testing.T) {
+	c := voterOf(3, 0)
+	lead(c)
+	if _, _, err := c.AddLearner(9, "sim"); !errors.Is(err, ErrChangePending) {
+		t.Fatalf("before the commit: %v", err)
+	}
+	ack(c, 2, 1)
+	if _, _, err := c.AddLearner(9, "sim"); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := c.Remove(3); !errors.Is(err, ErrChangePending) {
+		t.Fatalf("second change: %v", err)
+	}
+}
+
+func TestLeaderCountsItselfOnlyOnceSynced(t *testing.T) {
+	c := voterOf(3, 0)
+	lead(c)
+	ack(c, 2, 1)
+	index, _, _ := c.Propose(nil)
+	c.Flush()
+	c.Step(Message{Type: MessageAppendReply, From: 2, To: 1, Term: c.term, Index: index})
+	if c.log.committed >= index {
+		t.Fatal("committed by one synced copy of three")
+	}
+	settle(c)
+	if c.log.committed != index {
+		t.Fatalf("committed %d of %d", c.log.committed, index)
+	}
+}
+
+func TestSnapshotOfAHeldPrefixKeepsTheTail(t *testing.T) {
+	c := voterOf(3, 0, 1, 1, 1, 1, 1)
+	meta := SnapshotMeta{Index: 3, Term: 1}
+	c.Step(Message{Type: MessageSnapshot, From: 2, To: 1, Term: 1, Chunk: &Chunk{Meta: meta}})
+	if c.log.last() != 5 || c.newSnapshot != nil {
+		t.Fatalf("log ends at %d", c.log.last())
+	}
+	if c.log.committed != 3 {
+		t.Fatalf("committed %d", c.log.committed)
+	}
+}
+
+func TestMembershipOfACutEntryIsTakenBack(t *testing.T) {
+	c := voterOf(3, 0)
+	next, err := c.Membership().withLearner(7, "sim")
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := Entry{Index: 1, Term: 1, Type: EntryMembership, Data: next.encode()}
+	c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: 1, Entries: []Entry{change}})
+	if _, ok := c.Membership().Member(7); !ok {
+		t.Fatal("not in force when appended")
+	}
+	c.Step(Message{Type: MessageAppend, From: 3, To: 1, Term: 2, Entries: []Entry{{Index: 1, Term: 2}}})
+	if _, ok := c.Membership().Member(7); ok {
+		t.Fatal("still in force after the cut")
+	}
+}
+
+// A lone voter's term is on disk before a learner hears of it.
+func TestLoneVoterSendsNothingBeforeItsTermIsSynced(t *testing.T) {
+	c := voterOf(1, 1)
+	for c.role != Leader {
+		c.Tick()
+	}
+	rd := c.Ready()
+	if len(rd.Early) > 0 || len(rd.Messages) == 0 {
+		t.Fatalf("%d early messages, %d after the sync", len(rd.Early), len(rd.Messages))
+	}
+}
+
+func TestDeposedLeaderLearnsTheTerm(t *testing.T) {
+	c := voterOf(3, 0, 5)
+	c.Step(Message{Type: MessageHeartbeat, From: 2, To: 1, Term: 4})
+	sent := settle(c)
+	if len(sent) != 1 || sent[0].Term != 5 || !sent[0].Reject {
+		t.Fatalf("answered %+v", sent)
+	}
+}
+
+func TestMarkIsEvidenceOnlyOfLostPromises(t *testing.T) {
+	mark := Mark{ID: 1, Term: 4, Index: 10}
+	cases := []struct {
+		name        string
+		term, index uint64
+		behind      bool
+	}{
+		{"same", 4, 10, false},
+		{"longer", 4, 11, false},
+		{"entry lost", 4, 9, true},
+		{"term lost", 3, 20, true},
+		{"cut by a later leader", 5, 2, false},
+	}
+	for _, tc := range cases {
+		if got := mark.behind(tc.term, tc.index); got != tc.behind {
+			t.Errorf("%s: %v", tc.name, got)
+		}
+	}
+}
