Add the gate's proxy for model requests

Cause: the request path needs a first whole cut to build the daemon around. For the daemon: call ViewChanged after storing a view and before telling it as in force; run Proxy.Run; feed polled reports to Proxy.Reported; send Proxy.Uses with each sync; suspect.Guard fits Config.Suspects; Crash tells of a head that is gone, Guard.Crashed then knows what ran there.

--- a/pkg/edge/infer/header.go
+++ b/pkg/edge/infer/header.go
@@ -7,9 +7,9 @@
 	HeaderDeadline     = "Sesame-Deadline-Ms" // milliseconds from now
 	HeaderRequestID    = "Sesame-Request-Id"
 	HeaderAttempt      = "Sesame-Attempt"
-	HeaderGroup        = "Sesame-Group"  // group that the request is meant for
-	HeaderEpoch        = "Sesame-Epoch"  // and its epoch
-	HeaderGate         = "Sesame-Gate"   // gate that served or refused
-	HeaderHop          = "Sesame-Hop"    // handed over by this gate
-	HeaderServed       = "Sesame-Served" // target that answers
+	HeaderGroup        = "Sesame-Group"   // group that the request is meant for
+	HeaderEpoch        = "Sesame-Epoch"   // and its epoch
+	HeaderVersion      = "Sesame-Version" // version that began the answer
+	HeaderGate         = "Sesame-Gate"    // gate that served or refused
+	HeaderHop          = "Sesame-Hop"     // handed over by this gate
 )
--- a/pkg/fake/engine/chat.go
+++ b/pkg/fake/engine/chat.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamemux/sesamemux/pkg/edge/infer"
 	"github.com/sesamemux/sesamemux/pkg/edge/report"
+	"github.com/sesamemux/sesamemux/pkg/outcome"
 	"github.com/sesamemux/sesamemux/pkg/prefix"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
@@ -20,11 +21,11 @@
 func (e *Engine) handleChat(c echo.Context) error {
 	var req infer.Request
 	if err := c.Bind(&req); err != nil {
-		return refuse(c, http.StatusBadRequest, "bad-request", err)
+		return refuse(c, http.StatusBadRequest, outcome.ReasonInvalid, err)
 	}
 	st, err := e.begin(c.Request().Header, &req)
 	if err != nil {
-		return refuse(c, http.StatusServiceUnavailable, "engine-refused", err)
+		return refuse(c, http.StatusServiceUnavailable, outcome.ReasonNoUpstream, err)
 	}
 	defer e.finish(st)
 	f := e.faults.forRequest(req.Prompt())
@@ -41,13 +42,12 @@
 }
 
 // refuse says that nothing of the request ran.
-func refuse(c echo.Context, status int, code string, err error) error {
-	return c.JSON(status, infer.Refusal{Error: infer.RefusalError{
-		Code:      code,
-		Message:   err.Error(),
-		Outcome:   infer.OutcomeNotRun,
-		RequestID: c.Request().Header.Get(infer.HeaderRequestID),
-	}})
+func refuse(c echo.Context, status int, reason outcome.Reason, err error) error {
+	return outcome.Write(c.Response(), status, outcome.Refusal{
+		Outcome: outcome.NotRun,
+		Reason:  reason,
+		Message: err.Error(),
+	})
 }
 
 func (e *Engine) version() string {
@@ -92,6 +92,7 @@
 	e.attempts[key] = st
 	if !seq.Done() {
 		e.streams[seq] = st
+		e.peak = max(e.peak, len(e.streams))
 		e.model.Add(seq)
 		notify(e.wake)
 	}
@@ -126,7 +127,7 @@
 func (e *Engine) handleCancel(c echo.Context) error {
 	var k infer.Cancel
 	if err := c.Bind(&k); err != nil {
-		return refuse(c, http.StatusBadRequest, "bad-request", err)
+		return refuse(c, http.StatusBadRequest, outcome.ReasonInvalid, err)
 	}
 	return c.JSON(http.StatusOK, infer.CancelReply{Known: e.cancel(k)})
 }
--- a/pkg/fake/engine/engine.go
+++ b/pkg/fake/engine/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -37,6 +38,7 @@
 	attempts  map[infer.Cancel]*stream // nil: cancelled
 	leaving   bool
 	stalledBy string // peer that does not answer
+	peak      int    // most requests at once
 }
 
 // New returns a member that holds no role.
@@ -48,7 +50,7 @@
 		o.Interval = announce.Interval
 	}
 	if o.Log == nil {
-		o.Log = log.New(nil)
+		o.Log = log.New(io.Discard)
 	}
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: peerTimeout}).Dial
@@ -98,6 +100,7 @@
 
 // Run announces, loads, generates and watches peers until ctx ends.
 func (e *Engine) Run(ctx context.Context) error {
+	defer e.client.CloseIdleConnections()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return e.announceLoop(ctx) })
 	g.Go(func() error { return e.loadLoop(ctx) })
@@ -120,6 +123,13 @@
 	return len(e.streams)
 }
 
+// Peak returns the most requests that were in the member at once.
+func (e *Engine) Peak() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peak
+}
+
 func (e *Engine) now() time.Duration { return time.Since(e.started) }
 
 func notify(c chan struct{}) {
--- a/pkg/permit/local.go
+++ b/pkg/permit/local.go
@@ -155,16 +155,18 @@
 	return max(0, l.free(id, inc))
 }
 
-// InFlight returns the gate's own work on an incarnation.
-func (l *Local) InFlight(id view.TargetID, inc view.Incarnation) int {
+// Room returns how many permits are free and the gate's own work in flight.
+func (l *Local) Room(id view.TargetID, inc view.Incarnation) (free, inFlight int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if u := l.uses[id]; u != nil {
-		if c := u.counts[inc]; c != nil {
-			return c.inFlight
-		}
+	u := l.uses[id]
+	if u == nil {
+		return 0, 0
+	}
+	if c := u.counts[inc]; c != nil {
+		inFlight = c.inFlight
 	}
-	return 0
+	return max(0, l.free(id, inc)), inFlight
 }
 
 func (l *Local) free(id view.TargetID, inc view.Incarnation) int {
--- /dev/null
+++ b/pkg/prove/gates/gate.go
@@ -0,0 +1,116 @@
+package gates
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/sesamemux/sesamemux/pkg/permit"
+	"github.com/sesamemux/sesamemux/pkg/proxy"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// syncInterval is the time between two syncs of a gate.
+const syncInterval = 100 * time.Millisecond
+
+// gate is one gate process: a real proxy, with the least of a daemon.
+type gate struct {
+	world   *world
+	self    view.Gate
+	address string // of the callers' port
+	proxy   *proxy.Proxy
+	local   *permit.Local
+	view    atomic.Pointer[view.View]
+	lease   atomic.Int64 // end, in nanoseconds since the epoch
+	cut     atomic.Bool  // cut off from the keepers
+	leaving atomic.Bool
+	ignore  atomic.Bool // leaves its lease out of account, for unguarded runs
+	stop    context.CancelFunc
+	servers []*http.Server
+}
+
+// Valid implements proxy.Lease.
+func (g *gate) Valid() bool {
+	return g.ignore.Load() || time.Now().UnixNano() < g.lease.Load()
+}
+
+func (w *world) startGate(name view.GateName, domain string, o proxy.Options) *gate {
+	w.incarnations++
+	g := &gate{
+		world:   w,
+		address: string(name) + ":80",
+		self: view.Gate{
+			Name:          name,
+			Incarnation:   view.Incarnation(w.incarnations),
+			FailureDomain: domain,
+			PeerAddress:   string(name) + ":81",
+		},
+		local: permit.NewLocal(name),
+	}
+	g.view.Store(view.New())
+	g.proxy = proxy.New(proxy.Config{
+		Gate:    g.self,
+		View:    g.view.Load,
+		Lease:   g,
+		Permits: g.local,
+		Dial:    w.network.dialer(g.self.PeerAddress),
+		Options: o,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	g.stop = cancel
+	w.goes(func() { g.proxy.Run(ctx) })
+	w.goes(func() { g.syncLoop(ctx) })
+	g.sync()
+	callers, peers := echo.New(), echo.New()
+	g.proxy.Register(callers)
+	g.proxy.RegisterPeer(peers)
+	g.servers = []*http.Server{w.serve(g.address, callers), w.serve(g.self.PeerAddress, peers)}
+	w.gates = append(w.gates, g)
+	return g
+}
+
+func (g *gate) syncLoop(ctx context.Context) {
+	t := time.NewTicker(syncInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			g.sync()
+		}
+	}
+}
+
+// sync renews the lease and brings the newest view into force.
+func (g *gate) sync() {
+	if g.cut.Load() {
+		return
+	}
+	sent := time.Now()
+	uses := g.proxy.Uses()
+	final := g.leaving.Load() && g.proxy.Active() == 0
+	time.Sleep(g.world.network.latency)
+	v := g.world.keeper.sync(g.self, uses, final)
+	time.Sleep(g.world.network.latency)
+	if v.Revision > g.view.Load().Revision {
+		g.view.Store(v)
+		g.proxy.ViewChanged()
+	}
+	g.lease.Store(sent.Add(leaseTime).UnixNano())
+}
+
+// kill ends the gate's process.
+func (g *gate) kill() {
+	g.cut.Store(true)
+	g.stop()
+	g.world.network.kill(g.address)
+	g.world.network.kill(g.self.PeerAddress)
+	for _, s := range g.servers {
+		_ = s.Close()
+	}
+	g.proxy.Close()
+}
--- /dev/null
+++ b/pkg/prove/gates/host.go
@@ -0,0 +1,63 @@
+package gates
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/sesamemux/sesamemux/pkg/edge/order"
+	"github.com/sesamemux/sesamemux/pkg/fake/engine"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// host is one engine member.
+type host struct {
+	world   *world
+	name    view.HostName
+	address string
+	engine  *engine.Engine
+	server  *http.Server
+	stop    context.CancelFunc
+}
+
+func (w *world) startHost(name view.HostName, m engine.ModelOptions) *host {
+	w.incarnations++
+	h := &host{world: w, name: name, address: string(name) + ":90"}
+	h.engine = engine.New(engine.Options{
+		Name:        name,
+		Incarnation: view.Incarnation(w.incarnations),
+		Address:     h.address,
+		Model:       m,
+		Dial: func(_, to string) (net.Conn, error) {
+			return w.network.dial(context.Background(), h.address, to)
+		},
+		Die: h.kill,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	w.goes(func() { _ = h.engine.Run(ctx) })
+	h.server = w.serve(h.address, h.engine.Handler())
+	w.hosts[name] = h
+	return h
+}
+
+// kill ends the host's process.
+func (h *host) kill() {
+	h.stop()
+	h.world.network.kill(h.address)
+	_ = h.server.Close()
+}
+
+// head makes the host the only member of a group that is in service.
+func (h *host) order(id view.GroupID, epoch view.Epoch) error {
+	return h.engine.Order(order.Order{
+		Host:        h.name,
+		Incarnation: h.engine.Incarnation(),
+		Kind:        order.KindServe,
+		Fence:       epoch,
+		Group:       id,
+		Version:     "v1",
+		Peers:       []string{h.address},
+		LoadAllowed: true,
+	})
+}
--- /dev/null
+++ b/pkg/prove/gates/link.go
@@ -0,0 +1,200 @@
+package gates
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// link is one connection with two ends.
+type link struct {
+	from, to       string
+	client, server *end
+}
+
+func newLink(latency time.Duration, from, to string) *link {
+	up, down := newPipe(latency), newPipe(latency)
+	return &link{
+		from:   from,
+		to:     to,
+		client: &end{in: down, out: up, local: address(from), remote: address(to)},
+		server: &end{in: up, out: down, local: address(to), remote: address(from)},
+	}
+}
+
+func (k *link) silence() {
+	k.client.in.silence()
+	k.client.out.silence()
+}
+
+func (k *link) reset() {
+	k.client.in.reset()
+	k.client.out.reset()
+}
+
+// end is one side of a link; it is a net.Conn.
+type end struct {
+	in, out       *pipe
+	local, remote address
+}
+
+func (e *end) Read(b []byte) (int, error)         { return e.in.read(b) }
+func (e *end) Write(b []byte) (int, error)        { return e.out.write(b) }
+func (e *end) LocalAddr() net.Addr                { return e.local }
+func (e *end) RemoteAddr() net.Addr               { return e.remote }
+func (e *end) SetReadDeadline(t time.Time) error  { e.in.setDeadline(t); return nil }
+func (e *end) SetWriteDeadline(t time.Time) error { return nil }
+
+func (e *end) SetDeadline(t time.Time) error { return e.SetReadDeadline(t) }
+
+func (e *end) Close() error {
+	e.out.finish()
+	e.in.abandon()
+	return nil
+}
+
+// segment is data that arrives at a moment.
+type segment struct {
+	at   time.Time
+	data []byte
+}
+
+// pipe is one direction of a link.
+type pipe struct {
+	latency time.Duration
+
+	mu        sync.Mutex
+	changed   chan struct{}
+	segments  []segment
+	finished  bool // the writer closed
+	abandoned bool // the reader closed
+	wasReset  bool
+	silent    bool
+	deadline  time.Time
+}
+
+func newPipe(latency time.Duration) *pipe {
+	return &pipe{latency: latency, changed: make(chan struct{})}
+}
+
+// change wakes the reader. p.mu is held.
+func (p *pipe) change() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *pipe) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = true
+	p.segments = nil
+}
+
+func (p *pipe) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.silent {
+		p.wasReset = true
+		p.segments = nil
+		p.change()
+	}
+}
+
+func (p *pipe) finish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.silent {
+		p.finished = true
+		p.change()
+	}
+}
+
+func (p *pipe) abandon() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.abandoned = true
+	p.change()
+}
+
+func (p *pipe) setDeadline(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deadline = t
+	p.change()
+}
+
+func (p *pipe) write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.silent:
+		return len(b), nil
+	case p.wasReset, p.abandoned:
+		return 0, syscall.ECONNRESET
+	case p.finished:
+		return 0, net.ErrClosed
+	}
+	p.segments = append(p.segments, segment{at: time.Now().Add(p.latency), data: append([]byte(nil), b...)})
+	p.change()
+	return len(b), nil
+}
+
+func (p *pipe) read(b []byte) (int, error) {
+	for {
+		n, err, wait, changed := p.tryRead(b)
+		if n > 0 || err != nil || len(b) == 0 {
+			return n, err
+		}
+		if wait < 0 {
+			<-changed
+			continue
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// tryRead reads what has arrived, or says how long to wait: below 0 without
+// limit.
+func (p *pipe) tryRead(b []byte) (int, error, time.Duration, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	switch {
+	case p.abandoned:
+		return 0, net.ErrClosed, 0, nil
+	case p.wasReset:
+		return 0, syscall.ECONNRESET, 0, nil
+	case !p.deadline.IsZero() && !now.Before(p.deadline):
+		return 0, os.ErrDeadlineExceeded, 0, nil
+	}
+	wait := time.Duration(-1)
+	if len(p.segments) > 0 {
+		s := &p.segments[0]
+		if !now.Before(s.at) {
+			n := copy(b, s.data)
+			s.data = s.data[n:]
+			if len(s.data) == 0 {
+				p.segments = p.segments[1:]
+			}
+			return n, nil, 0, nil
+		}
+		wait = s.at.Sub(now)
+	} else if p.finished {
+		return 0, io.EOF, 0, nil
+	}
+	if !p.deadline.IsZero() {
+		left := p.deadline.Sub(now)
+		if wait < 0 || left < wait {
+			wait = left
+		}
+	}
+	return 0, nil, wait, p.changed
+}
--- /dev/null
+++ b/pkg/prove/gates/network.go
@@ -0,0 +1,160 @@
+package gates
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// network joins listeners and dialers in memory. Connections can go silent:
+// then what is written is lost and neither end learns of the other's close.
+type network struct {
+	latency time.Duration
+
+	mu        sync.Mutex
+	listeners map[string]*listener
+	links     []*link
+	blocked   map[string]bool // addresses whose packets are lost
+	accepted  map[string]int  // connections opened to an address
+}
+
+func newNetwork(latency time.Duration) *network {
+	return &network{
+		latency:   latency,
+		listeners: make(map[string]*listener),
+		blocked:   make(map[string]bool),
+		accepted:  make(map[string]int),
+	}
+}
+
+// listen takes connections at an address.
+func (n *network) listen(address string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{network: n, address: address, queue: make(chan net.Conn, 256), done: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+// dialer returns a dial function for a process at an address.
+func (n *network) dialer(from string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, to string) (net.Conn, error) { return n.dial(ctx, from, to) }
+}
+
+func (n *network) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	select {
+	case <-time.After(2 * n.latency):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	l, lost := n.listeners[to], n.blocked[to] || n.blocked[from]
+	n.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	k := newLink(n.latency, from, to)
+	select {
+	case l.queue <- k.server:
+	case <-l.done:
+		return nil, syscall.ECONNREFUSED
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links = append(n.links, k)
+	n.accepted[to]++
+	return k.client, nil
+}
+
+// silence loses everything on the connections that stand to an address; new
+// ones work.
+func (n *network) silence(to string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, k := range n.links {
+		if k.to == to {
+			k.silence()
+			count++
+		}
+	}
+	return count
+}
+
+// block loses everything to and from an address.
+func (n *network) block(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blocked[address] = true
+	for _, k := range n.links {
+		if k.to == address || k.from == address {
+			k.silence()
+		}
+	}
+}
+
+// unblock lets new connections of an address work again.
+func (n *network) unblock(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.blocked, address)
+}
+
+// kill ends a process: its listener and connections are gone.
+func (n *network) kill(address string) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	delete(n.listeners, address)
+	links := n.links
+	n.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+	}
+	for _, k := range links {
+		if k.to == address || k.from == address {
+			k.reset()
+		}
+	}
+}
+
+// listener is one end point.
+type listener struct {
+	network *network
+	address string
+	queue   chan net.Conn
+	once    sync.Once
+	done    chan struct{}
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	if l.network.listeners[l.address] == l {
+		delete(l.network.listeners, l.address)
+	}
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return address(l.address) }
+
+// address is a net.Addr.
+type address string
+
+func (address) Network() string  { return "memory" }
+func (a address) String() string { return string(a) }
--- /dev/null
+++ b/pkg/prove/gates/world.go
@@ -0,0 +1,132 @@
+package gates
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/fake/engine"
+	"github.com/sesamemux/sesamemux/pkg/object"
+	"github.com/sesamemux/sesamemux/pkg/permit"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+const (
+	networkLatency = time.Millisecond
+	modelGroup     = "assistant"
+)
+
+// world is everything of one scenario.
+type world struct {
+	network      *network
+	keeper       *keeper
+	gates        []*gate
+	hosts        map[view.HostName]*host
+	incarnations uint64
+	epochs       view.Epoch
+	wg           sync.WaitGroup
+	done         chan struct{}
+	limits       object.ModelGroup
+}
+
+func newWorld(o permit.Options) *world {
+	w := &world{
+		network: newNetwork(networkLatency),
+		keeper:  newKeeper(o),
+		hosts:   make(map[view.HostName]*host),
+		done:    make(chan struct{}),
+		limits:  object.ModelGroup{Name: modelGroup, Version: "v1", MaxInFlight: 32, ColdInFlight: 4, RampTime: 4 * time.Second},
+	}
+	w.keeper.edit(func(v *view.View, r view.Revision) {
+		v.ModelGroups.Put(modelGroup, w.limits, r)
+		v.Organisations.Put("boia", object.Organisation{Name: "boia", Weight: 1, MaxQueued: 1000}, r)
+		v.Organisations.Put("nile", object.Organisation{Name: "nile", Weight: 1, MaxQueued: 1000}, r)
+	})
+	w.goes(w.tickLoop)
+	return w
+}
+
+// goes starts a goroutine that the world waits for at its end.
+func (w *world) goes(f func()) {
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		f()
+	}()
+}
+
+func (w *world) tickLoop() {
+	t := time.NewTicker(keeperTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-w.done:
+			return
+		case <-t.C:
+			w.keeper.tick()
+		}
+	}
+}
+
+func (w *world) serve(address string, h http.Handler) *http.Server {
+	s := &http.Server{Handler: h}
+	l := w.network.listen(address)
+	w.goes(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, errClosed) {
+			return
+		}
+	})
+	return s
+}
+
+var errClosed = http.ErrServerClosed
+
+// publishGroup puts a host's group in service.
+func (w *world) publishGroup(h *host, id view.GroupID, domain string) error {
+	w.epochs++
+	epoch := w.epochs
+	if err := h.order(id, epoch); err != nil {
+		return err
+	}
+	time.Sleep(100 * time.Millisecond)
+	inc := h.engine.Incarnation()
+	w.keeper.edit(func(v *view.View, r view.Revision) {
+		v.Hosts.Put(h.name, view.Host{Name: h.name, Incarnation: inc, Address: h.address, FailureDomain: domain}, r)
+		v.Groups.Put(id, view.Group{
+			ID:            id,
+			ModelGroup:    modelGroup,
+			Epoch:         epoch,
+			State:         view.StateServing,
+			Version:       "v1",
+			FailureDomain: domain,
+			Members:       []view.Member{{Host: h.name, Incarnation: inc, Address: h.address}},
+		}, r)
+	})
+	w.keeper.event(permit.TargetUp{
+		Target:      view.TargetID("group/" + id),
+		Incarnation: inc,
+		Max:         w.limits.MaxInFlight,
+		Cold:        w.limits.ColdInFlight,
+		RampTime:    w.limits.RampTime,
+	})
+	return nil
+}
+
+// close ends everything and waits for it.
+func (w *world) close() {
+	for _, g := range w.gates {
+		g.kill()
+	}
+	for _, h := range w.hosts {
+		h.kill()
+	}
+	close(w.done)
+	w.wg.Wait()
+}
+
+func fastModel() engine.ModelOptions {
+	m := engine.DefaultModelOptions()
+	m.StepBase = 10 * time.Millisecond
+	return m
+}
--- /dev/null
+++ b/pkg/proxy/attempt.go
@@ -0,0 +1,218 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/edge/infer"
+	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/permit"
+	"github.com/sesamemux/sesamemux/pkg/stream"
+	"github.com/sesamemux/sesamemux/pkg/suspect"
+	"github.com/sesamemux/sesamemux/pkg/upstream"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// attempt sends a call where its grant says and takes the answer to the sink.
+func (p *Proxy) attempt(ctx context.Context, q *queue, c *call, g grant, s sink) result {
+	c.tracker.Begin(c.attempt)
+	body, err := c.upstreamBody()
+	if err != nil {
+		return result{outcome: outcome.NotRun, final: refuse(http.StatusBadRequest, outcome.ReasonInvalid, err.Error())}
+	}
+	if g.peer != nil {
+		return p.attemptPeer(ctx, q, c, g.peer, body, s)
+	}
+	return p.attemptEngine(ctx, q, c, g, body, s)
+}
+
+func (p *Proxy) header(c *call) http.Header {
+	h := make(http.Header, 8)
+	h.Set("Content-Type", "application/json")
+	h.Set(infer.HeaderRequestID, c.id)
+	h.Set(infer.HeaderAttempt, strconv.Itoa(c.attempt))
+	h.Set(infer.HeaderPriority, strconv.Itoa(c.priority))
+	h.Set(infer.HeaderDeadline, strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10))
+	return h
+}
+
+func (p *Proxy) attemptEngine(ctx context.Context, q *queue, c *call, g grant, body []byte, s sink) result {
+	var run *suspect.Run
+	sentAt := time.Now()
+	req := &upstream.Request{
+		Address:     g.place.head.Address,
+		Incarnation: g.place.head.Incarnation,
+		Method:      http.MethodPost,
+		Path:        infer.Path,
+		Header:      p.header(c),
+		Body:        body,
+		BeforeSend: func() error {
+			if err := p.mayStart(&g.place); err != nil {
+				return err
+			}
+			var err error
+			run, err = p.startRun(c, g.place.head)
+			return err
+		},
+	}
+	req.Header.Set(infer.HeaderGroup, string(g.place.group.ID))
+	req.Header.Set(infer.HeaderEpoch, strconv.FormatUint(uint64(g.place.group.Epoch), 10))
+	before := c.tracker.Offset()
+	err := p.exchange(ctx, p.engines, req, c, s)
+	if c.isolated {
+		p.targets.trial(g.place.target, -1)
+	}
+	if err == nil {
+		endRun(run, suspect.EndedWell)
+		q.finished(time.Since(sentAt))
+		q.giveBack(g.permit, permit.EndFinished)
+		return result{whole: true, outcome: outcome.Ran}
+	}
+	res := p.failedEngine(ctx, q, c, g, err)
+	if c.tracker.Offset() > before {
+		res.outcome = outcome.Ran
+	}
+	if ctx.Err() != nil || errors.Is(err, errCallerGone) {
+		endRun(run, suspect.EndedGiven)
+	} else {
+		endRun(run, suspect.EndedBroken)
+	}
+	return res
+}
+
+func endRun(r *suspect.Run, how suspect.End) {
+	if r != nil {
+		r.End(time.Now(), how)
+	}
+}
+
+// mayStart is the check right before the first byte.
+func (p *Proxy) mayStart(at *place) error {
+	if p.options.noSecondCheck {
+		return nil
+	}
+	if !p.config.Lease.Valid() {
+		return errNoLease
+	}
+	if !p.index.Load().allows(at) {
+		return errRevoked
+	}
+	return nil
+}
+
+func (p *Proxy) startRun(c *call, head view.Member) (*suspect.Run, error) {
+	if p.config.Suspects == nil {
+		return nil, nil
+	}
+	run, ok := p.config.Suspects.Start(time.Now(), c.fingerprint, c.organisation.Name, head.Host, head.Incarnation)
+	if !ok {
+		return nil, errSuspected
+	}
+	return run, nil
+}
+
+// attemptPeer hands a call over to another gate.
+func (p *Proxy) attemptPeer(ctx context.Context, q *queue, c *call, peer *view.Gate, body []byte, s sink) result {
+	q.countHanded(1)
+	defer q.countHanded(-1)
+	req := &upstream.Request{
+		Address: peer.PeerAddress,
+		Method:  http.MethodPost,
+		Path:    PeerPath,
+		Header:  p.header(c),
+		Body:    body,
+	}
+	req.Header.Set(infer.HeaderHop, string(p.config.Gate.Name))
+	req.Header.Set(infer.HeaderOrganisation, c.organisation.Name)
+	if c.version != "" {
+		req.Header.Set(infer.HeaderVersion, c.version)
+	}
+	p.metrics.handedOver()
+	before := c.tracker.Offset()
+	err := p.exchange(ctx, p.peers, req, c, s)
+	if err == nil {
+		return result{whole: true, outcome: outcome.Ran}
+	}
+	c.refuseGate(peer.Name)
+	res := result{outcome: outcomeOf(err), err: err}
+	res.free = res.outcome == outcome.NotRun
+	if c.tracker.Offset() > before {
+		res.outcome = outcome.Ran
+	}
+	var refused *refusedError
+	if errors.As(err, &refused) && refused.final() {
+		res.final = &refusal{status: refused.status, Refusal: refused.refusal}
+	}
+	return res
+}
+
+// exchange sends a request and forwards its stream to the end marker.
+func (p *Proxy) exchange(ctx context.Context, pool *upstream.Pool, req *upstream.Request, c *call, s sink) error {
+	res, err := pool.Do(ctx, req)
+	if err != nil {
+		return err
+	}
+	defer res.Close()
+	if res.Status != http.StatusOK {
+		return readRefusal(res)
+	}
+	if !strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
+		return eris.Wrap(errUpstream, "answer is no event stream")
+	}
+	return p.forward(res.Body, c, s)
+}
+
+// forward takes events to the sink until the answer is whole.
+func (p *Proxy) forward(body io.Reader, c *call, s sink) error {
+	r := stream.NewReader(body)
+	for {
+		ev, err := r.Next()
+		if err == io.EOF {
+			return stream.ErrTruncated
+		}
+		if err != nil {
+			return err
+		}
+		offset := c.tracker.Offset()
+		verdict, err := c.tracker.Accept(ev)
+		if err != nil {
+			return err
+		}
+		switch verdict {
+		case stream.Forward:
+			p.began(c, ev.Data)
+			if err := s.forward(ev.Data, offset, r.More()); err != nil {
+				return err
+			}
+		case stream.Whole:
+			if err := s.done(offset); err != nil {
+				return err
+			}
+			return r.Drain()
+		case stream.Drop:
+		}
+	}
+}
+
+// began notes the first part of an answer and the version that gives it.
+func (p *Proxy) began(c *call, data []byte) {
+	if c.first {
+		return
+	}
+	c.first = true
+	p.metrics.firstToken(time.Since(c.arrived))
+	var head struct {
+		SystemFingerprint string `json:"system_fingerprint"`
+	}
+	if json.Unmarshal(data, &head) == nil && c.version == "" {
+		c.version = strings.TrimPrefix(head.SystemFingerprint, infer.FingerprintPrefix)
+	}
+}
--- /dev/null
+++ b/pkg/proxy/options.go
@@ -0,0 +1,53 @@
+package proxy
+
+import "time"
+
+// Options sets times and limits. Zero values take the defaults.
+type Options struct {
+	DefaultDeadline time.Duration // of a request that names none; default 60 s
+	MaxRequestTime  time.Duration // longest deadline; default 90 s, as the allocator's
+	MaxBody         int64         // bytes of a request; default 1 MiB
+	FirstByte       time.Duration // until an upstream answers; default 10 s
+	Stall           time.Duration // between two bytes of an answer; default 3 s
+	CallerStall     time.Duration // until a caller takes what is written; default 30 s
+	RetryShare      float64       // retries in progress per live request; default 0.1
+	RetryLeast      int           // retries in progress always allowed; default 3
+	PrefixBlocks    int           // hints kept for each upstream; default 16384
+	ServiceTime     time.Duration // assumed before any request was seen; default 500 ms
+
+	// Switches of proofs, which turn one protection off.
+	noSecondCheck bool
+	forgetPermits bool
+}
+
+const (
+	defaultDeadline     = 60 * time.Second
+	defaultMaxRequest   = 90 * time.Second
+	defaultMaxBody      = 1 << 20
+	defaultFirstByte    = 10 * time.Second
+	defaultStall        = 3 * time.Second
+	defaultCallerStall  = 30 * time.Second
+	defaultRetryShare   = 0.1
+	defaultRetryLeast   = 3
+	defaultPrefixBlocks = 1 << 14
+)
+
+func orElse[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+func (o Options) withDefaults() Options {
+	orElse(&o.DefaultDeadline, defaultDeadline)
+	orElse(&o.MaxRequestTime, defaultMaxRequest)
+	orElse(&o.MaxBody, defaultMaxBody)
+	orElse(&o.FirstByte, defaultFirstByte)
+	orElse(&o.Stall, defaultStall)
+	orElse(&o.CallerStall, defaultCallerStall)
+	orElse(&o.RetryShare, defaultRetryShare)
+	orElse(&o.RetryLeast, defaultRetryLeast)
+	orElse(&o.PrefixBlocks, defaultPrefixBlocks)
+	return o
+}
--- /dev/null
+++ b/pkg/proxy/serve.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/retry"
+)
+
+// serve brings a call to its end. It returns nil when the caller has a whole
+// answer, or how to refuse it.
+func (p *Proxy) serve(ctx context.Context, c *call, s sink) *refusal {
+	q := p.queue(c.modelGroup)
+	for {
+		if r := p.judge(c); r != nil {
+			return c.finalise(r)
+		}
+		g := q.wait(ctx, c)
+		if g.refusal != nil {
+			return c.finalise(g.refusal)
+		}
+		c.attempt++
+		res := p.attempt(ctx, q, c, g, s)
+		c.outcome = outcome.Combine(c.outcome, res.outcome)
+		if res.whole {
+			return nil
+		}
+		if r := p.again(ctx, c, res); r != nil {
+			return c.finalise(r)
+		}
+	}
+}
+
+// finalise gives a refusal the outcome over all attempts.
+func (c *call) finalise(r *refusal) *refusal {
+	r.Outcome = outcome.Combine(c.outcome, r.Outcome)
+	return r
+}
+
+// again decides whether a failed call is tried again; nil says yes.
+func (p *Proxy) again(ctx context.Context, c *call, res result) *refusal {
+	if ctx.Err() != nil {
+		return givenUp(ctx)
+	}
+	if res.final != nil {
+		return res.final
+	}
+	if res.free {
+		c.ticket = p.counter.Add(1)
+		return nil
+	}
+	v := retry.Decide(retry.Failure{
+		NotRun:   res.outcome == outcome.NotRun,
+		Harmless: true, // generating text has no effect besides the work
+		Attempts: c.attempt,
+		Crashes:  c.crashes,
+		Left:     time.Until(c.deadline),
+	}, p.budget)
+	p.metrics.retried(string(v))
+	p.log.Info("attempt failed", "request", c.callerID, "attempt", c.attempt, "offset", c.tracker.Offset(), "verdict", v, "err", res.err)
+	if v == retry.Again {
+		c.retries++
+		c.ticket = p.counter.Add(1)
+		return nil
+	}
+	r := refuse(http.StatusBadGateway, outcome.ReasonUpstreamFailed, "upstream broke off: "+string(v))
+	if v == retry.PastLimit {
+		r = refuseDeadline()
+	}
+	if v != retry.TwoCrashes {
+		r.after(leaseRetry)
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/proxy/suspects.go
@@ -0,0 +1,15 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/suspect"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// Suspects knows which requests crash upstreams. suspect.Guard is one.
+type Suspects interface {
+	Check(now time.Time, f view.Fingerprint) suspect.Verdict
+	OnTrial(host view.HostName) bool
+	Start(now time.Time, f view.Fingerprint, organisation string, host view.HostName, inc view.Incarnation) (*suspect.Run, bool)
+}
--- /dev/null
+++ b/pkg/proxy/whole_sink.go
@@ -0,0 +1,37 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/stream"
+)
+
+// wholeSink collects an answer and writes it in one body once it is whole.
+type wholeSink struct {
+	writer http.ResponseWriter
+	answer stream.Assembler
+}
+
+func (s *wholeSink) forward(data []byte, _ int, _ bool) error { return s.answer.Add(data) }
+
+func (s *wholeSink) done(int) error {
+	body, err := json.Marshal(s.answer.Completion())
+	if err != nil {
+		return err
+	}
+	h := s.writer.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	s.writer.WriteHeader(http.StatusOK)
+	if _, err := s.writer.Write(body); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+func (s *wholeSink) fail(status int, r outcome.Refusal) error {
+	return outcome.Write(s.writer, status, r)
+}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -33,11 +33,16 @@
 	b.retries -= retries
 }
 
-// Take asks for one retry; End gives it back.
-func (b *Budget) Take() bool {
+// Take asks for one retry; End gives it back. A retry of what did not run adds
+// no work to upstreams: these may be as many as live requests.
+func (b *Budget) Take(notRun bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.retries >= max(b.least, int(b.share*float64(b.live))) {
+	share := b.share
+	if notRun {
+		share = 1
+	}
+	if b.retries >= max(b.least, int(share*float64(b.live))) {
 		return false
 	}
 	b.retries++
--- a/pkg/retry/verdict.go
+++ b/pkg/retry/verdict.go
@@ -26,7 +26,7 @@
 		return TooMany
 	case f.Left <= f.Need:
 		return PastLimit
-	case !b.Take():
+	case !b.Take(f.NotRun):
 		return NoBudget
 	default:
 		return Again
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -7,10 +7,11 @@
 	ErrNotSent = eris.New("request was not sent")
 	// ErrUnreachable says that no connection could be opened; the request was
 	// not sent.
-	ErrUnreachable = eris.Wrap(ErrNotSent, "upstream is unreachable")
+	ErrUnreachable = eris.New("upstream is unreachable")
 	// ErrIncarnation says that another incarnation answers at the address; the
 	// request was not sent.
-	ErrIncarnation = eris.Wrap(ErrNotSent, "another incarnation answers")
+	ErrIncarnation = eris.New("another incarnation answers")
+	errProbe       = eris.New("connection can't be used after the probe")
 	// ErrSilent says that the connection made no progress.
 	ErrSilent = eris.New("connection went silent")
 	// ErrBroken says that the connection was closed or reset.
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/sesamemux/sesamemux/pkg/edge/report"
 )
 
@@ -102,7 +100,7 @@
 	defer cancel()
 	raw, err := p.options.Dial(ctx, k.address)
 	if err != nil {
-		return nil, eris.Wrapf(ErrUnreachable, "dial %s: %v", k.address, err)
+		return nil, &UnreachableError{Address: k.address, Cause: err}
 	}
 	c := newConn(raw, k)
 	if k.incarnation == 0 {
@@ -121,15 +119,18 @@
 	_ = c.raw.SetWriteDeadline(time.Now().Add(p.options.ProbeTimeout))
 	ask := "GET " + p.options.ProbePath + " HTTP/1.1\r\nHost: " + c.key.address + "\r\n\r\n"
 	if _, err := io.WriteString(c.raw, ask); err != nil {
-		return eris.Wrapf(ErrUnreachable, "probe %s: %v", c.key.address, err)
+		return &UnreachableError{Address: c.key.address, Cause: err}
 	}
 	res, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return eris.Wrapf(ErrUnreachable, "probe %s: %v", c.key.address, err)
+		return &UnreachableError{Address: c.key.address, Cause: err}
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxProbe))
-	if err != nil || res.Close || c.reader.Buffered() > 0 {
-		return eris.Wrapf(ErrUnreachable, "probe %s: connection can't be used on: %v", c.key.address, err)
+	if err != nil {
+		return &UnreachableError{Address: c.key.address, Cause: err}
+	}
+	if res.Close || c.reader.Buffered() > 0 {
+		return &UnreachableError{Address: c.key.address, Cause: errProbe}
 	}
 	if c.key.incarnation == 0 {
 		return nil
@@ -143,10 +144,10 @@
 func (c *conn) confirm(body []byte) error {
 	var r report.Report
 	if err := json.Unmarshal(body, &r); err != nil {
-		return eris.Wrapf(ErrUnreachable, "probe %s: %v", c.key.address, err)
+		return &UnreachableError{Address: c.key.address, Cause: err}
 	}
 	if r.Status.Incarnation != c.key.incarnation {
-		return eris.Wrapf(ErrIncarnation, "%s: incarnation %d, want %d", c.key.address, r.Status.Incarnation, c.key.incarnation)
+		return &IncarnationError{Address: c.key.address, Want: c.key.incarnation, Answers: r.Status.Incarnation}
 	}
 	return nil
 }
