Take permits by incarnation in the proxy for plain services

Cause: a share is void for another incarnation, and a broken connection must cool its host. Change: serviceproxy.Permits is what permit.Local offers; switches for proofs are named Unsafe, as in replica; the caller's request ID reaches the stand-in's record.

--- a/pkg/fake/service/config.go
+++ b/pkg/fake/service/config.go
@@ -21,5 +21,8 @@
 	Logger   *log.Logger  // nil for none
 }
 
-// KeyHeader carries the caller's key.
-const KeyHeader = "Idempotency-Key"
+// Headers of calls.
+const (
+	KeyHeader     = "Idempotency-Key" // the caller's key
+	RequestHeader = "X-Request-Id"    // the caller's own ID of the request
+)
--- a/pkg/fake/service/execution.go
+++ b/pkg/fake/service/execution.go
@@ -7,5 +7,6 @@
 	Key          string `json:"key"`
 	Action       string `json:"action"` // path, such as "/stamp"
 	Body         string `json:"body"`
+	Request      string `json:"request,omitempty"` // the caller's own ID of the request
 	Host         string `json:"host"`
 }
--- a/pkg/fake/service/handler.go
+++ b/pkg/fake/service/handler.go
@@ -63,6 +63,7 @@
 		Key:          r.Header.Get(KeyHeader),
 		Action:       r.URL.Path,
 		Body:         string(body),
+		Request:      r.Header.Get(RequestHeader),
 		Host:         string(s.config.Host.Name),
 	})
 	if !ok {
--- a/pkg/once/options.go
+++ b/pkg/once/options.go
@@ -18,19 +18,13 @@
 	ConcludeTime  time.Duration // beyond the service's timeout, until a record in progress becomes unknown
 	NotRunTime    time.Duration // how long a record that did not run is kept
 
-	unguarded unguarded
+	Unsafe Unsafe
 }
 
-// unguarded switches protections off, for proofs that the checks see the
-// fault.
-type unguarded struct {
-	forgetUnknown bool // a gate that is gone frees its keys
-	forgetExpired bool // expired keys leave no trace
-}
-
-// Unguarded returns options with one protection off. Only proofs use it.
-func Unguarded(forgetUnknown, forgetExpired bool) Options {
-	return Options{unguarded: unguarded{forgetUnknown: forgetUnknown, forgetExpired: forgetExpired}}
+// Unsafe switches protections off. Only proofs set it.
+type Unsafe struct {
+	ForgetUnknown bool // a gate that is gone frees its keys
+	ForgetExpired bool // expired keys leave no trace
 }
 
 func (o Options) withDefaults() Options {
--- a/pkg/once/service_records.go
+++ b/pkg/once/service_records.go
@@ -232,7 +232,7 @@
 
 // settleUnknown ends a record in progress whose outcome nobody can tell now.
 func (s *serviceRecords) settleUnknown(r *record) {
-	if s.options.unguarded.forgetUnknown {
+	if s.options.Unsafe.ForgetUnknown {
 		s.remove(r)
 		return
 	}
@@ -286,7 +286,7 @@
 // key from running again.
 func (s *serviceRecords) expire(r *record) {
 	s.remove(r)
-	if s.options.unguarded.forgetExpired {
+	if s.options.Unsafe.ForgetExpired {
 		return
 	}
 	if at, ok := KeyTime(r.Key); ok {
--- a/pkg/serviceproxy/admit.go
+++ b/pkg/serviceproxy/admit.go
@@ -28,7 +28,7 @@
 	if refused := p.locate(r.URL, c); refused != nil {
 		return c, refused
 	}
-	c.header = forwarded(r.Header, c.organisation)
+	c.header = forwarded(r.Header, c)
 	return c, p.readBody(w, r, c)
 }
 
--- a/pkg/serviceproxy/config.go
+++ b/pkg/serviceproxy/config.go
@@ -35,14 +35,13 @@
 	MaxAnswer   int64                 // 0: DefaultMaxAnswer
 	MaxPending  int                   // 0: DefaultMaxPending
 
-	unguarded unguarded
+	Unsafe Unsafe
 }
 
-// unguarded switches protections off, for proofs that the checks see the
-// fault.
-type unguarded struct {
-	noIntent    bool // once-only calls run without a record
-	resend      bool // an unknown outcome is sent again
-	noLateCheck bool // the lease isn't checked before the first byte
-	trustStatus bool // an answer of 5xx counts as not run
+// Unsafe switches protections off. Only proofs set it.
+type Unsafe struct {
+	NoIntent    bool // once-only calls run without a record
+	Resend      bool // a call of unknown outcome is sent again
+	NoLateCheck bool // lease and host aren't checked before the first byte
+	TrustStatus bool // an answer such as 503 counts as not run
 }
--- a/pkg/serviceproxy/hosts.go
+++ b/pkg/serviceproxy/hosts.go
@@ -2,15 +2,19 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
+	"sync"
 
+	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
+	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
-// place is a host with a permit for one call.
+// place is a host with a permit for one call. Further releases do nothing.
 type place struct {
 	host    view.Host
-	release func()
+	release func(permit.End)
 }
 
 // eligible tells whether a host takes new work of a service.
@@ -54,17 +58,38 @@
 			continue
 		}
 		any = true
-		release, ok := p.config.Permits.TryAcquire(target(h.Name))
+		taken, ok := p.config.Permits.TryAcquire(target(h.Name), h.Incarnation)
 		if !ok {
 			continue
 		}
-		p.load.add(h.Name, 1)
-		return place{host: h, release: func() {
-			p.load.add(h.Name, -1)
-			release()
-		}}, true, true
+		return p.place(h, taken), true, true
 	}
 	return place{}, false, any
 }
 
+func (p *Proxy) place(h view.Host, taken *permit.Permit) place {
+	p.load.add(h.Name, 1)
+	var once sync.Once
+	return place{host: h, release: func(end permit.End) {
+		once.Do(func() { p.load.add(h.Name, -1) })
+		taken.Release(end)
+	}}
+}
+
 func target(h view.HostName) view.TargetID { return view.TargetID("host/" + string(h)) }
+
+// permitEnd tells what a call says of its host, and marks the host if its
+// connection broke.
+func (p *Proxy) permitEnd(h view.Host, err error) permit.End {
+	if err == nil {
+		return permit.EndFinished
+	}
+	var failed *plaincall.CallError
+	if !errors.As(err, &failed) || failed.Step == plaincall.StepCheck {
+		return permit.EndNotProven
+	}
+	if !failed.Timeout {
+		p.config.Permits.Suspect(target(h.Name), h.Incarnation)
+	}
+	return permit.EndFailed
+}
--- a/pkg/serviceproxy/interfaces.go
+++ b/pkg/serviceproxy/interfaces.go
@@ -5,6 +5,7 @@
 
 	"github.com/sesamemux/sesamemux/pkg/once"
 	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -21,10 +22,11 @@
 	Conclude(ctx context.Context, c once.Conclusion) error
 }
 
-// Permits bounds the work on each target.
+// Permits bounds the work on each target; *permit.Local is one.
 type Permits interface {
-	// TryAcquire takes a permit without waiting; release gives it back.
-	TryAcquire(target view.TargetID) (release func(), ok bool)
+	TryAcquire(target view.TargetID, inc view.Incarnation) (*permit.Permit, bool)
+	// Suspect tells that the target may have started anew.
+	Suspect(target view.TargetID, inc view.Incarnation)
 }
 
 // Timeline takes events of the time line.
--- a/pkg/serviceproxy/once_call.go
+++ b/pkg/serviceproxy/once_call.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamemux/sesamemux/pkg/once"
 	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -64,7 +65,7 @@
 		tried = append(tried, at.host.Name)
 		i.Host = at.host.Name
 		res, again := p.attempt(ctx, c, i, at)
-		at.release()
+		at.release(permit.EndNotProven)
 		if !again || len(tried) == maxHosts {
 			return res
 		}
@@ -97,7 +98,7 @@
 // attempt records the intent and sends the call to one host. It returns again
 // if the call did not run there and another host may be tried.
 func (p *Proxy) attempt(ctx context.Context, c *call, i once.Intent, at place) (result, bool) {
-	if !p.config.unguarded.noIntent {
+	if !p.config.Unsafe.NoIntent {
 		d, err := p.intend(ctx, i)
 		if err != nil {
 			return p.notIntended(i, err), false
--- a/pkg/serviceproxy/ordinary.go
+++ b/pkg/serviceproxy/ordinary.go
@@ -43,9 +43,9 @@
 // answered; a busy answer to an idempotent call is relayed only if it is the
 // last.
 func (p *Proxy) tryOrdinary(ctx context.Context, w http.ResponseWriter, c *call, at place, last bool) (outcome.Outcome, bool) {
-	defer at.release()
 	p.event(EventSend, c, at.host.Name, "")
 	resp, err := p.transport.Do(ctx, c.request(at.host), p.lastCheck(at.host))
+	defer func() { at.release(p.permitEnd(at.host, err)) }()
 	if err != nil {
 		o := callOutcome(err)
 		p.event(EventEnd, c, at.host.Name, o)
@@ -66,7 +66,7 @@
 // lastCheck returns the check right before the first byte to a host.
 func (p *Proxy) lastCheck(h view.Host) func() error {
 	return func() error {
-		if p.config.unguarded.noLateCheck {
+		if p.config.Unsafe.NoLateCheck {
 			return nil
 		}
 		if !p.config.Lease.Valid() {
--- a/pkg/serviceproxy/organisation.go
+++ b/pkg/serviceproxy/organisation.go
@@ -50,9 +50,10 @@
 
 // forwarded returns the headers for the service: its own connection's apart,
 // without the API key, and with the organisation that the gate found.
-func forwarded(h http.Header, organisation string) http.Header {
+func forwarded(h http.Header, c *call) http.Header {
 	f := plaincall.EndToEnd(h)
 	f.Del(headerAuthorization)
-	f.Set(HeaderOrganisation, organisation)
+	f.Set(HeaderOrganisation, c.organisation)
+	f.Set(HeaderRequest, c.id)
 	return f
 }
--- a/pkg/serviceproxy/send.go
+++ b/pkg/serviceproxy/send.go
@@ -15,6 +15,7 @@
 	limited, cancel := context.WithTimeout(ctx, c.timeout())
 	defer cancel()
 	answer, err := p.transport.Once(limited, c.request(at.host), p.lastCheck(at.host), p.config.MaxAnswer)
+	at.release(p.permitEnd(at.host, err))
 	o := p.ended(answer, err)
 	p.event(EventEnd, c, at.host.Name, o)
 	p.log.Info("once-only call ended", "request", c.id, "organisation", c.organisation, "service", c.name,
@@ -24,7 +25,7 @@
 		return p.ran(ctx, i, answer), false
 	case o == outcome.NotRun:
 		return p.didNotRun(ctx, i, err)
-	case p.config.unguarded.resend:
+	case p.config.Unsafe.Resend:
 		return p.send(ctx, c, i, at)
 	}
 	return p.unknown(ctx, c, i, answer, limited), false
@@ -36,7 +37,7 @@
 		return callOutcome(err)
 	}
 	o := plaincall.StatusOutcome(a.Status)
-	if o == outcome.Unknown && p.config.unguarded.trustStatus {
+	if o == outcome.Unknown && p.config.Unsafe.TrustStatus {
 		return outcome.NotRun
 	}
 	return o
