--- a/pkg/ctl/keeper.go
+++ b/pkg/ctl/keeper.go
@@ -71,14 +71,14 @@
 }
 
 func writeKeepers(w io.Writer, answers []keeperAnswer) {
-	t := newTable(w, "ADDRESS\tID\tROLE\tLEADER\tTERM\tCOMMIT\tAPPLIED\tLOG BYTES")
+	t := newTable(w, "ADDRESS\tID\tROLE\tLEADER\tTERM\tCOMMIT\tAPPLIED")
 	for _, a := range answers {
 		if a.Status == nil {
-			t.row("%s\t-\tsilent\t-\t-\t-\t-\t-", a.Address)
+			t.row("%s\t-\tsilent\t-\t-\t-\t-", a.Address)
 			continue
 		}
 		k := a.Status
-		t.row("%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d", a.Address, k.ID, k.Role, k.Leader, k.Term, k.Commit, k.Applied, k.LogBytes)
+		t.row("%s\t%d\t%s\t%d\t%d\t%d\t%d", a.Address, k.ID, k.Role, k.Leader, k.Term, k.Commit, k.Applied)
 	}
 	t.end()
 	for _, a := range answers {
