--- a/cmd/sesame-fake/main.go
+++ b/cmd/sesame-fake/main.go
@@ -7,7 +7,8 @@
 
 // cli holds the subcommands.
 type cli struct {
-	Engine engineCommand `cmd:"" help:"Run one member of a model engine."`
+	Engine  engineCommand  `cmd:"" help:"Run one member of a model engine."`
+	Service serviceCommand `cmd:"" help:"Run one host of a plain service."`
 }
 
 func main() {
--- a/pkg/gate/config.go
+++ b/pkg/gate/config.go
@@ -8,7 +8,6 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/sesamemux/sesamemux/pkg/clock"
-	"github.com/sesamemux/sesamemux/pkg/edge/report"
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
@@ -46,7 +45,6 @@
 type Limits struct {
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
-	MaxConnections int
 	HeaderTimeout  time.Duration
 	RequestTime    time.Duration // one request with its answer, at most
 	ShutdownNotice time.Duration // from health off to the last accepted request
@@ -55,5 +53,4 @@
 // Health tells what the members of groups say of themselves.
 type Health interface {
 	MemberOK(m view.Member, g view.Group) bool
-	Load(name view.HostName) (report.Load, bool)
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -85,9 +85,9 @@
 // RPC returns the server for operators and other processes.
 func (g *Gate) RPC() *rpc.Server { return g.rpc }
 
-// ListenToCache makes a listener get the cache events of groups' heads. It is
-// called before Run.
-func (g *Gate) ListenToCache(l CacheListener) { g.watcher.listener = l }
+// ListenToReports makes a listener get the reports of groups' heads. It is
+// called before Serve.
+func (g *Gate) ListenToReports(l ReportListener) { g.watcher.listener = l }
 
 // Ready tells whether the balancer should send callers here, and if not, why.
 func (g *Gate) Ready() (bool, string) {
--- a/pkg/gate/watcher.go
+++ b/pkg/gate/watcher.go
@@ -38,12 +38,13 @@
 	report report.Report
 	at     clock.Moment
 	missed int
-	after  uint64 // sequence of the last cache event
 }
 
-// CacheListener takes the cache events of a group's head.
-type CacheListener interface {
-	CacheEvents(g view.Group, events []report.CacheEvent)
+// ReportListener takes the reports of groups' heads and knows up to which
+// cache event it has them.
+type ReportListener interface {
+	Reported(r report.Report)
+	CacheSequence(host view.HostName, inc view.Incarnation) uint64
 }
 
 // watcher asks the hosts of serving groups for reports, so that this gate
@@ -53,7 +54,7 @@
 	client   *http.Client
 	view     func() *view.View
 	registry *registry
-	listener CacheListener
+	listener ReportListener
 
 	mu    sync.RWMutex
 	hosts map[view.HostName]*watched
@@ -91,7 +92,7 @@
 		for _, m := range g.Members {
 			present[m.Host] = struct{}{}
 			work.Go(func() error {
-				w.ask(ctx, g, m)
+				w.ask(ctx, m)
 				return nil
 			})
 		}
@@ -112,8 +113,8 @@
 }
 
 // ask gets one member's report.
-func (w *watcher) ask(ctx context.Context, g view.Group, m view.Member) {
-	after := w.lastEvent(m.Host)
+func (w *watcher) ask(ctx context.Context, m view.Member) {
+	after := w.lastEvent(m)
 	r, err := w.fetch(ctx, m.Address, after)
 	if err != nil {
 		w.miss(m, err)
@@ -128,22 +129,17 @@
 	k.report = r
 	k.at = w.clock.Now()
 	k.missed = 0
-	if n := len(r.Events); n > 0 {
-		k.after = r.Events[n-1].Sequence
-	}
 	w.mu.Unlock()
-	if m.Rank == 0 && w.listener != nil && len(r.Events) > 0 {
-		w.listener.CacheEvents(g, r.Events)
+	if m.Rank == 0 && w.listener != nil {
+		w.listener.Reported(r)
 	}
 }
 
-func (w *watcher) lastEvent(name view.HostName) uint64 {
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	if k, ok := w.hosts[name]; ok {
-		return k.after
+func (w *watcher) lastEvent(m view.Member) uint64 {
+	if w.listener == nil {
+		return 0
 	}
-	return 0
+	return w.listener.CacheSequence(m.Host, m.Incarnation)
 }
 
 // miss counts a report that did not come. A host that refuses connections is
@@ -201,14 +197,3 @@
 	s := k.report.Status
 	return s.Incarnation == m.Incarnation && s.Epoch == g.Epoch && s.Group == g.ID && s.Rank == m.Rank && s.Phase == report.PhaseReady
 }
-
-// Load returns the latest load that a host reported.
-func (w *watcher) Load(name view.HostName) (report.Load, bool) {
-	w.mu.RLock()
-	defer w.mu.RUnlock()
-	k, ok := w.hosts[name]
-	if !ok || k.at == 0 {
-		return report.Load{}, false
-	}
-	return k.report.Load, true
-}
--- /dev/null
+++ b/pkg/gatedaemon/daemon.go
@@ -0,0 +1,166 @@
+package gatedaemon
+
+import (
+	"context"
+	"io"
+	"path/filepath"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/gate"
+	"github.com/sesamemux/sesamemux/pkg/introspect"
+	"github.com/sesamemux/sesamemux/pkg/leader"
+	"github.com/sesamemux/sesamemux/pkg/logging"
+	"github.com/sesamemux/sesamemux/pkg/permit"
+	"github.com/sesamemux/sesamemux/pkg/proxy"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
+	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
+	"github.com/sesamemux/sesamemux/pkg/settings"
+	"github.com/sesamemux/sesamemux/pkg/suspect"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// Run runs a gate from its settings until ctx ends. An error was logged before
+// it is returned.
+func Run(ctx context.Context, s settings.Gate, logTo io.Writer) error {
+	logger := logging.New(logTo, logging.Options{Process: "gate/" + s.Name, Host: s.Host, Level: s.LogLevel})
+	err := run(ctx, s, logger)
+	if err != nil {
+		logger.Error("gate ended", "err", err)
+		return err
+	}
+	logger.Info("gate stopped")
+	return nil
+}
+
+func run(ctx context.Context, s settings.Gate, logger *log.Logger) error {
+	events, err := newRecorder(s)
+	if err != nil {
+		return err
+	}
+	defer events.Close()
+	listeners, err := gate.Listen(gate.Addresses{
+		Callers:   s.HTTPListen,
+		Peers:     s.PeerListen,
+		Upstreams: s.UpstreamListen,
+		RPC:       s.RPCListen,
+	}, s.MaxConnections)
+	if err != nil {
+		return err
+	}
+	d := build(s, listeners, events, logger)
+	introspect.ServeTimeline(d.gate.RPC(), "gate/"+s.Name, events)
+	events.Record(timeline.Event{Kind: timeline.ProcessStarted})
+	logger.Info("gate started", "callers", s.HTTPListen, "upstreams", s.UpstreamListen)
+	return d.serve(ctx, s.MetricsListen)
+}
+
+func newRecorder(s settings.Gate) (*timeline.Recorder, error) {
+	o := timeline.Options{Process: "gate/" + s.Name, FailureDomain: s.FailureDomain}
+	if s.DataDir != "" {
+		o.File = filepath.Join(s.DataDir, "timeline.jsonl")
+	}
+	return timeline.NewRecorder(o)
+}
+
+// daemon is a gate with its handlers.
+type daemon struct {
+	gate     *gate.Gate
+	models   *proxy.Proxy
+	services *serviceproxy.Proxy
+	suspects *suspects
+	metrics  *prometheus.Registry
+}
+
+// build joins the parts of a gate.
+func build(s settings.Gate, l gate.Listeners, events *timeline.Recorder, logger *log.Logger) *daemon {
+	self := view.Gate{
+		Name:          view.GateName(s.Name),
+		Incarnation:   view.Incarnation(time.Now().UnixNano()),
+		FailureDomain: s.FailureDomain,
+		PeerAddress:   s.PeerListen,
+		RPCAddress:    s.RPCListen,
+	}
+	dial := rpc.DialTCP(nil)
+	local := permit.NewLocal(self.Name)
+	g := gate.New(gate.Config{
+		Self:      self,
+		Caller:    leader.NewCaller(s.Keepers, dial),
+		Clock:     clock.Boot{},
+		Events:    gate.NewTimelineEvents(events),
+		Logger:    logger,
+		Source:    &source{permits: local},
+		Limits:    limits(s),
+		Listeners: l,
+	})
+	// Calls for records and suspects have connections of their own: a sync
+	// that the leader holds back does not delay them.
+	caller := leader.NewCaller(s.Keepers, dial)
+	guard := suspect.NewGuard(self.Name, g.View)
+	d := &daemon{
+		gate:     g,
+		suspects: newSuspects(guard, caller, logger),
+		metrics:  prometheus.NewRegistry(),
+	}
+	d.models = proxy.New(proxy.Config{
+		Gate:     self,
+		View:     g.View,
+		Lease:    g.Lease(),
+		Permits:  local,
+		Health:   g.Health(),
+		Suspects: guard,
+		Crash:    d.suspects.crashed,
+		Recorder: &recorder{timeline: events},
+		Log:      logger,
+		Metrics:  d.metrics,
+		Options:  proxy.Options{MaxRequestTime: s.MaxRequestTime, MaxBody: s.MaxBodyBytes},
+	})
+	d.services = serviceproxy.New(serviceproxy.Config{
+		Gate:        self.Name,
+		Incarnation: self.Incarnation,
+		View:        g.View,
+		Lease:       g.Lease(),
+		Records:     &records{caller: caller},
+		Permits:     local,
+		Timeline:    &serviceRecorder{timeline: events},
+		Logger:      logger,
+		Registerer:  d.metrics,
+		MaxBody:     s.MaxBodyBytes,
+	})
+	g.ListenToReports(d.models)
+	return d
+}
+
+func limits(s settings.Gate) gate.Limits {
+	return gate.Limits{
+		MaxBodyBytes:   s.MaxBodyBytes,
+		MaxHeaderBytes: int(s.MaxHeaderBytes),
+		HeaderTimeout:  s.HeaderTimeout,
+		RequestTime:    s.MaxRequestTime,
+		ShutdownNotice: s.ShutdownNotice,
+	}
+}
+
+// serve runs everything until ctx ends.
+func (d *daemon) serve(ctx context.Context, metricsAddress string) error {
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	work, running := errgroup.WithContext(running)
+	for _, duty := range []func(context.Context){d.models.Run, d.suspects.run} {
+		work.Go(func() error {
+			duty(running)
+			return nil
+		})
+	}
+	work.Go(func() error { return introspect.HTTP(running, metricsAddress, d.metrics, d.gate.Ready) })
+	work.Go(func() error {
+		defer stop()
+		return d.gate.Serve(ctx, modelHandlers{d.models}, serviceHandlers{d.services})
+	})
+	return work.Wait()
+}
--- /dev/null
+++ b/pkg/gatedaemon/recorder.go
@@ -0,0 +1,62 @@
+package gatedaemon
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
+)
+
+// recorder puts the proxies' events on the time line.
+type recorder struct {
+	timeline *timeline.Recorder
+}
+
+// Record implements proxy.Recorder. The proxy's events are named as the kinds
+// of the time line.
+func (r *recorder) Record(event string, pairs ...any) {
+	e := timeline.Event{Kind: timeline.Kind(event)}
+	var rest []string
+	for i := 0; i+1 < len(pairs); i += 2 {
+		key, value := fmt.Sprint(pairs[i]), fmt.Sprint(pairs[i+1])
+		switch key {
+		case "request":
+			e.Request = value
+		case "group":
+			e.Group = value
+		case "host":
+			e.Host = value
+		default:
+			rest = append(rest, key+"="+value)
+		}
+	}
+	e.Text = strings.Join(rest, " ")
+	r.timeline.Record(e)
+}
+
+// serviceRecorder puts the service proxy's events on the time line.
+type serviceRecorder struct {
+	timeline *timeline.Recorder
+}
+
+// serviceKinds maps the service proxy's events to kinds of the time line.
+var serviceKinds = map[serviceproxy.EventKind]timeline.Kind{
+	serviceproxy.EventSend:   timeline.RequestSent,
+	serviceproxy.EventEnd:    timeline.RequestFinished,
+	serviceproxy.EventRefuse: timeline.RequestRefused,
+}
+
+// Record implements serviceproxy.Timeline.
+func (r *serviceRecorder) Record(e serviceproxy.Event) {
+	kind, ok := serviceKinds[e.Kind]
+	if !ok {
+		kind = timeline.Kind(e.Kind)
+	}
+	r.timeline.Record(timeline.Event{
+		Kind:    kind,
+		Request: e.Request,
+		Host:    string(e.Host),
+		Text:    strings.TrimSpace(fmt.Sprintf("service=%s organisation=%s %s", e.Service, e.Organisation, e.Outcome)),
+	})
+}
--- /dev/null
+++ b/pkg/gatedaemon/service_handlers.go
@@ -0,0 +1,32 @@
+package gatedaemon
+
+import (
+	"context"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
+)
+
+// serviceHandlers serves calls of plain services as gate.Handlers.
+type serviceHandlers struct {
+	proxy *serviceproxy.Proxy
+}
+
+// RegisterCallers implements gate.Handlers.
+func (s serviceHandlers) RegisterCallers(e *echo.Echo) {
+	e.Any(serviceproxy.Prefix+"*", echo.WrapHandler(s.proxy))
+}
+
+// RegisterPeers implements gate.Handlers; service calls are not handed over.
+func (s serviceHandlers) RegisterPeers(*echo.Echo) {}
+
+// ViewChanged implements gate.Handlers; the proxy looks at the view in force
+// right before the first byte.
+func (s serviceHandlers) ViewChanged() {}
+
+// Drain implements gate.Handlers.
+func (s serviceHandlers) Drain() {}
+
+// Finish implements gate.Handlers.
+func (s serviceHandlers) Finish(ctx context.Context) error { return s.proxy.Close(ctx) }
