Let sesamectl pass by servers that do not know a method

Cause: a gate answers operators' methods with unknown method, which ended the command although keepers were among the servers. Change: such a server is passed by; only when none knows the method the command fails. Conclusion: gates still need to name a keeper to operators; that is the gate's part.

--- a/pkg/ctl/caller.go
+++ b/pkg/ctl/caller.go
@@ -52,22 +52,34 @@
 	defer cancel()
 	err := k.Call(ctx, string(m), params, result)
 	if err != nil {
-		c.last[address] = err.Error()
+		c.last[address] = shortError(err)
 	}
 	return err
 }
 
+// shortError leaves out the code of a server's error.
+func shortError(err error) string {
+	var coded *jsonrpc2.Error
+	if errors.As(err, &coded) {
+		return coded.Message
+	}
+	return err.Error()
+}
+
 // search is the state of one call's way to the leader.
 type search struct {
 	next  int    // index of the server to try
 	hint  string // leader named by the last answer
 	hops  int
 	maybe bool // an attempt may have taken effect
+	// strangers are the servers that don't know the method, such as a gate
+	// that does not pass operators' calls on.
+	strangers map[string]bool
 }
 
 // call tries servers until one answers for good or the time is over.
 func (c *caller) call(ctx context.Context, r request, result any) error {
-	var s search
+	s := search{strangers: make(map[string]bool)}
 	for {
 		address := s.hint
 		s.hint = ""
@@ -82,6 +94,9 @@
 		if final := s.judge(address, err, r); final != nil {
 			return final
 		}
+		if len(s.strangers) == len(c.servers) {
+			return stranger(r)
+		}
 		if s.hint != "" {
 			continue
 		}
@@ -109,6 +124,9 @@
 		return nil
 	case control.CodeUnknown:
 		return s.mayHaveRun(r)
+	case jsonrpc2.CodeMethodNotFound:
+		s.strangers[address] = true
+		return nil
 	}
 	return refusal(coded)
 }
@@ -152,12 +170,19 @@
 		return &Failure{Code: ExitRefused, Message: e.Message, Hint: programName + " status and history show what there is"}
 	case control.CodeDenied:
 		return &Failure{Code: ExitDenied, Message: e.Message, Hint: "nothing was changed; use a certificate with the role operator (tls_cert)"}
-	case jsonrpc2.CodeMethodNotFound:
-		return &Failure{Code: ExitRefused, Message: e.Message, Hint: "the server may be of another version, or no keeper or gate"}
 	}
 	return &Failure{Code: ExitRefused, Message: e.Message}
 }
 
+// stranger tells that no server knows a method.
+func stranger(r request) *Failure {
+	return &Failure{
+		Code:    ExitRefused,
+		Message: fmt.Sprintf("none of the servers knows the method %s", r.method),
+		Hint:    "name a keeper (--servers); or the servers are of another version than " + programName,
+	}
+}
+
 func conflict(e *jsonrpc2.Error) *Failure {
 	var d control.Conflict
 	f := &Failure{Code: ExitConflict, Message: e.Message, Hint: "nothing was changed; look at " + programName + " status and try again"}
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"github.com/sesamemux/sesamemux/pkg/access"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/timeline"
@@ -53,6 +55,8 @@
 		{"follower names the leader", []fault{notLeader}, nil, apply, ExitOK, 1, "accepted as object revision 1"},
 		{"follower knows no leader", []fault{noLeader}, nil, apply, ExitOK, 1, "accepted"},
 		{"leaders name each other", []fault{notLeader, notLeader, notLeader}, []fault{answer(control.CodeNotLeader, control.NotLeader{Leader: follower}), answer(control.CodeNotLeader, control.NotLeader{Leader: follower})}, apply, ExitOK, 1, "accepted"},
+		{"a server that does not know the method", repeat(answer(jsonrpc2.CodeMethodNotFound, nil)), nil, apply, ExitOK, 1, "accepted"},
+		{"no server knows the method", repeat(answer(jsonrpc2.CodeMethodNotFound, nil)), repeat(answer(jsonrpc2.CodeMethodNotFound, nil)), apply, ExitRefused, 0, "name a keeper"},
 		{"reply lost", []fault{loseReply}, nil, apply, ExitOK, 1, "accepted earlier; this is the first answer"},
 		{"reply lost twice", []fault{loseReply, loseReply}, []fault{loseReply}, apply, ExitOK, 1, "accepted earlier"},
 		{"unknown, then accepted", []fault{unknown}, nil, apply, ExitOK, 1, "accepted"},
--- a/pkg/ctl/keeper.go
+++ b/pkg/ctl/keeper.go
@@ -56,7 +56,7 @@
 		a := keeperAnswer{Address: pending[i]}
 		var status control.KeeperStatus
 		if err := s.caller.once(ctx, a.Address, control.MethodKeeperStatus, struct{}{}, &status); err != nil {
-			a.Error = err.Error()
+			a.Error = shortError(err)
 		} else {
 			a.Status = &status
 		}
--- a/pkg/ctl/timeline.go
+++ b/pkg/ctl/timeline.go
@@ -80,7 +80,7 @@
 		var result control.TimelineResult
 		err := s.caller.once(ctx, address, control.MethodTimeline, control.TimelineRequest{Filter: c.filter(), Limit: c.Limit}, &result)
 		if err != nil {
-			s.progress("%s did not answer: %v", address, err)
+			s.progress("%s did not answer: %s", address, shortError(err))
 			continue
 		}
 		lists = append(lists, result.Events)
--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -63,7 +63,7 @@
 func (g *Gate) Fields() []inifile.Field {
 	fields := []inifile.Field{
 		required(inifile.Text("name", &g.Name, nameRule, checkName, "Name of this gate, one of a kind in the deployment.")),
-		inifile.Text("host", &g.Host, nameRule+", or empty", optional(checkName), "Name of this host in logs; empty means the gate's name."),
+		inifile.Text("host", &g.Host, nameRule+", or empty", optional(checkName), "Name of this host in logs; empty means the machine's own name."),
 		required(inifile.Text("cluster", &g.Cluster, nameRule, checkName, "Name of the deployment.")),
 		required(inifile.Text("failure_domain", &g.FailureDomain, nameRule, checkName, "Failure domain that this host stands in.")),
 		required(listen("http_listen", &g.HTTPListen, "Address for callers, behind the platform's balancer.")),
--- a/pkg/settings/keeper.go
+++ b/pkg/settings/keeper.go
@@ -38,7 +38,7 @@
 func (k *Keeper) Fields() []inifile.Field {
 	fields := []inifile.Field{
 		required(inifile.Int("id", &k.ID, 1, math.MaxUint32, "Number of this keeper replica. A replica that lost its disk gets a new one.")),
-		inifile.Text("host", &k.Host, nameRule+", or empty", optional(checkName), "Name of this host in logs."),
+		inifile.Text("host", &k.Host, nameRule+", or empty", optional(checkName), "Name of this host in logs; empty means the machine's own name."),
 		required(inifile.Text("cluster", &k.Cluster, nameRule, checkName, "Name of the deployment; keepers of another one are refused.")),
 		required(inifile.Text("failure_domain", &k.FailureDomain, nameRule, checkName, "Failure domain that this host stands in.")),
 		required(inifile.Text("data_dir", &k.DataDir, "path of a folder", nil, "Folder of the replicated state. It must survive restarts.")),
