--- a/pkg/ctl/cli.go
+++ b/pkg/ctl/cli.go
@@ -17,6 +17,7 @@
 
 	Apply      applyCommand      `cmd:"" help:"Check a complete set of objects and publish it."`
 	Check      checkCommand      `cmd:"" help:"Check a complete set of objects; needs no server."`
+	Explain    explainCommand    `cmd:"" help:"Tell which fields each kind of object has."`
 	Diff       diffCommand       `cmd:"" help:"Compare the objects in force with a file or an earlier revision."`
 	Get        getCommand        `cmd:"" help:"Print the objects in force or of an earlier revision."`
 	History    historyCommand    `cmd:"" help:"List accepted changes, newest first."`
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -141,6 +141,8 @@
 		{[]string{"settings", "print"}, ExitOK, []string{"operator = ana", "SESAME_CTL_SERVERS"}},
 		{[]string{"settings", "check", "--set", "timeout=never"}, ExitRefused, []string{"--set: timeout: ", "allowed: 100ms to 10m"}},
 		{[]string{"status", "--set", "speed=3"}, ExitRefused, []string{"unknown key"}},
+		{[]string{"explain", "model-group"}, ExitOK, []string{"hosts_per_group", "1 to 16", "required"}},
+		{[]string{"explain", "robot"}, ExitUsage, []string{"no kind of object"}},
 		{[]string{"completion", "bash"}, ExitOK, []string{"complete -C sesamectl sesamectl"}},
 		{[]string{"stauts"}, ExitUsage, []string{"sesamectl --help"}},
 		{[]string{"apply"}, ExitUsage, []string{"<file>"}},
