Hand service calls over to a gate with permits

Cause: a gate without permits for any host of a service refused every call; with 3 gates and a cold bound of 2 that was two gates in three. Change: serviceproxy.HandOver relays such a call, in one hop at most, to the gate with the most permits; a once-only call goes by the transport that never resends, and the peer owns its record. Ruled out: a permit for each gate (the sum would be over a cold host's bound). A call that breaks off between the gates is answered as unknown and may be asked for under its key.

--- a/pkg/gatedaemon/daemon.go
+++ b/pkg/gatedaemon/daemon.go
@@ -72,7 +72,7 @@
 type daemon struct {
 	gate     *gate.Gate
 	models   *proxy.Proxy
-	services *serviceproxy.Proxy
+	services serviceHandlers
 	suspects *suspects
 	metrics  *prometheus.Registry
 }
@@ -120,7 +120,7 @@
 		Metrics:  d.metrics,
 		Options:  proxy.Options{MaxRequestTime: s.MaxRequestTime, MaxBody: s.MaxBodyBytes},
 	})
-	d.services = serviceproxy.New(serviceproxy.Config{
+	services := serviceproxy.New(serviceproxy.Config{
 		Gate:        self.Name,
 		Incarnation: self.Incarnation,
 		View:        g.View,
@@ -132,6 +132,7 @@
 		Registerer:  d.metrics,
 		MaxBody:     s.MaxBodyBytes,
 	})
+	d.services = serviceHandlers{proxy: services, callers: serviceproxy.NewHandOver(services, local.Room)}
 	g.ListenToReports(d.models)
 	return d
 }
@@ -160,7 +161,7 @@
 	work.Go(func() error { return introspect.HTTP(running, metricsAddress, d.metrics, d.gate.Ready) })
 	work.Go(func() error {
 		defer stop()
-		return d.gate.Serve(ctx, modelHandlers{d.models}, serviceHandlers{d.services})
+		return d.gate.Serve(ctx, modelHandlers{d.models}, d.services)
 	})
 	return work.Wait()
 }
--- a/pkg/gatedaemon/service_handlers.go
+++ b/pkg/gatedaemon/service_handlers.go
@@ -10,16 +10,19 @@
 
 // serviceHandlers serves calls of plain services as gate.Handlers.
 type serviceHandlers struct {
-	proxy *serviceproxy.Proxy
+	proxy   *serviceproxy.Proxy
+	callers *serviceproxy.HandOver
 }
 
 // RegisterCallers implements gate.Handlers.
 func (s serviceHandlers) RegisterCallers(e *echo.Echo) {
-	e.Any(serviceproxy.Prefix+"*", echo.WrapHandler(s.proxy))
+	e.Any(serviceproxy.Prefix+"*", echo.WrapHandler(s.callers))
 }
 
-// RegisterPeers implements gate.Handlers; service calls are not handed over.
-func (s serviceHandlers) RegisterPeers(*echo.Echo) {}
+// RegisterPeers implements gate.Handlers.
+func (s serviceHandlers) RegisterPeers(e *echo.Echo) {
+	e.Any(serviceproxy.Prefix+"*", echo.WrapHandler(s.proxy))
+}
 
 // ViewChanged implements gate.Handlers; the proxy looks at the view in force
 // right before the first byte.
--- /dev/null
+++ b/pkg/serviceproxy/handover.go
@@ -0,0 +1,166 @@
+package serviceproxy
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
+	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// HandOver passes calls on to a gate with permits when this one has none left
+// for the service. It serves callers; gates serve each other by the Proxy
+// itself, so that a call takes one hop at most.
+type HandOver struct {
+	proxy *Proxy
+	room  func(view.TargetID, view.Incarnation) (free, inFlight int)
+}
+
+// NewHandOver returns a handler before a proxy. room tells this gate's free
+// permits.
+func NewHandOver(p *Proxy, room func(view.TargetID, view.Incarnation) (free, inFlight int)) *HandOver {
+	return &HandOver{proxy: p, room: room}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *HandOver) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	peer, ok := h.peer(r)
+	if !ok {
+		h.proxy.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.proxy.config.MaxBody))
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if err != nil {
+		r.Body = io.NopCloser(&failingReader{body: bytes.NewReader(body), err: err})
+		h.proxy.ServeHTTP(w, r)
+		return
+	}
+	if !h.relay(w, r, peer, body) {
+		h.proxy.ServeHTTP(w, r)
+	}
+}
+
+// failingReader gives a body up to where it broke off.
+type failingReader struct {
+	body io.Reader
+	err  error
+}
+
+// Read implements io.Reader.
+func (f *failingReader) Read(b []byte) (int, error) {
+	n, err := f.body.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = f.err
+	}
+	return n, err
+}
+
+// peer returns the gate to hand a call over to, if there is no permit here and
+// one elsewhere.
+func (h *HandOver) peer(r *http.Request) (view.Gate, bool) {
+	service, _, ok := splitPath(r.URL.Path)
+	if !ok || !h.proxy.config.Lease.Valid() {
+		return view.Gate{}, false
+	}
+	v := h.proxy.config.View()
+	var best view.GateShare
+	for _, host := range h.proxy.hosts(service) {
+		id := target(host.Name)
+		if free, _ := h.room(id, host.Incarnation); free > 0 {
+			return view.Gate{}, false
+		}
+		share, _ := v.Shares.Get(id)
+		if share.Incarnation != host.Incarnation {
+			continue
+		}
+		best = slices.MaxFunc(append(h.others(share), best), func(a, b view.GateShare) int {
+			return cmp.Compare(a.Permits, b.Permits)
+		})
+	}
+	if best.Permits == 0 {
+		return view.Gate{}, false
+	}
+	return v.Gates.Get(best.Gate)
+}
+
+// others returns the parts of a share that other gates have.
+func (h *HandOver) others(s view.Share) []view.GateShare {
+	return slices.DeleteFunc(slices.Clone(s.Gates), func(g view.GateShare) bool {
+		return g.Gate == h.proxy.config.Gate
+	})
+}
+
+// relay passes a call on. It returns false if nothing left this gate.
+func (h *HandOver) relay(w http.ResponseWriter, r *http.Request, peer view.Gate, body []byte) bool {
+	header := plaincall.EndToEnd(r.Header)
+	if service, ok := h.service(r); ok && service.once() {
+		return h.relayOnce(w, r, peer, header, body)
+	}
+	resp, err := h.proxy.transport.Do(r.Context(), h.request(r, peer, header, body), h.check)
+	if err != nil {
+		return h.broke(w, r, peer, err)
+	}
+	defer resp.Body.Close()
+	relayStream(w, resp, outcome.Outcome(resp.Header.Get(outcome.Header)))
+	return true
+}
+
+// relayOnce passes a once-only call on, once: the peer owns its record.
+func (h *HandOver) relayOnce(w http.ResponseWriter, r *http.Request, peer view.Gate, header http.Header, body []byte) bool {
+	ctx := context.WithoutCancel(r.Context())
+	answer, err := h.proxy.transport.Once(ctx, h.request(r, peer, header, body), h.check, h.proxy.config.MaxAnswer)
+	if err != nil {
+		return h.broke(w, r, peer, err)
+	}
+	o := outcome.Outcome(answer.Header.Get(outcome.Header))
+	if err := relayWhole(w, answer.Status, answer.Header, answer.Body, o); err != nil {
+		h.proxy.log.Debug("answer not delivered", "gate", peer.Name, "err", err)
+	}
+	return true
+}
+
+// service returns what is needed to tell whether a call is once-only.
+func (h *HandOver) service(r *http.Request) (*call, bool) {
+	c := &call{method: r.Method}
+	return c, h.proxy.locate(r.URL, c) == nil
+}
+
+func (h *HandOver) check() error {
+	if !h.proxy.config.Lease.Valid() {
+		return errNoLease
+	}
+	return nil
+}
+
+func (h *HandOver) request(r *http.Request, peer view.Gate, header http.Header, body []byte) *plaincall.Request {
+	return &plaincall.Request{
+		Address:  peer.PeerAddress,
+		Method:   r.Method,
+		Path:     r.URL.Path,
+		RawPath:  r.URL.RawPath,
+		RawQuery: r.URL.RawQuery,
+		Header:   header,
+		Body:     body,
+	}
+}
+
+// broke ends a call whose peer gave no answer. It returns false if the peer
+// did not get it.
+func (h *HandOver) broke(w http.ResponseWriter, r *http.Request, peer view.Gate, err error) bool {
+	o := callOutcome(err)
+	h.proxy.log.Warn("call not handed over", "gate", peer.Name, "outcome", o, "err", err)
+	if o == outcome.NotRun {
+		return false
+	}
+	c := &call{id: h.proxy.requestID(), method: r.Method}
+	h.proxy.refuse(w, c, refuseWith(http.StatusBadGateway, o, outcome.ReasonUpstreamFailed,
+		"the gate that the call was handed to broke off; a once-only call may be asked for again under its key").after(retrySoon))
+	return true
+}
