--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -34,6 +34,7 @@
 	Uses    []view.TargetUse `json:"uses,omitempty"`
 	Orders  []OrderResult    `json:"orders,omitempty"`
 	Settled []view.GroupID   `json:"settled,omitempty"` // draining groups without work here
+	Relayed bool             `json:"relayed,omitempty"` // passed on by a keeper that does not lead
 }
 
 // Gone is an upstream that refused or reset connections, seen by a gate.
@@ -49,4 +50,5 @@
 	Orders      []order.Order `json:"orders,omitempty"`
 	OrderTTLMS  int64         `json:"order_ttl_ms"`     // counted from the sending of the request
 	Resend      bool          `json:"resend,omitempty"` // send all announcements in full
+	Leader      string        `json:"leader,omitempty"` // set by a keeper that passed the request on
 }
