Let every replica that can be reached object to one that starts again

Cause: in a group of five, two replicas without evidence could agree before the one that has it answered. Change: a bare majority counts only after an election timeout; all voters or a leader count at once.

--- a/pkg/raft/doc.go
+++ b/pkg/raft/doc.go
@@ -24,8 +24,9 @@
 // So a replica with an empty folder never votes under its old ID.
 //
 // A replica that starts again first says which term and last index it holds.
-// It takes part once a majority (itself counted) or a leader has no evidence
-// against it. The evidence is a Mark: the highest term, and the highest index
+// It takes part once a leader or every voter has no evidence against it, or a
+// majority (itself counted) after an election timeout, in which any other that
+// can be reached may object. The evidence is a Mark: the highest term, and the highest index
 // acknowledged in that term, that others have seen from it. A leader spreads
 // the marks with its heartbeats. One refusal ends the replica.
 package raft
--- a/pkg/raft/greeting.go
+++ b/pkg/raft/greeting.go
@@ -4,10 +4,9 @@
 
 // greeting is the state of a replica that may not take part yet.
 type greeting struct {
-	open    bool
-	nonce   uint64
-	agreed  map[ID]bool
-	elapsed int
+	open   bool
+	agreed map[ID]bool
+	ticks  int
 }
 
 // startGreeting decides whether others must be asked first. A replica that
@@ -26,7 +25,7 @@
 		c.setActive()
 		return
 	}
-	c.greeting = greeting{open: true, nonce: c.cfg.Nonce, agreed: map[ID]bool{}}
+	c.greeting = greeting{open: true, agreed: map[ID]bool{}}
 	c.greetAll()
 }
 
@@ -40,9 +39,12 @@
 }
 
 func (c *Core) tickGreeting() {
-	c.greeting.elapsed++
-	if c.greeting.elapsed >= c.cfg.HeartbeatTicks {
-		c.greeting.elapsed = 0
+	c.greeting.ticks++
+	if c.greetingDone(false) {
+		c.setActive()
+		return
+	}
+	if c.greeting.ticks%c.cfg.HeartbeatTicks == 0 {
 		c.greetAll()
 	}
 }
@@ -60,7 +62,7 @@
 		Type:  MessageHello,
 		To:    to,
 		Index: c.log.last(),
-		Round: c.greeting.nonce,
+		Round: c.cfg.Nonce,
 	})
 }
 
@@ -105,7 +107,8 @@
 }
 
 func (c *Core) stepHelloReply(m Message) {
-	if !c.greeting.open || m.Round != c.greeting.nonce {
+	// Once it takes part, a repeated hello may be behind newer promises.
+	if !c.greeting.open || m.Round != c.cfg.Nonce {
 		return
 	}
 	if m.Reject {
@@ -119,8 +122,9 @@
 	}
 }
 
-// greetingDone: on its first start a replica needs every other member; later
-// a leader or a majority, itself counted.
+// greetingDone: on its first start a replica needs every other member. Later
+// it needs a leader, or all, or a majority with itself counted once the others
+// had an election timeout to object.
 func (c *Core) greetingDone(leader bool) bool {
 	ms := c.Membership()
 	n := 0
@@ -129,8 +133,10 @@
 			n++
 		}
 	}
+	all := n > 0 && n == len(ms.Voters())
 	if !c.active {
-		return n == len(ms.Voters()) && n > 0
+		return all
 	}
-	return leader || n >= ms.Quorum() && n > 1
+	waited := c.greeting.ticks >= c.cfg.ElectionTicks
+	return leader || all || waited && n > 1 && n >= ms.Quorum()
 }
