Check the permit allocator against a model of gates with late reports

Cause: the bound must hold over all gates whatever is late, dead or replaced. Change: a rapid model with real Locals, delayed and reordered reports, lost leases, replaced gates and restarted targets; Unguarded switches. Ruled out: with ForgetOrphans and with RaiseBeforeSettled the check fails. Conclusion: sum of work stays within the highest bound that a gate with a lease has in force; after quiet all permits are given out again.

--- a/pkg/admission/flow.go
+++ b/pkg/admission/flow.go
@@ -57,7 +57,7 @@
 
 func (f *Flow) queue(t Ticket) *queue {
 	name := t.Organisation
-	if f.options.noFairness {
+	if f.options.Unguarded.NoFairness {
 		name = ""
 	}
 	q := f.queues[name]
@@ -77,7 +77,7 @@
 
 // late tells whether a request started then would miss its deadline.
 func (f *Flow) late(start time.Duration, t *Ticket) bool {
-	return !f.options.noDeadlines && t.Deadline != 0 && start+f.estimate.service > t.Deadline
+	return !f.options.Unguarded.NoDeadlines && t.Deadline != 0 && start+f.estimate.service > t.Deadline
 }
 
 // wait estimates the time that n requests of a queue need under contention.
@@ -185,7 +185,7 @@
 
 // LatestStart returns when a waiting request must have started.
 func (f *Flow) LatestStart(t Ticket) (time.Duration, bool) {
-	if t.Deadline == 0 || f.options.noDeadlines {
+	if t.Deadline == 0 || f.options.Unguarded.NoDeadlines {
 		return 0, false
 	}
 	return t.Deadline - f.estimate.service, true
--- a/pkg/admission/options.go
+++ b/pkg/admission/options.go
@@ -9,9 +9,7 @@
 	// MaxQueued bounds an organisation whose ticket has no bound of its own.
 	MaxQueued int
 
-	// Switches of proofs, which turn one protection off.
-	noFairness  bool
-	noDeadlines bool
+	Unguarded Unguarded
 }
 
 const (
--- a/pkg/fake/engine/chat.go
+++ b/pkg/fake/engine/chat.go
@@ -95,6 +95,7 @@
 		e.peak = max(e.peak, len(e.streams))
 		e.model.Add(seq)
 		notify(e.wake)
+		e.options.Observe(prompt)
 	}
 	return st, nil
 }
--- a/pkg/fake/engine/engine.go
+++ b/pkg/fake/engine/engine.go
@@ -55,6 +55,9 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: peerTimeout}).Dial
 	}
+	if o.Observe == nil {
+		o.Observe = func(string) {}
+	}
 	if o.Die == nil {
 		o.Die = func() {}
 	}
--- a/pkg/fake/engine/options.go
+++ b/pkg/fake/engine/options.go
@@ -24,6 +24,8 @@
 	Log           *log.Logger
 	// Dial opens connections to gates and peers; nil: TCP.
 	Dial func(network, address string) (net.Conn, error)
+	// Observe is told of the prompt of each request that enters the batch.
+	Observe func(prompt string)
 	// Die ends the process at once for an ordered crash.
 	Die func()
 }
--- a/pkg/permit/allocator.go
+++ b/pkg/permit/allocator.go
@@ -61,6 +61,9 @@
 	if !t.Up {
 		t.Up = true
 		t.Bound, t.StepSince, t.StepProof, t.FellAt = t.Cold, now, 0, rev
+		if a.options.Unguarded.IgnoreAge {
+			t.Bound = t.Max
+		}
 		return a.spread(t, now, rev)
 	}
 	if t.Bound <= t.Max {
@@ -116,7 +119,7 @@
 	for _, t := range a.sorted() {
 		held := current && t.abandon(lost)
 		t.lapse(e, now)
-		if a.options.forgetOrphans {
+		if a.options.Unguarded.ForgetOrphans {
 			t.Orphans = nil
 		}
 		if held {
@@ -161,7 +164,7 @@
 	h.InFlight, h.Queued = u.InFlight, u.Queued
 	t.prove(h, u)
 	h.settle(u, e.Final)
-	if u.Suspect && u.InForce >= t.FellAt && !a.options.ignoreSuspicion {
+	if u.Suspect && u.InForce >= t.FellAt && !a.options.Unguarded.IgnoreSuspicion {
 		t.fall(now, rev)
 		return a.spread(t, now, rev)
 	}
--- a/pkg/permit/options.go
+++ b/pkg/permit/options.go
@@ -23,10 +23,7 @@
 	// Sharing is how a bound is divided. Default SharingDemand.
 	Sharing Sharing
 
-	// Switches of proofs, which turn one protection off.
-	raiseBeforeSettled bool
-	forgetOrphans      bool
-	ignoreSuspicion    bool
+	Unguarded Unguarded
 }
 
 const (
--- a/pkg/permit/ramp.go
+++ b/pkg/permit/ramp.go
@@ -48,5 +48,5 @@
 	if u.Failed > h.Failed {
 		t.StepProof = 0
 	}
-	h.Finished, h.Failed = u.Finished, u.Failed
+	h.Finished, h.Failed = max(h.Finished, u.Finished), max(h.Failed, u.Failed)
 }
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -49,7 +49,7 @@
 	sentAt := time.Now()
 	req := &upstream.Request{
 		Address:     g.place.head.Address,
-		Incarnation: g.place.head.Incarnation,
+		Incarnation: p.incarnation(&g.place),
 		Method:      http.MethodPost,
 		Path:        infer.Path,
 		Header:      p.header(c),
@@ -94,9 +94,17 @@
 	}
 }
 
+// incarnation is whom a request is meant for.
+func (p *Proxy) incarnation(at *place) view.Incarnation {
+	if p.options.Unguarded.NoConfirmation {
+		return 0
+	}
+	return at.head.Incarnation
+}
+
 // mayStart is the check right before the first byte.
 func (p *Proxy) mayStart(at *place) error {
-	if p.options.noSecondCheck {
+	if p.options.Unguarded.NoSecondCheck {
 		return nil
 	}
 	if !p.config.Lease.Valid() {
@@ -175,6 +183,9 @@
 	r := stream.NewReader(body)
 	for {
 		ev, err := r.Next()
+		if err == io.EOF && p.options.Unguarded.NoTracking {
+			return nil
+		}
 		if err == io.EOF {
 			return stream.ErrTruncated
 		}
@@ -182,7 +193,7 @@
 			return err
 		}
 		offset := c.tracker.Offset()
-		verdict, err := c.tracker.Accept(ev)
+		verdict, err := p.accept(c, ev)
 		if err != nil {
 			return err
 		}
@@ -202,6 +213,16 @@
 	}
 }
 
+func (p *Proxy) accept(c *call, ev stream.Event) (stream.Verdict, error) {
+	if !p.options.Unguarded.NoTracking {
+		return c.tracker.Accept(ev)
+	}
+	if string(ev.Data) == infer.DoneMarker {
+		return stream.Whole, nil
+	}
+	return stream.Forward, nil
+}
+
 // began notes the first part of an answer and the version that gives it.
 func (p *Proxy) began(c *call, data []byte) {
 	if c.first {
--- a/pkg/proxy/options.go
+++ b/pkg/proxy/options.go
@@ -15,9 +15,7 @@
 	PrefixBlocks    int           // hints kept for each upstream; default 16384
 	ServiceTime     time.Duration // assumed before any request was seen; default 500 ms
 
-	// Switches of proofs, which turn one protection off.
-	noSecondCheck bool
-	forgetPermits bool
+	Unguarded Unguarded
 }
 
 const (
--- a/pkg/proxy/queue.go
+++ b/pkg/proxy/queue.go
@@ -30,7 +30,7 @@
 		q = &queue{
 			proxy:      p,
 			modelGroup: modelGroup,
-			flow:       admission.NewFlow(admission.Options{DefaultService: p.options.ServiceTime}),
+			flow:       admission.NewFlow(admission.Options{DefaultService: p.options.ServiceTime, Unguarded: p.options.Unguarded.Admission}),
 			waiting:    make(map[uint64]*call),
 		}
 		p.queues[modelGroup] = q
--- a/pkg/proxy/settle.go
+++ b/pkg/proxy/settle.go
@@ -31,7 +31,7 @@
 		end = permit.EndNotProven
 	}
 	key := infer.Cancel{Request: c.id, Attempt: c.attempt}
-	if p.options.forgetPermits || p.cancel(g.place, key) {
+	if p.options.Unguarded.ForgetPermits || p.cancel(g.place, key) {
 		q.giveBack(g.permit, end)
 		return
 	}
@@ -49,7 +49,7 @@
 
 // settleLater ends an attempt whose caller waits no more.
 func (p *Proxy) settleLater(q *queue, g grant, key infer.Cancel) {
-	if p.options.forgetPermits {
+	if p.options.Unguarded.ForgetPermits {
 		q.giveBack(g.permit, permit.EndNotProven)
 		return
 	}
