Prove once-only requests over gates, records and services that fail

Cause: promises 6 and 7 need a history check of real proxies under faults at each step. Change: pkg/prove/once: a world of three gates, two service hosts and the replicated machine over connections in memory in virtual time; rows for a gate killed or frozen at each of nine steps, a lapsed lease, leaving hosts, five faults of the records at intent and outcome, nine faults of the service, records restored between intent and outcome, and all at once. Ruled out: one false alarm of the harness (two overlapping leaves put the leaving view back).

--- /dev/null
+++ b/pkg/prove/once/plan.go
@@ -0,0 +1,23 @@
+package once
+
+import (
+	"github.com/sesamemux/sesamemux/pkg/fake/service"
+	machine "github.com/sesamemux/sesamemux/pkg/once"
+	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
+)
+
+// plan is one scenario: what strikes where.
+type plan struct {
+	strike strike // on a gate
+	step   step
+
+	logFault logFault // on calls to the records
+	logOp    logOp
+
+	serviceFault service.FaultKind
+	restarts     bool // the records are restored from their snapshot at each operation
+	chaos        bool // all faults at random
+
+	machine machine.Unsafe
+	proxy   serviceproxy.Unsafe
+}
--- /dev/null
+++ b/pkg/prove/once/rows.go
@@ -0,0 +1,123 @@
+package once
+
+import (
+	"github.com/sesamemux/sesamemux/pkg/fake/service"
+	machine "github.com/sesamemux/sesamemux/pkg/once"
+	"github.com/sesamemux/sesamemux/pkg/prove"
+	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
+)
+
+// area names this package in the matrix.
+const area = "once"
+
+// Rows returns the rows of the fault matrix on once-only requests and on
+// requests that crash upstreams.
+func Rows() []prove.Row {
+	var rows []prove.Row
+	rows = append(rows, gateRows()...)
+	rows = append(rows, logRows()...)
+	rows = append(rows, serviceRows()...)
+	rows = append(rows, otherRows()...)
+	return rows
+}
+
+func row(p prove.Promise, fault, at string, guarded plan, unguarded *plan) prove.Row {
+	r := prove.Row{Promise: p, Area: area, Fault: fault, Step: at, Run: scenario(guarded)}
+	if unguarded != nil {
+		r.Unguarded = scenario(*unguarded)
+	}
+	return r
+}
+
+// gateRows strike a gate at each step.
+func gateRows() []prove.Row {
+	var rows []prove.Row
+	for _, s := range allSteps {
+		for _, x := range []strike{kill, freeze} {
+			p := plan{strike: x, step: s}
+			rows = append(rows, row(prove.OnceOnly, string(x), string(s), p, gateUnguarded(p)))
+		}
+	}
+	for _, x := range []strike{freeze, silence, leave} {
+		for _, s := range []step{afterIntent, beforeDial} {
+			p, q := plan{strike: x, step: s}, plan{strike: x, step: s}
+			q.proxy.NoLateCheck = true
+			promise := prove.TrueNotRun
+			if x == leave {
+				promise = prove.LeavingUpstream
+			}
+			rows = append(rows, row(promise, string(x), string(s), p, &q))
+		}
+	}
+	return rows
+}
+
+// gateUnguarded returns a plan in which a gate that is gone frees its keys.
+func gateUnguarded(p plan) *plan {
+	if !p.step.executed() || p.step == afterConclusion {
+		return nil
+	}
+	p.machine = machine.Unsafe{ForgetUnknown: true}
+	return &p
+}
+
+// logRows strike the way to the replicated records.
+func logRows() []prove.Row {
+	var rows []prove.Row
+	for _, op := range []logOp{opIntent, opConclusion} {
+		for _, f := range []logFault{logRefused, logLostRequest, logLostReply, logLate, logOutage} {
+			p := plan{logFault: f, logOp: op}
+			q := p
+			q.proxy = serviceproxy.Unsafe{NoIntent: true}
+			rows = append(rows, row(prove.OnceOnly, string(f), string(op), p, &q))
+		}
+	}
+	return rows
+}
+
+// serviceRows strike the services.
+func serviceRows() []prove.Row {
+	var rows []prove.Row
+	for _, f := range []service.FaultKind{
+		service.FaultCutBefore, service.FaultCutAfter, service.FaultCutAnswer, service.FaultSlow,
+		service.FaultLoseReply, service.FaultPause, service.FaultRedirect,
+		service.FaultUnavailable, service.FaultUnavailableAfter,
+	} {
+		p := plan{serviceFault: f}
+		rows = append(rows, row(servicePromise(f), "service "+string(f), "at the call", p, serviceUnguarded(p)))
+	}
+	return rows
+}
+
+func servicePromise(f service.FaultKind) prove.Promise {
+	if f == service.FaultUnavailable || f == service.FaultUnavailableAfter {
+		return prove.TrueNotRun
+	}
+	return prove.OnceOnly
+}
+
+func serviceUnguarded(p plan) *plan {
+	switch p.serviceFault {
+	case service.FaultCutBefore, service.FaultUnavailable:
+		return nil
+	case service.FaultUnavailableAfter:
+		p.proxy = serviceproxy.Unsafe{TrustStatus: true}
+	default:
+		p.proxy = serviceproxy.Unsafe{Resend: true}
+	}
+	return &p
+}
+
+// otherRows restart the records and let all faults strike at once.
+func otherRows() []prove.Row {
+	restarts := plan{restarts: true, strike: kill, step: afterRequest}
+	forgets := restarts
+	forgets.machine = machine.Unsafe{ForgetUnknown: true}
+	chaos := plan{chaos: true, restarts: true}
+	unrecorded := chaos
+	unrecorded.proxy = serviceproxy.Unsafe{NoIntent: true}
+	return []prove.Row{
+		row(prove.OnceOnly, "gate killed, records restored", "between intent and outcome", restarts, &forgets),
+		row(prove.OnceOnly, "all faults", "at any step", chaos, &unrecorded),
+	}
+}
--- /dev/null
+++ b/pkg/prove/once/rows_test.go
@@ -0,0 +1,29 @@
+package once
+
+import (
+	"fmt"
+	"testing"
+)
+
+// seeds is how many seeds each row is replayed from.
+const seeds = 3
+
+func TestRows(t *testing.T) {
+	for _, r := range Rows() {
+		t.Run(fmt.Sprintf("%d/%s/%s", r.Promise, r.Fault, r.Step), func(t *testing.T) {
+			for seed := uint64(1); seed <= seeds; seed++ {
+				if err := r.Run(seed); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+			}
+			if r.Unguarded == nil {
+				return
+			}
+			for seed := uint64(1); seed <= seeds; seed++ {
+				if err := r.Unguarded(seed); err == nil {
+					t.Fatalf("seed %d: without its protection nothing is seen", seed)
+				}
+			}
+		})
+	}
+}
