Add links: listeners and dialers under mutual TLS or plain

Cause: daemons need one place that turns the TLS settings into connections. Change: access.OpenLinks reads settings.TLS; Listen takes holders of given roles alone and bounds the handshake; Dial fits rpc.DialFunc; Authorize answers for a connection and a method. Figures: go test -race -count=2 ./pkg/access passes. Conclusion: daemons don't use links yet.

--- a/pkg/access/access_test.go
+++ b/pkg/access/access_test.go
@@ -9,10 +9,13 @@
 	"path/filepath"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/object"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
+	"github.com/sesamemux/sesamemux/pkg/settings"
 )
 
 var loopback = net.IPv4(127, 0, 0, 1)
@@ -207,3 +210,73 @@
 		t.Fatal(info.Mode(), err)
 	}
 }
+
+// TestLinks plays calls over links, protected and plain.
+func TestLinks(t *testing.T) {
+	a := newAuthority(t, "shops")
+	open := func(f Files) *Links {
+		l, err := OpenLinks(settings.TLS{Cert: f.Cert, Key: f.Key, CA: f.CA}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	keeper := open(issue(t, a, a, Keeper, "k1", loopback))
+	plain := open(Files{})
+	cases := []struct {
+		name           string
+		server, client *Links
+		ok             bool
+	}{
+		{"keeper and gate", keeper, open(issue(t, a, a, Gate, "g1", loopback)), true},
+		{"keeper and upstream", keeper, open(issue(t, a, a, Upstream, "u1", loopback)), false},
+		{"keeper and plain client", keeper, plain, false},
+		{"plain", plain, plain, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := c.server.Listen("127.0.0.1:0", Keeper, Gate)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := rpc.NewServer()
+			defer s.Close()
+			defer func() { _ = l.Close() }()
+			rpc.Handle(s, string(control.MethodGateSync), func(context.Context, struct{}) (struct{}, error) { return struct{}{}, nil })
+			go func() { _ = s.Serve(l) }()
+			client := rpc.NewClient(l.Addr().String(), c.client.Dial(Keeper))
+			defer client.Close()
+			err = client.Call(t.Context(), string(control.MethodGateSync), struct{}{}, nil)
+			if (err == nil) != c.ok {
+				t.Fatalf("error is %v", err)
+			}
+		})
+	}
+}
+
+// TestSilentClientIsCutOff opens a connection and never begins the handshake.
+func TestSilentClientIsCutOff(t *testing.T) {
+	a := newAuthority(t, "shops")
+	config := newSource(t, issue(t, a, a, Keeper, "k1", loopback), nil).ServerConfig()
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		c, err := boundedListener{oneConn{conn: far}}.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		_, err = Peer(t.Context(), tls.Server(c, config))
+		if !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(began) != handshakeTimeout {
+			t.Fatalf("after %s: %v", time.Since(began), err)
+		}
+	})
+}
+
+// oneConn is a listener with one connection.
+type oneConn struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneConn) Accept() (net.Conn, error) { return l.conn, nil }
--- a/pkg/access/allow.go
+++ b/pkg/access/allow.go
@@ -42,8 +42,9 @@
 	if Allow(id.Role, m) {
 		return nil
 	}
-	return &jsonrpc2.Error{
-		Code:    control.CodeDenied,
-		Message: fmt.Sprintf("%s has no right to call %s", id, m),
-	}
+	return denied(fmt.Sprintf("%s has no right to call %s", id, m))
+}
+
+func denied(message string) error {
+	return &jsonrpc2.Error{Code: control.CodeDenied, Message: message}
 }
--- /dev/null
+++ b/pkg/access/links.go
@@ -0,0 +1,91 @@
+package access
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/settings"
+)
+
+// handshakeTimeout bounds a handshake, so that a silent client holds no
+// connection for long.
+const handshakeTimeout = 5 * time.Second
+
+// Links opens the connections of one process: under mutual TLS when its
+// settings say so, else plain.
+type Links struct {
+	source *Source // nil: plain
+}
+
+// OpenLinks reads the files that the settings name. failed is told when files
+// that changed later could not be read; it may be nil.
+func OpenLinks(t settings.TLS, failed func(error)) (*Links, error) {
+	if !t.Enabled() {
+		return &Links{}, nil
+	}
+	s, err := NewSource(Options{Files: Files{Cert: t.Cert, Key: t.Key, CA: t.CA}, Failed: failed})
+	if err != nil {
+		return nil, err
+	}
+	return &Links{source: s}, nil
+}
+
+// Protected tells whether connections are under mutual TLS.
+func (l *Links) Protected() bool { return l.source != nil }
+
+// Listen takes connections at IP:port, under TLS from holders of the roles
+// alone; no roles stand for all.
+func (l *Links) Listen(address string, roles ...Role) (net.Listener, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen")
+	}
+	if l.source == nil {
+		return inner, nil
+	}
+	return tls.NewListener(boundedListener{inner}, l.source.ServerConfig(roles...)), nil
+}
+
+// Dial returns a function that connects to servers in the roles; no roles
+// stand for all. It fits rpc.DialFunc.
+func (l *Links) Dial(roles ...Role) func(ctx context.Context, address string) (net.Conn, error) {
+	if l.source != nil {
+		return l.source.Dial(roles...)
+	}
+	d := &net.Dialer{Timeout: dialTimeout}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	}
+}
+
+// Authorize tells whether the other end of a connection may call a method. On
+// plain links everyone may: the settings allow them on loopback or by
+// allow_plain alone.
+func (l *Links) Authorize(ctx context.Context, c net.Conn, m control.Method) error {
+	if l.source == nil {
+		return nil
+	}
+	id, err := Peer(ctx, c)
+	if err != nil {
+		return denied(err.Error())
+	}
+	return Authorize(id, m)
+}
+
+// boundedListener sets a deadline for the handshake; the TLS configuration
+// lifts it afterwards.
+type boundedListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l boundedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return c, c.SetDeadline(time.Now().Add(handshakeTimeout))
+}
--- a/pkg/access/source.go
+++ b/pkg/access/source.go
@@ -80,19 +80,29 @@
 func (s *Source) ServerConfig(roles ...Role) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
-		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		GetConfigForClient: func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
 			m := s.current()
 			return &tls.Config{
 				MinVersion:       tls.VersionTLS13,
 				Certificates:     []tls.Certificate{m.certificate},
 				ClientAuth:       tls.RequireAndVerifyClientCert,
 				ClientCAs:        m.authorities,
-				VerifyConnection: m.verify(roles),
+				VerifyConnection: liftDeadline(hello.Conn, m.verify(roles)),
 			}, nil
 		},
 	}
 }
 
+// liftDeadline ends the deadline of a handshake once the other side is known.
+func liftDeadline(c net.Conn, verify func(tls.ConnectionState) error) func(tls.ConnectionState) error {
+	return func(state tls.ConnectionState) error {
+		if err := verify(state); err != nil {
+			return err
+		}
+		return c.SetDeadline(time.Time{})
+	}
+}
+
 // clientConfig returns a configuration for one connection to a host.
 func (s *Source) clientConfig(host string, roles []Role) *tls.Config {
 	m := s.current()
