--- a/pkg/access/allow.go
+++ b/pkg/access/allow.go
@@ -17,6 +17,7 @@
 	control.MethodOnceIntent:        {Gate, Keeper},
 	control.MethodOnceOutcome:       {Gate, Keeper},
 	control.MethodCrashReport:       {Gate, Keeper},
+	control.MethodRanWell:           {Gate, Keeper},
 	control.MethodApply:             {Operator, Gate, Keeper},
 	control.MethodCheck:             {Operator, Gate, Keeper},
 	control.MethodGet:               {Operator, Gate, Keeper},
--- a/pkg/ctl/caller.go
+++ b/pkg/ctl/caller.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -41,16 +42,21 @@
 	}
 }
 
+// ask sends one request to one server, with the usual bound on its time.
+func (c *caller) ask(ctx context.Context, address string, m control.Method, params, result any) error {
+	return c.once(ctx, address, request{method: m, params: params}, result)
+}
+
 // once sends one request to one server.
-func (c *caller) once(ctx context.Context, address string, m control.Method, params, result any) error {
+func (c *caller) once(ctx context.Context, address string, r request, result any) error {
 	k := c.clients[address]
 	if k == nil {
 		k = rpc.NewClient(address, c.dial)
 		c.clients[address] = k
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(r.attempt, attemptTimeout))
 	defer cancel()
-	err := k.Call(ctx, string(m), params, result)
+	err := k.Call(ctx, string(r.method), r.params, result)
 	if err != nil {
 		c.last[address] = shortError(err)
 	}
@@ -87,11 +93,11 @@
 			address = c.servers[s.next%len(c.servers)]
 			s.next++
 		}
-		err := c.once(ctx, address, r.method, r.params, result)
+		err := c.once(ctx, address, r, result)
 		if err == nil {
 			return nil
 		}
-		if final := s.judge(address, err, r); final != nil {
+		if final := s.judge(address, err); final != nil {
 			return final
 		}
 		if len(s.strangers) == len(c.servers) {
@@ -108,13 +114,14 @@
 
 // judge takes in a failed attempt; it returns the failure when trying again is
 // of no use.
-func (s *search) judge(address string, err error, r request) error {
+func (s *search) judge(address string, err error) error {
 	if errors.Is(err, rpc.ErrNotSent) {
 		return nil
 	}
 	var coded *jsonrpc2.Error
 	if !errors.As(err, &coded) {
-		return s.mayHaveRun(r)
+		s.maybe = true
+		return nil
 	}
 	switch coded.Code {
 	case control.CodeNotLeader:
@@ -123,7 +130,8 @@
 	case control.CodeUnavailable:
 		return nil
 	case control.CodeUnknown:
-		return s.mayHaveRun(r)
+		s.maybe = true
+		return nil
 	case jsonrpc2.CodeMethodNotFound:
 		s.strangers[address] = true
 		return nil
@@ -131,16 +139,6 @@
 	return refusal(coded)
 }
 
-// mayHaveRun notes an attempt whose outcome is unknown. What can't be sent
-// again ends there.
-func (s *search) mayHaveRun(r request) error {
-	s.maybe = true
-	if r.resend {
-		return nil
-	}
-	return unknownOutcome(r)
-}
-
 // follow takes the named leader as the next server, but for answers that lead
 // round in circles.
 func (s *search) follow(from string, coded *jsonrpc2.Error) {
@@ -195,7 +193,7 @@
 
 func unknownOutcome(r request) *Failure {
 	f := &Failure{Code: ExitUnknown, ChangeID: r.changeID, Message: "the reply was lost: the change may or may not have taken effect"}
-	f.Hint = "look at " + programName + " keeper status before trying again"
+	f.Hint = "run the same command again: it goes on where the first one stopped"
 	if r.changeID != "" {
 		f.Hint = fmt.Sprintf("run the same command again with --change-id %s: it takes effect at most once", r.changeID)
 	}
--- a/pkg/ctl/keeper.go
+++ b/pkg/ctl/keeper.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
 )
@@ -55,7 +56,7 @@
 	for i := 0; i < len(pending); i++ {
 		a := keeperAnswer{Address: pending[i]}
 		var status control.KeeperStatus
-		if err := s.caller.once(ctx, a.Address, control.MethodKeeperStatus, struct{}{}, &status); err != nil {
+		if err := s.caller.ask(ctx, a.Address, control.MethodKeeperStatus, struct{}{}, &status); err != nil {
 			a.Error = shortError(err)
 		} else {
 			a.Status = &status
@@ -93,23 +94,29 @@
 	Old     uint64 `arg:"" help:"ID of the lost keeper."`
 	New     uint64 `arg:"" help:"ID of the new keeper, never used before."`
 	Address string `arg:"" help:"IP:port of the new keeper."`
+
+	WaitTimeout time.Duration `default:"2m" help:"Longest time until the new keeper has caught up."`
 }
 
 // Help implements kong.HelpProvider.
 func (*keeperReplaceCommand) Help() string {
 	return `Start the new keeper first, with an empty data folder and join = yes. It learns the
-state before it counts in the quorum.
+state before it counts in the quorum. Repeating the command goes on where the first
+one stopped.
 
 Examples:
   sesamectl keeper replace 2 4 10.0.0.9:7700`
 }
 
-// Run implements the command.
+// Run implements the command. Each step of a replacement that was made already
+// is passed by, so that the request may be sent again.
 func (r *keeperReplaceCommand) Run(s *session) error {
 	params := control.KeeperReplaceRequest{Old: r.Old, New: r.New, Address: r.Address}
-	s.progress("replacing keeper %d by %d at %s", r.Old, r.New, r.Address)
-	var result struct{}
-	if err := s.call(request{method: control.MethodKeeperReplace, params: params, changes: true}, &result); err != nil {
+	s.progress("replacing keeper %d by %d at %s; the new one learns the state first", r.Old, r.New, r.Address)
+	s.settings.Timeout = r.WaitTimeout
+	call := request{method: control.MethodKeeperReplace, params: params, changes: true, attempt: r.WaitTimeout}
+	var result control.KeeperStatus
+	if err := s.call(call, &result); err != nil {
 		return err
 	}
 	return s.print(params, func(w io.Writer) {
--- a/pkg/ctl/quarantine.go
+++ b/pkg/ctl/quarantine.go
@@ -63,7 +63,7 @@
 func (r *quarantineReleaseCommand) Run(s *session) error {
 	params := control.QuarantineReleaseRequest{Fingerprint: view.Fingerprint(r.Fingerprint), Operator: s.settings.Operator}
 	var result struct{}
-	if err := s.call(request{method: control.MethodQuarantineRelease, params: params, resend: true, changes: true}, &result); err != nil {
+	if err := s.call(request{method: control.MethodQuarantineRelease, params: params, changes: true}, &result); err != nil {
 		return err
 	}
 	return s.print(params, func(w io.Writer) { say(w, "released %s", r.Fingerprint) })
--- a/pkg/ctl/session.go
+++ b/pkg/ctl/session.go
@@ -85,12 +85,12 @@
 
 // read asks the leader and changes nothing.
 func (s *session) read(m control.Method, params, result any) error {
-	return s.call(request{method: m, params: params, resend: true}, result)
+	return s.call(request{method: m, params: params}, result)
 }
 
 // change sends a change under its change ID.
 func (s *session) change(m control.Method, id string, params, result any) error {
-	return s.call(request{method: m, params: params, changeID: id, resend: true, changes: true}, result)
+	return s.call(request{method: m, params: params, changeID: id, changes: true}, result)
 }
 
 func (s *session) call(r request, result any) error {
--- a/pkg/ctl/timeline.go
+++ b/pkg/ctl/timeline.go
@@ -78,7 +78,7 @@
 	var lists [][]timeline.Event
 	for _, address := range s.processes() {
 		var result control.TimelineResult
-		err := s.caller.once(ctx, address, control.MethodTimeline, control.TimelineRequest{Filter: c.filter(), Limit: c.Limit}, &result)
+		err := s.caller.ask(ctx, address, control.MethodTimeline, control.TimelineRequest{Filter: c.filter(), Limit: c.Limit}, &result)
 		if err != nil {
 			s.progress("%s did not answer: %s", address, shortError(err))
 			continue
--- a/pkg/ctl/wait.go
+++ b/pkg/ctl/wait.go
@@ -64,7 +64,7 @@
 	told := ""
 	for {
 		var result control.WaitResult
-		r := request{method: control.MethodWait, resend: true, params: control.WaitRequest{ViewRevision: revision, TimeoutMS: waitRound.Milliseconds()}}
+		r := request{method: control.MethodWait, params: control.WaitRequest{ViewRevision: revision, TimeoutMS: waitRound.Milliseconds()}}
 		err := s.caller.call(ctx, r, &result)
 		if err == nil && result.InForce {
 			return nil
