Bound a gate's longest request by what the permit allocator counts on

Cause: the allocator frees the permits of a gate without a lease after 90 s, while settings let a gate's requests run 10 minutes by default: work on a target could then pass its bound. Change: max_request_time is 1 s to 90 s, 90 s by default. Conclusion: the bound and the allocator's default must change together.

--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -38,6 +38,11 @@
 	maxBody        = 256 * mib
 	maxHeader      = mib
 	maxConnections = 1_000_000
+
+	// maxRequest is the time after which the permit allocator takes for ended
+	// what a gate without a lease still has on a target; no gate may let a
+	// request run longer.
+	maxRequest = 90 * time.Second
 )
 
 // Section implements Program.
@@ -54,7 +59,7 @@
 	g.MaxHeaderBytes = 32 * kib
 	g.HeaderTimeout = 5 * time.Second
 	g.MaxConnections = 10_000
-	g.MaxRequestTime = 10 * time.Minute
+	g.MaxRequestTime = maxRequest
 	g.ShutdownNotice = 5 * time.Second
 	g.LogLevel = logging.Info
 }
@@ -76,7 +81,7 @@
 		inifile.Bytes("max_header_bytes", &g.MaxHeaderBytes, kib, maxHeader, "Longest header of a request."),
 		inifile.Duration("header_timeout", &g.HeaderTimeout, 100*time.Millisecond, time.Minute, "Longest time until a request's header is whole."),
 		inifile.Int("max_connections", &g.MaxConnections, 1, maxConnections, "Open connections of callers."),
-		inifile.Duration("max_request_time", &g.MaxRequestTime, time.Second, 24*time.Hour, "Longest time of one request with its answer."),
+		inifile.Duration("max_request_time", &g.MaxRequestTime, time.Second, maxRequest, "Longest time of one request with its answer."),
 		inifile.Duration("shutdown_notice", &g.ShutdownNotice, 0, 10*time.Minute, "How long requests are still taken after the balancer was told of a shutdown."),
 		inifile.Text("data_dir", &g.DataDir, "path of a folder, or empty", nil, "Folder of the time line's file; empty keeps it in memory alone."),
 		logLevel(&g.LogLevel),
