--- /dev/null
+++ b/pkg/metrics/deployment.go
@@ -0,0 +1,117 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+var (
+	groupDowntime = prometheus.NewDesc("sesame_group_downtime_seconds_total",
+		"Time that wanted groups took no work, summed over groups.", nil, nil)
+	strandedHosts = prometheus.NewDesc("sesame_stranded_hosts",
+		"Engine hosts that could work and are outside working groups.", nil, nil)
+	groups = prometheus.NewDesc("sesame_groups",
+		"Groups by model group, state and failure domain.", []string{"model_group", "state", "failure_domain"}, nil)
+	hosts = prometheus.NewDesc("sesame_hosts",
+		"Upstream hosts by kind, state and failure domain.", []string{"kind", "state", "failure_domain"}, nil)
+	drains = prometheus.NewDesc("sesame_drains",
+		"Standing orders of operators to give something no new work.", []string{"kind"}, nil)
+	objectRevision = prometheus.NewDesc("sesame_object_revision",
+		"Revision of the objects in force.", nil, nil)
+	viewRevision = prometheus.NewDesc("sesame_view_revision",
+		"Revision of the view that was published last.", nil, nil)
+	viewBarrier = prometheus.NewDesc("sesame_view_barrier",
+		"Revision of the view that is in force on every gate that may take work.", nil, nil)
+	leaseLeft = prometheus.NewDesc("sesame_gate_lease_left_seconds",
+		"What is left of a gate's lease; below 0 it has lapsed.", []string{"gate", "failure_domain"}, nil)
+)
+
+// Deployment collects the figures of the whole deployment at the leader.
+type Deployment struct {
+	// Status returns the state in short; false at a keeper that does not lead.
+	Status func() (control.Status, bool)
+}
+
+// Describe implements prometheus.Collector.
+func (*Deployment) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{
+		groupDowntime, strandedHosts, groups, hosts, drains, objectRevision, viewRevision, viewBarrier, leaseLeft,
+	} {
+		out <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (d *Deployment) Collect(out chan<- prometheus.Metric) {
+	st, leads := d.Status()
+	if !leads {
+		return
+	}
+	gauge := func(desc *prometheus.Desc, v float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, v, labels...)
+	}
+	downtime := time.Duration(st.DowntimeMS) * time.Millisecond
+	out <- prometheus.MustNewConstMetric(groupDowntime, prometheus.CounterValue, downtime.Seconds())
+	gauge(strandedHosts, float64(st.StrandedHosts))
+	gauge(objectRevision, float64(st.ObjectRevision))
+	gauge(viewRevision, float64(st.ViewRevision))
+	gauge(viewBarrier, float64(st.Barrier))
+	for _, g := range st.Gates {
+		left := time.Duration(g.LeaseLeftMS) * time.Millisecond
+		gauge(leaseLeft, left.Seconds(), string(g.Gate.Name), g.Gate.FailureDomain)
+	}
+	for k, n := range countGroups(st.Groups) {
+		gauge(groups, float64(n), k.modelGroup, k.state, k.failureDomain)
+	}
+	for k, n := range countHosts(st.Hosts) {
+		gauge(hosts, float64(n), k.kind, k.state, k.failureDomain)
+	}
+	for kind, n := range countDrains(st.Drains) {
+		gauge(drains, float64(n), kind)
+	}
+}
+
+// groupKey are the labels of sesame_groups.
+type groupKey struct {
+	modelGroup, state, failureDomain string
+}
+
+func countGroups(list []view.Group) map[groupKey]int {
+	counts := make(map[groupKey]int)
+	for _, g := range list {
+		counts[groupKey{g.ModelGroup, string(g.State), g.FailureDomain}]++
+	}
+	return counts
+}
+
+// hostKey are the labels of sesame_hosts.
+type hostKey struct {
+	kind, state, failureDomain string
+}
+
+func countHosts(list []view.Host) map[hostKey]int {
+	counts := make(map[hostKey]int)
+	for _, h := range list {
+		state := "in-service"
+		switch {
+		case h.Leaving:
+			state = "leaving"
+		case h.Drained:
+			state = "drained"
+		}
+		counts[hostKey{string(h.Kind), state, h.FailureDomain}]++
+	}
+	return counts
+}
+
+func countDrains(list []view.Drain) map[string]int {
+	counts := make(map[string]int)
+	for _, d := range list {
+		counts[string(d.Kind)]++
+	}
+	return counts
+}
--- /dev/null
+++ b/pkg/metrics/metrics_test.go
@@ -0,0 +1,81 @@
+package metrics
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// gather lists the metrics of collectors as name{labels} value.
+func gather(t *testing.T, list ...prometheus.Collector) map[string]float64 {
+	t.Helper()
+	r := prometheus.NewPedanticRegistry()
+	for _, c := range list {
+		r.MustRegister(c)
+	}
+	families, err := r.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(map[string]float64)
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			var labels []string
+			for _, l := range m.GetLabel() {
+				labels = append(labels, l.GetValue())
+			}
+			got[fmt.Sprintf("%s{%s}", f.GetName(), strings.Join(labels, ","))] = m.GetGauge().GetValue() + m.GetCounter().GetValue()
+		}
+	}
+	return got
+}
+
+func TestDeploymentAndReplica(t *testing.T) {
+	st := control.Status{
+		ObjectRevision: 3, ViewRevision: 9, Barrier: 8, DowntimeMS: 1500, StrandedHosts: 2,
+		Gates:  []control.GateStatus{{Gate: view.Gate{Name: "g1", FailureDomain: "fd-a"}, LeaseLeftMS: -500}},
+		Groups: []view.Group{{ModelGroup: "m", State: view.StateServing, FailureDomain: "fd-a"}, {ModelGroup: "m", State: view.StateServing, FailureDomain: "fd-a"}},
+		Hosts:  []view.Host{{Kind: view.KindEngine, FailureDomain: "fd-a", Drained: true}, {Kind: view.KindEngine, FailureDomain: "fd-a", Leaving: true, Drained: true}},
+		Drains: []view.Drain{{Kind: view.DrainFailureDomain}},
+	}
+	leads := true
+	d := &Deployment{Status: func() (control.Status, bool) { return st, leads }}
+	r := &Replica{Status: func() control.KeeperStatus {
+		return control.KeeperStatus{Role: "leader", Term: 4, Commit: 20, Applied: 19, Members: make([]control.Member, 3)}
+	}}
+	want := map[string]float64{
+		"sesame_group_downtime_seconds_total{}":   1.5,
+		"sesame_stranded_hosts{}":                 2,
+		"sesame_object_revision{}":                3,
+		"sesame_view_revision{}":                  9,
+		"sesame_view_barrier{}":                   8,
+		"sesame_gate_lease_left_seconds{fd-a,g1}": -0.5,
+		"sesame_groups{fd-a,m,serving}":           2,
+		"sesame_hosts{fd-a,engine,drained}":       1,
+		"sesame_hosts{fd-a,engine,leaving}":       1,
+		"sesame_drains{failure-domain}":           1,
+		"sesame_keeper_leads{}":                   1,
+		"sesame_keeper_term{}":                    4,
+		"sesame_keeper_commit_index{}":            20,
+		"sesame_keeper_applied_index{}":           19,
+		"sesame_keeper_members{}":                 3,
+	}
+	got := gather(t, d, r)
+	for name, v := range want {
+		if have, ok := got[name]; !ok || have != v {
+			t.Errorf("%s is %v, want %v", name, have, v)
+		}
+	}
+	if len(got) != len(want) {
+		t.Errorf("%d metrics, want %d: %v", len(got), len(want), got)
+	}
+	leads = false
+	if got := gather(t, d); len(got) != 0 {
+		t.Errorf("a keeper that does not lead gives %v", got)
+	}
+}
