Add keys to a deployment, filter status, split the caller

Cause: keys init never overwrites, so a gate that comes later had no way to a certificate; status of many hosts was too long to read; an answer to a reused change ID told to mend problems that there were none of.

--- a/pkg/access/authority.go
+++ b/pkg/access/authority.go
@@ -4,6 +4,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -12,6 +13,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +23,8 @@
 	serialBits = 120
 	// backdate lets certificates hold on hosts whose clocks are behind.
 	backdate = time.Hour
+	// authoritySuffix follows the deployment's name in an authority's subject.
+	authoritySuffix = " authority"
 )
 
 // Names of the files of Authority.Write.
@@ -49,7 +53,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "authority's key")
 	}
-	t, err := template(cluster+" authority", now, until)
+	t, err := template(cluster+authoritySuffix, now, until)
 	if err != nil {
 		return nil, err
 	}
@@ -68,6 +72,21 @@
 	return &Authority{Cluster: cluster, certificate: c, key: key, until: until}, nil
 }
 
+// LoadAuthority reads an authority that was written to a folder. Certificates
+// that it issues hold as long as its own.
+func LoadAuthority(dir string) (*Authority, error) {
+	pair, err := tls.LoadX509KeyPair(filepath.Join(dir, AuthorityCertFile), filepath.Join(dir, AuthorityKeyFile))
+	if err != nil {
+		return nil, eris.Wrap(err, "load authority")
+	}
+	key, ok := pair.PrivateKey.(*ecdsa.PrivateKey)
+	cluster, named := strings.CutSuffix(pair.Leaf.Subject.CommonName, authoritySuffix)
+	if !ok || !named || !pair.Leaf.IsCA {
+		return nil, eris.Wrapf(ErrIdentity, "%s is no authority of a deployment", AuthorityCertFile)
+	}
+	return &Authority{Cluster: cluster, certificate: pair.Leaf, key: key, until: pair.Leaf.NotAfter}, nil
+}
+
 func template(name string, now, until time.Time) (*x509.Certificate, error) {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
 	if err != nil {
--- a/pkg/ctl/caller.go
+++ b/pkg/ctl/caller.go
@@ -3,9 +3,7 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -13,7 +11,6 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
-	"github.com/sesamemux/sesamemux/pkg/object"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
 )
 
@@ -21,7 +18,6 @@
 	attemptTimeout = 3 * time.Second        // one server that does not answer
 	retryInterval  = 200 * time.Millisecond // between two attempts
 	leastAttempt   = 50 * time.Millisecond  // an attempt with less time left is not begun
-	maxHops        = 3                      // answers that name another leader, followed at once
 )
 
 // caller finds the leader and calls it.
@@ -72,17 +68,6 @@
 	return err.Error()
 }
 
-// search is the state of one call's way to the leader.
-type search struct {
-	next  int    // index of the server to try
-	hint  string // leader named by the last answer
-	hops  int
-	maybe bool // an attempt may have taken effect
-	// strangers are the servers that don't know the method, such as a gate
-	// that does not pass operators' calls on.
-	strangers map[string]bool
-}
-
 // call tries servers until one answers for good or the time is over.
 func (c *caller) call(ctx context.Context, r request, result any) error {
 	s := search{strangers: make(map[string]bool)}
@@ -112,94 +97,6 @@
 	}
 }
 
-// judge takes in a failed attempt; it returns the failure when trying again is
-// of no use.
-func (s *search) judge(address string, err error) error {
-	if errors.Is(err, rpc.ErrNotSent) {
-		return nil
-	}
-	var coded *jsonrpc2.Error
-	if !errors.As(err, &coded) {
-		s.maybe = true
-		return nil
-	}
-	switch coded.Code {
-	case control.CodeNotLeader:
-		s.follow(address, coded)
-		return nil
-	case control.CodeUnavailable:
-		return nil
-	case control.CodeUnknown:
-		s.maybe = true
-		return nil
-	case jsonrpc2.CodeMethodNotFound:
-		s.strangers[address] = true
-		return nil
-	}
-	return refusal(coded)
-}
-
-// follow takes the named leader as the next server, but for answers that lead
-// round in circles.
-func (s *search) follow(from string, coded *jsonrpc2.Error) {
-	var d control.NotLeader
-	if !decodeData(coded, &d) || d.Leader == "" || d.Leader == from || s.hops >= maxHops {
-		s.hops = 0
-		return
-	}
-	s.hops++
-	s.hint = d.Leader
-}
-
-func decodeData(e *jsonrpc2.Error, v any) bool {
-	return e.Data != nil && json.Unmarshal(*e.Data, v) == nil
-}
-
-// refusal turns an answer that stands into a failure.
-func refusal(e *jsonrpc2.Error) *Failure {
-	switch e.Code {
-	case control.CodeConflict:
-		return conflict(e)
-	case control.CodeInvalid:
-		var problems []object.Problem
-		decodeData(e, &problems)
-		return &Failure{Code: ExitRefused, Message: e.Message, Problems: problems, Hint: "nothing was changed; mend the problems and apply again"}
-	case control.CodeNotFound:
-		return &Failure{Code: ExitRefused, Message: e.Message, Hint: programName + " status and history show what there is"}
-	case control.CodeDenied:
-		return &Failure{Code: ExitDenied, Message: e.Message, Hint: "nothing was changed; use a certificate with the role operator (tls_cert)"}
-	}
-	return &Failure{Code: ExitRefused, Message: e.Message}
-}
-
-// stranger tells that no server knows a method.
-func stranger(r request) *Failure {
-	return &Failure{
-		Code:    ExitRefused,
-		Message: fmt.Sprintf("none of the servers knows the method %s", r.method),
-		Hint:    "name a keeper (--servers); or the servers are of another version than " + programName,
-	}
-}
-
-func conflict(e *jsonrpc2.Error) *Failure {
-	var d control.Conflict
-	f := &Failure{Code: ExitConflict, Message: e.Message, Hint: "nothing was changed; look at " + programName + " status and try again"}
-	if decodeData(e, &d) {
-		f.Message = fmt.Sprintf("the change started from object revision %d, in force is %d", d.Base, d.Current)
-		f.Hint = fmt.Sprintf("nothing was changed; see %s diff FILE, merge, and apply with --base %d", programName, d.Current)
-	}
-	return f
-}
-
-func unknownOutcome(r request) *Failure {
-	f := &Failure{Code: ExitUnknown, ChangeID: r.changeID, Message: "the reply was lost: the change may or may not have taken effect"}
-	f.Hint = "run the same command again: it goes on where the first one stopped"
-	if r.changeID != "" {
-		f.Hint = fmt.Sprintf("run the same command again with --change-id %s: it takes effect at most once", r.changeID)
-	}
-	return f
-}
-
 // giveUp tells how the call ended when its time was over.
 func (c *caller) giveUp(s search, r request) error {
 	if s.maybe && r.changes {
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -68,6 +68,7 @@
 		{"file of an old revision", nil, nil, []string{"apply", servers, old}, ExitConflict, 0, "started from object revision 7, in force is 0"},
 		{"base by flag", nil, nil, []string{"apply", servers, "--base", "3", file}, ExitConflict, 0, "started from object revision 3"},
 		{"problems at the server", []fault{answer(control.CodeInvalid, someProblems)}, nil, apply, ExitRefused, 0, "objects.ini:3: [version v1] model: is missing"},
+		{"change ID of another change", []fault{answer(control.CodeInvalid, nil)}, nil, []string{"apply", servers, "--change-id", "c-1", file}, ExitRefused, 0, "as a new change"},
 		{"no right", []fault{answer(control.CodeDenied, nil)}, nil, apply, ExitDenied, 0, "role operator"},
 		{"problems here", nil, nil, []string{"apply", servers, writeFile(t, "[robot x]\n")}, ExitRefused, 0, "unknown kind"},
 		{"no such file", nil, nil, []string{"apply", servers, "none.ini"}, ExitRefused, 0, "no such file"},
@@ -133,6 +134,8 @@
 		{[]string{"diff"}, ExitOK, []string{"no differences"}},
 		{[]string{"history", "--limit", "1"}, ExitOK, []string{"c-b"}},
 		{[]string{"status"}, ExitOK, []string{"in force everywhere up to 39", "g1", "lapsed", "assistant-1", "h2 h3", "service records", "drained"}},
+		{[]string{"status", "--domain", "fd-b"}, ExitOK, []string{"0 groups, 1 hosts of fd-b"}},
+		{[]string{"status", "--short"}, ExitOK, []string{"in force everywhere up to 39"}},
 		{[]string{"status", "-o", "json"}, ExitOK, []string{`"barrier": 39`}},
 		{[]string{"wait"}, ExitOK, []string{"view revision 40 is in force everywhere"}},
 		{[]string{"wait", "2000", "--wait-timeout", "5s"}, ExitTimedOut, []string{"behind: g2", "waiting for view revision 2000"}},
@@ -226,6 +229,18 @@
 	if o := play(t, newCluster(), args...); o.code != ExitRefused || !strings.Contains(o.errOut, "never overwritten") {
 		t.Fatalf("%d %s", o.code, o.errOut)
 	}
+	if o := play(t, newCluster(), "keys", "add", dir, "--gate", "g2=127.0.0.1"); o.code != ExitOK {
+		t.Fatalf("%d %s", o.code, o.errOut)
+	}
+	added, err := access.NewSource(access.Options{Files: access.Files{
+		Cert: filepath.Join(dir, "gate-g2.pem"), Key: filepath.Join(dir, "gate-g2-key.pem"), CA: filepath.Join(dir, "ca.pem"),
+	}})
+	if err != nil || added.Identity() != (access.Identity{Cluster: "sesame", Role: access.Gate, Name: "g2"}) {
+		t.Fatal(err)
+	}
+	if o := play(t, newCluster(), "keys", "add", t.TempDir(), "--gate", "g2=127.0.0.1"); o.code != ExitRefused {
+		t.Fatalf("%d %s", o.code, o.errOut)
+	}
 	for _, bad := range [][]string{{}, {"--keeper", "k1"}, {"--keeper", "K=127.0.0.1"}, {"--operator", "ana", "--cluster", "A B"}} {
 		if o := play(t, newCluster(), append([]string{"keys", "init", dir + "2"}, bad...)...); o.code != ExitUsage {
 			t.Errorf("%v: exit %d", bad, o.code)
--- a/pkg/ctl/keys.go
+++ b/pkg/ctl/keys.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/access"
 	"github.com/sesamemux/sesamemux/pkg/object"
@@ -16,27 +15,16 @@
 // keysCommand groups the commands about keys.
 type keysCommand struct {
 	Init   keysInitCommand   `cmd:"" help:"Make an authority and certificates for a small deployment."`
+	Add    keysAddCommand    `cmd:"" help:"Make further certificates with the authority of keys init."`
 	Digest keysDigestCommand `cmd:"" help:"Print the digest of an organisation's API key, for key_sha256."`
 }
 
-// keysInitCommand makes all keys of a small deployment.
-type keysInitCommand struct {
-	Dir       string        `arg:"" predictor:"file" help:"New or empty folder for the files."`
-	Cluster   string        `default:"sesame" help:"Name of the deployment."`
-	Keepers   []string      `name:"keeper" sep:"none" placeholder:"NAME=IP" help:"A keeper and its IP number."`
-	Gates     []string      `name:"gate" sep:"none" placeholder:"NAME=IP" help:"A gate and its IP number."`
-	Upstreams []string      `name:"upstream" sep:"none" placeholder:"NAME=IP" help:"An upstream and its IP number."`
-	Operators []string      `name:"operator" sep:"none" placeholder:"NAME" help:"An operator."`
-	Valid     time.Duration `default:"8760h" help:"How long the certificates hold."`
-}
-
-// Help implements kong.HelpProvider.
-func (*keysInitCommand) Help() string {
-	return `Writes ca.pem, ca-key.pem and ROLE-NAME.pem, ROLE-NAME-key.pem. Nothing is ever
-overwritten. Keep ca-key.pem off the hosts.
-
-Examples:
-  sesamectl keys init keys --keeper k1=10.0.0.1 --gate g1=10.0.0.4 --operator ana`
+// holderFlags name the holders of certificates.
+type holderFlags struct {
+	Keepers   []string `name:"keeper" sep:"none" placeholder:"NAME=IP" help:"A keeper and its IP number."`
+	Gates     []string `name:"gate" sep:"none" placeholder:"NAME=IP" help:"A gate and its IP number."`
+	Upstreams []string `name:"upstream" sep:"none" placeholder:"NAME=IP" help:"An upstream and its IP number."`
+	Operators []string `name:"operator" sep:"none" placeholder:"NAME" help:"An operator."`
 }
 
 // holder is one certificate to make.
@@ -46,57 +34,13 @@
 	ips  []net.IP
 }
 
-// Run implements the command.
-func (k *keysInitCommand) Run(s *session) error {
-	holders, err := k.holders()
-	if err != nil {
-		return err
-	}
-	now := s.env.Now()
-	authority, err := access.NewAuthority(k.Cluster, now, now.Add(k.Valid))
-	if err != nil {
-		return err
-	}
-	if err := os.MkdirAll(k.Dir, 0o700); err != nil {
-		return err
-	}
-	own, err := authority.Pair()
-	if err != nil {
-		return err
-	}
-	if err := own.Write(k.Dir, access.AuthorityCertFile, access.AuthorityKeyFile); err != nil {
-		return err
-	}
-	for _, h := range holders {
-		if err := k.issue(authority, h, now); err != nil {
-			return err
-		}
-	}
-	return s.print(struct {
-		Dir          string `json:"dir"`
-		Certificates int    `json:"certificates"`
-	}{k.Dir, len(holders)}, func(w io.Writer) { say(w, "%s: an authority and %d certificates", k.Dir, len(holders)) })
-}
-
-func (k *keysInitCommand) issue(a *access.Authority, h holder, now time.Time) error {
-	pair, err := a.Issue(h.role, h.name, now, h.ips...)
-	if err != nil {
-		return err
-	}
-	base := fmt.Sprintf("%s-%s", h.role, h.name)
-	return pair.Write(k.Dir, base+".pem", base+"-key.pem")
-}
-
 // holders reads the flags; nothing is written when one is in error.
-func (k *keysInitCommand) holders() ([]holder, error) {
+func (f *holderFlags) holders() ([]holder, error) {
 	var list []holder
-	if err := object.CheckName(k.Cluster); err != nil {
-		return nil, usage("--cluster: %v", err)
-	}
 	for _, group := range []struct {
 		role   access.Role
 		values []string
-	}{{access.Keeper, k.Keepers}, {access.Gate, k.Gates}, {access.Upstream, k.Upstreams}, {access.Operator, k.Operators}} {
+	}{{access.Keeper, f.Keepers}, {access.Gate, f.Gates}, {access.Upstream, f.Upstreams}, {access.Operator, f.Operators}} {
 		for _, v := range group.values {
 			h, err := parseHolder(group.role, v)
 			if err != nil {
@@ -132,6 +76,24 @@
 	return &Failure{Code: ExitUsage, Message: fmt.Sprintf(format, args...)}
 }
 
+// issue writes the certificates of holders to a folder and prints how many.
+func (s *session) issue(a *access.Authority, holders []holder, dir string) error {
+	for _, h := range holders {
+		pair, err := a.Issue(h.role, h.name, s.env.Now(), h.ips...)
+		if err != nil {
+			return err
+		}
+		base := fmt.Sprintf("%s-%s", h.role, h.name)
+		if err := pair.Write(dir, base+".pem", base+"-key.pem"); err != nil {
+			return err
+		}
+	}
+	return s.print(struct {
+		Dir          string `json:"dir"`
+		Certificates int    `json:"certificates"`
+	}{dir, len(holders)}, func(w io.Writer) { say(w, "%s: %d certificates", dir, len(holders)) })
+}
+
 // keysDigestCommand prints a digest.
 type keysDigestCommand struct {
 	File string `arg:"" predictor:"file" help:"File with the key; space at its end is left out."`
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
@@ -10,22 +11,48 @@
 )
 
 // statusCommand shows the state.
-type statusCommand struct{}
+type statusCommand struct {
+	Domain string `placeholder:"NAME" help:"Only gates, groups and hosts of this failure domain."`
+	Short  bool   `help:"Leave the tables of gates, groups and hosts out."`
+}
 
 // Help implements kong.HelpProvider.
 func (*statusCommand) Help() string {
 	return `Examples:
   sesamectl status
-  sesamectl status -o json`
+  sesamectl status --domain fd-a
+  sesamectl status --short -o json`
 }
 
 // Run implements the command.
-func (*statusCommand) Run(s *session) error {
+func (c *statusCommand) Run(s *session) error {
 	status, err := s.status()
 	if err != nil {
 		return err
 	}
-	return s.print(status, func(w io.Writer) { writeStatus(w, status) })
+	if c.Domain != "" {
+		keepDomain(&status, c.Domain)
+	}
+	if c.Short {
+		status.Gates, status.Groups, status.Hosts, status.Shares = nil, nil, nil, nil
+	}
+	return s.print(status, func(w io.Writer) { c.write(w, status) })
+}
+
+// keepDomain leaves out what stands elsewhere. Shares of targets elsewhere go
+// with their tables.
+func keepDomain(st *control.Status, domain string) {
+	st.Gates = slices.DeleteFunc(st.Gates, func(g control.GateStatus) bool { return g.Gate.FailureDomain != domain })
+	st.Groups = slices.DeleteFunc(st.Groups, func(g view.Group) bool { return g.FailureDomain != domain })
+	st.Hosts = slices.DeleteFunc(st.Hosts, func(h view.Host) bool { return h.FailureDomain != domain })
+	targets := make(map[view.TargetID]bool)
+	for _, g := range st.Groups {
+		targets[view.TargetID("group/"+string(g.ID))] = true
+	}
+	for _, h := range st.Hosts {
+		targets[view.TargetID("host/"+string(h.Name))] = true
+	}
+	st.Shares = slices.DeleteFunc(st.Shares, func(s view.Share) bool { return !targets[s.Target] })
 }
 
 func (s *session) status() (control.Status, error) {
@@ -34,14 +61,20 @@
 	return status, err
 }
 
-func writeStatus(w io.Writer, st control.Status) {
+func (c *statusCommand) write(w io.Writer, st control.Status) {
 	say(w, "leader    %s, %d keepers", orDash(st.Leader), len(st.Keepers))
 	say(w, "objects   revision %d", st.ObjectRevision)
 	say(w, "view      revision %d, in force everywhere up to %d", st.ViewRevision, st.Barrier)
-	say(w, "groups    %d, down for %s in all, %d stranded hosts", len(st.Groups), time.Duration(st.DowntimeMS)*time.Millisecond, st.StrandedHosts)
+	say(w, "downtime  %s summed over groups, %d stranded hosts", time.Duration(st.DowntimeMS)*time.Millisecond, st.StrandedHosts)
 	for _, d := range st.Drains {
 		say(w, "drained   %s %s since %s", d.Kind, d.Name, time.Unix(0, int64(d.Since)).UTC().Format(time.RFC3339))
 	}
+	if c.Short {
+		return
+	}
+	if c.Domain != "" {
+		say(w, "shown     %d gates, %d groups, %d hosts of %s", len(st.Gates), len(st.Groups), len(st.Hosts), c.Domain)
+	}
 	writeGates(w, st)
 	writeGroups(w, st.Groups)
 	writeHosts(w, st.Hosts)
--- a/pkg/ctl/stub_test.go
+++ b/pkg/ctl/stub_test.go
@@ -91,7 +91,7 @@
 			Leader: "leader:1", ViewRevision: 40, Barrier: 39,
 			Keepers: []control.Member{{ID: 1, Address: "leader:1"}},
 			Gates:   []control.GateStatus{{Gate: view.Gate{Name: "g1", RPCAddress: "gate:1"}, LeaseLeftMS: -1}},
-			Hosts:   []view.Host{{Name: "h1", Kind: view.KindService, Service: "records", Drained: true}},
+			Hosts:   []view.Host{{Name: "h1", Kind: view.KindService, Service: "records", Drained: true}, {Name: "h2", FailureDomain: "fd-b"}},
 			Groups:  []view.Group{{ID: "assistant-1", State: view.StateServing, Members: []view.Member{{Host: "h2"}, {Host: "h3"}}}},
 		}, nil
 	})
