--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -4,9 +4,11 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/sesamemux/sesamemux/pkg/object"
+	"github.com/sesamemux/sesamemux/pkg/settings"
 )
 
 // TestExamplesAreInOrder loads every example, and its canonical text again.
@@ -30,3 +32,13 @@
 		}
 	}
 }
+
+// TestExampleSettingsAreInOrder loads the example settings of each program.
+func TestExampleSettingsAreInOrder(t *testing.T) {
+	_, keeper := settings.Load[settings.Keeper]("boia-serra/keeper.ini", nil, nil)
+	_, gate := settings.Load[settings.Gate]("boia-serra/gate.ini", nil, nil)
+	_, ctl := settings.Load[settings.Ctl]("boia-serra/ctl.ini", nil, nil)
+	for _, p := range slices.Concat(keeper, gate, ctl) {
+		t.Error(p)
+	}
+}
