--- a/pkg/ctl/check.go
+++ b/pkg/ctl/check.go
@@ -1,7 +1,6 @@
 package ctl
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/sesamemux/sesamemux/pkg/object"
@@ -44,11 +43,11 @@
 		problems = append(problems, failure.Problems...)
 	}
 	if len(problems) > 0 {
-		return &Failure{Code: ExitRefused, Message: fmt.Sprintf("%d problems in the objects", len(problems)), Problems: problems}
+		return &Failure{Code: ExitRefused, Message: count(len(problems), "problem") + " in the objects", Problems: problems}
 	}
 	return s.print(good, func(w io.Writer) {
 		for _, g := range good {
-			say(w, "%s: %d objects are in order", g.File, g.Objects)
+			say(w, "%s: %s in order", g.File, count(g.Objects, "object"))
 		}
 	})
 }
--- a/pkg/ctl/file.go
+++ b/pkg/ctl/file.go
@@ -36,7 +36,7 @@
 func problemsFailure(problems []object.Problem) *Failure {
 	return &Failure{
 		Code:     ExitRefused,
-		Message:  fmt.Sprintf("%d problems in the objects; nothing was published", len(problems)),
+		Message:  count(len(problems), "problem") + " in the objects; nothing was published",
 		Problems: problems,
 	}
 }
--- a/pkg/ctl/keys.go
+++ b/pkg/ctl/keys.go
@@ -91,7 +91,7 @@
 	return s.print(struct {
 		Dir          string `json:"dir"`
 		Certificates int    `json:"certificates"`
-	}{dir, len(holders)}, func(w io.Writer) { say(w, "%s: %d certificates", dir, len(holders)) })
+	}{dir, len(holders)}, func(w io.Writer) { say(w, "%s: %s", dir, count(len(holders), "certificate")) })
 }
 
 // keysDigestCommand prints a digest.
--- a/pkg/ctl/session.go
+++ b/pkg/ctl/session.go
@@ -53,7 +53,7 @@
 func (s *session) settingsFailure() error {
 	f := &Failure{
 		Code:    ExitRefused,
-		Message: fmt.Sprintf("%d problems in the settings", len(s.problems)),
+		Message: count(len(s.problems), "problem") + " in the settings",
 		Hint:    programName + " settings print explains each key",
 	}
 	for _, p := range s.problems {
--- a/pkg/inifile/document.go
+++ b/pkg/inifile/document.go
@@ -18,13 +18,3 @@
 	Value string
 	Line  int
 }
-
-// Lookup returns a key of the section.
-func (s *Section) Lookup(name string) (Key, bool) {
-	for _, k := range s.Keys {
-		if k.Name == name {
-			return k, true
-		}
-	}
-	return Key{}, false
-}
--- a/pkg/settings/flags.go
+++ b/pkg/settings/flags.go
@@ -34,7 +34,7 @@
 	case f.PrintSettings && !f.CheckSettings:
 		return s, false, ExitOK
 	case len(problems) > 0:
-		_, _ = fmt.Fprintf(errOut, "%d problems in the settings; --print-settings explains each key\n", len(problems))
+		_, _ = fmt.Fprintf(errOut, "problems in the settings: %d; --print-settings explains each key\n", len(problems))
 		return s, false, ExitRefused
 	case f.CheckSettings:
 		_, _ = fmt.Fprintln(out, "settings are in order")
