Prove that accepted commands survive the fault matrix

Ruled out: an unguarded twin for a paused leader and for a leader that nobody hears: reads stay linearizable there without rounds, so nothing could be seen.

--- /dev/null
+++ b/pkg/prove/consensus/forget_plans.go
@@ -0,0 +1,136 @@
+package consensus
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/disk"
+	"github.com/sesamemux/sesamemux/pkg/raft"
+	"github.com/sesamemux/sesamemux/pkg/replica"
+	"github.com/sesamemux/sesamemux/pkg/wal"
+)
+
+// loseDisk: one replica is behind, the second loses its disk, then the leader
+// dies. The two must not elect a leader without the leader's commits.
+func loseDisk(w *world) error {
+	leader, err := w.leader()
+	if err != nil {
+		return err
+	}
+	fs := w.followers(leader)
+	forgetful, behind := fs[0], fs[1]
+	w.isolate(behind)
+	time.Sleep(strikePause)
+	forgetful.swapDisk(func() { forgetful.disk.Restore(disk.Image{}) })
+	leader.hold(true)
+	leader.kill()
+	w.net.Heal()
+	time.Sleep(partitionTime)
+	leader.hold(false)
+	time.Sleep(strikePause)
+	return w.replace(forgetful, 4)
+}
+
+// rollBack: in a group of five two are behind, a third gets an older image of
+// its folder, then the leader dies. These three must not elect a leader
+// without the commits; the fourth follower objects.
+func rollBack(w *world) error {
+	leader, err := w.leader()
+	if err != nil {
+		return err
+	}
+	fs := w.followers(leader)
+	image := fs[0].disk.Image()
+	w.isolate(fs[2])
+	w.isolate(fs[3])
+	time.Sleep(strikePause)
+	fs[0].hold(true)
+	fs[0].kill()
+	leader.hold(true)
+	leader.kill()
+	fs[1].hold(w.opts.unsafe.Raft.NoIdentityCheck) // the unguarded three decide alone
+	if w.opts.unsafe.Raft.NoIdentityCheck {
+		fs[1].kill()
+	}
+	w.net.Heal()
+	fs[0].disk.Restore(image)
+	fs[0].hold(false)
+	time.Sleep(partitionTime)
+	for _, p := range fs {
+		p.hold(false)
+	}
+	leader.hold(false)
+	time.Sleep(strikePause)
+	return w.replace(fs[0], 6)
+}
+
+// flipLast damages the last record of a follower's log, which looks like a
+// torn tail. The replica must not take part without what it acknowledged.
+func flipLast(w *world) error {
+	leader, err := w.leader()
+	if err != nil {
+		return err
+	}
+	p := w.followers(leader)[0]
+	w.quiet.Store(true)
+	time.Sleep(strikePause)
+	p.swapDisk(func() {
+		name := p.lastSegment()
+		data, _ := p.disk.ReadFile(name)
+		p.disk.Flip(name, len(data)-1)
+	})
+	w.quiet.Store(false)
+	var refused *replica.RefusedError
+	if !errors.As(p.err(), &refused) || refused.Reason != raft.RefusalRolledBack {
+		return eris.Errorf("replica %d takes part without its last record: %v", p.id, p.err())
+	}
+	return w.replace(p, 4)
+}
+
+// flipMiddle damages a record before others. The start must name file and
+// offset.
+func flipMiddle(w *world) error {
+	leader, err := w.leader()
+	if err != nil {
+		return err
+	}
+	p := w.followers(leader)[0]
+	name := ""
+	p.swapDisk(func() {
+		name = p.lastSegment()
+		p.disk.Flip(name, 40)
+	})
+	var damage *wal.DamageError
+	if !errors.As(p.err(), &damage) {
+		return eris.Errorf("replica %d starts on a damaged log: %v", p.id, p.err())
+	}
+	if want := fmt.Sprintf("%s: offset", name); !strings.Contains(damage.Error(), want) {
+		return eris.Errorf("the error %q does not name %q", damage, want)
+	}
+	return w.replace(p, 4)
+}
+
+// swapDisk kills a process, changes its disk and lets it start again.
+func (p *process) swapDisk(change func()) {
+	p.hold(true)
+	p.kill()
+	p.disk.Restart()
+	change()
+	p.hold(false)
+	time.Sleep(strikePause)
+}
+
+func (p *process) lastSegment() string {
+	names, _ := p.disk.List("data")
+	last := ""
+	for _, name := range names {
+		if strings.HasSuffix(name, ".log") {
+			last = name
+		}
+	}
+	return "data/" + last
+}
--- /dev/null
+++ b/pkg/prove/consensus/scenario.go
@@ -0,0 +1,30 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/prove"
+)
+
+// warmUp lets clients commit before the first fault.
+const warmUp = time.Second
+
+// plan strikes a running world. It returns an error when it sees something
+// that must not be, beside what the history shows.
+type plan func(w *world) error
+
+func scenario(opts options, p plan) prove.Scenario {
+	return prove.Virtual(func(seed uint64) error {
+		w := newWorld(seed, opts)
+		defer w.close()
+		if _, err := w.leader(); err != nil {
+			return err
+		}
+		w.startClients()
+		time.Sleep(warmUp)
+		if err := p(w); err != nil {
+			return err
+		}
+		return w.finish()
+	})
+}
