Prove groups by every fault at every step of their life

Cause: promises 1, 2, 4 and 8 rest on the order in which roles change, with lagging gates, deposed leaders and engines that ignore fencing numbers. Mended by it: a deposed leader gave an order from an old state whose hold had ended since; a restored replica looked at fewer groups on a barrier; damped hosts left groups down that had no other candidate. Ruled out: no damping for the candidates of working groups, which swapped members without end when all hosts failed now and then.

--- a/pkg/group/candidate.go
+++ b/pkg/group/candidate.go
@@ -13,7 +13,7 @@
 	home := g.Seats[rank].Home
 	var best *host
 	for _, h := range d.free {
-		if !m.available(h) {
+		if !m.suits(h, g, rank) {
 			continue
 		}
 		if m.opts.Policy == PolicyWait && h.Info.Name != home {
@@ -26,9 +26,24 @@
 	return best
 }
 
-// better tells whether host a is better for a role than b: with the weights
-// already loaded, with fewer faults, first by name.
+// suits tells whether a free host may take a rank over. A group that is down
+// takes one that fails often over none; a group that works gives up a member
+// only for a host that fails far less.
+func (m *Machine) suits(h *host, g *group, rank int) bool {
+	if m.trouble(g, rank) != troubleLight {
+		return m.usable(h)
+	}
+	worst := m.seated(g, rank).Faults.current(m.now)
+	return m.available(h) && !h.Faults.flapping(m.now) &&
+		(m.seated(g, rank).Slow || h.Faults.current(m.now) < worst)
+}
+
+// better tells whether host a is better for a role than b: not damped, with
+// the weights already loaded, with fewer faults, first by name.
 func (m *Machine) better(a, b *host, r role) bool {
+	if da, db := a.Faults.damped(m.now), b.Faults.damped(m.now); da != db {
+		return db
+	}
 	if wa, wb := r.loadedBy(a.Status), r.loadedBy(b.Status); wa != wb {
 		return wa
 	}
--- a/pkg/group/host_events.go
+++ b/pkg/group/host_events.go
@@ -50,10 +50,11 @@
 // to another fabric domain.
 func (m *Machine) hostRestarted(h *host, v view.Host) {
 	m.countHost(h, -1)
-	if !h.Present {
+	if h.Present {
+		h.Faults = h.Faults.add(m.now)
+	} else {
 		m.returns.Lost()
 	}
-	h.Faults = h.Faults.add(m.now)
 	g := m.groups[h.Role.Group]
 	if g != nil {
 		m.unseat(g, h, CauseMemberRestarted)
@@ -78,9 +79,7 @@
 	h.Present = false
 	h.Reported = false
 	h.LostAt = m.now
-	if !h.free() {
-		h.Faults = h.Faults.add(m.now)
-	}
+	h.Faults = h.Faults.add(m.now)
 	m.refreshHost(h)
 	m.touchID(h.Role.Group)
 }
--- a/pkg/group/hosts.go
+++ b/pkg/group/hosts.go
@@ -20,8 +20,13 @@
 
 // available tells whether a host without a role may get one.
 func (m *Machine) available(h *host) bool {
-	return h.Present && h.Reported && !h.Slow && !m.out(h) &&
-		m.passed(h.Guard) && !h.Faults.damped(m.now)
+	return m.usable(h) && !h.Faults.damped(m.now)
+}
+
+// usable tells whether a host without a role could have one, if need be
+// although it failed often.
+func (m *Machine) usable(h *host) bool {
+	return h.Present && h.Reported && !h.Slow && !m.out(h) && m.passed(h.Guard)
 }
 
 // countHost adds or takes a host out of the count of those that could work.
@@ -58,10 +63,11 @@
 
 // setRole gives a host another role, from the next order on. No order is
 // given before the last one for the role before can't arrive any more, unless
-// the engine refuses it.
+// the engine refuses it. An order that is not given yet counts too, as a
+// deposed leader may give it a little later from the state of now.
 func (m *Machine) setRole(h *host, r role) {
 	was := h.Role
-	if h.Unsettled && m.now >= h.NotBefore {
+	if h.Unsettled {
 		h.OrdersEnded = m.now
 	}
 	if !h.Info.ChecksFence && !m.opts.Unguarded.Quiet && h.OrdersEnded != 0 && r.Group != "" {
@@ -114,7 +120,7 @@
 	m.followLoad(h)
 	m.indexFetch(h)
 	due := !h.agrees()
-	if h.Unsettled && !due && m.now >= h.NotBefore {
+	if h.Unsettled && !due {
 		h.OrdersEnded = m.now
 	}
 	if due && !h.Unsettled {
--- a/pkg/group/plan.go
+++ b/pkg/group/plan.go
@@ -41,23 +41,32 @@
 	if missing <= 0 {
 		return
 	}
-	survey := m.survey(mod)
-	for range missing {
+	formed := m.formUpTo(mod, missing, m.available)
+	if formed < missing && mod.tally.taking < mod.want.Copies {
+		m.formUpTo(mod, missing-formed, m.usable)
+	}
+}
+
+// formUpTo forms groups of hosts of a kind and tells how many.
+func (m *Machine) formUpTo(mod *model, missing int, fit func(*host) bool) int {
+	survey := m.survey(mod, fit)
+	for formed := range missing {
 		name, ok := survey.Choose(mod.want.HostsPerGroup, m.opts.SparesPerDomain)
 		if !ok {
-			return
+			return formed
 		}
-		m.form(mod, m.domains[name])
+		m.form(mod, m.domains[name], fit)
 	}
+	return missing
 }
 
 // survey tells placement what hosts there are for a model.
-func (m *Machine) survey(mod *model) *placement.Survey {
+func (m *Machine) survey(mod *model, fit func(*host) bool) *placement.Survey {
 	s := placement.NewSurvey()
 	for _, d := range m.domains {
 		free := 0
 		if len(d.free) >= mod.want.HostsPerGroup && mod.allows(d.failureDomain) {
-			free = len(m.availableIn(d))
+			free = len(m.freeIn(d, fit))
 		}
 		s.Add(placement.Domain{Name: d.name, FailureDomain: d.failureDomain, Free: free})
 	}
@@ -69,12 +78,12 @@
 	return s
 }
 
-// availableIn gives the hosts of a fabric domain that may get a role, the
-// best ones first.
-func (m *Machine) availableIn(d *domain) []*host {
+// freeIn gives the free hosts of a kind in a fabric domain, the best ones
+// first.
+func (m *Machine) freeIn(d *domain, fit func(*host) bool) []*host {
 	var hosts []*host
 	for _, h := range d.free {
-		if m.available(h) {
+		if fit(h) {
 			hosts = append(hosts, h)
 		}
 	}
@@ -89,8 +98,8 @@
 }
 
 // form makes a new group of free hosts of a fabric domain.
-func (m *Machine) form(mod *model, d *domain) {
-	hosts := m.availableIn(d)[:mod.want.HostsPerGroup]
+func (m *Machine) form(mod *model, d *domain, fit func(*host) bool) {
+	hosts := m.freeIn(d, fit)[:mod.want.HostsPerGroup]
 	m.numbers[mod.want.Name]++
 	g := &group{
 		ID:            view.GroupID(fmt.Sprintf("%s-%d", mod.want.Name, m.numbers[mod.want.Name])),
--- a/pkg/group/snapshot.go
+++ b/pkg/group/snapshot.go
@@ -145,8 +145,5 @@
 	m.addGroup(g)
 	g.counted = tally{}
 	m.recount(g)
-	m.active[g.ID] = g
-	if !m.passed(g.LeftAt) {
-		m.behind[g.ID] = g
-	}
+	m.followIndexes(g)
 }
--- /dev/null
+++ b/pkg/prove/groups/message.go
@@ -0,0 +1,64 @@
+package groups
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/edge/order"
+	"github.com/sesamemux/sesamemux/pkg/edge/report"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// message is an order or a report under way.
+type message struct {
+	at       time.Duration // of arrival
+	sequence int
+	order    *order.Order
+	report   *report.Status
+	host     view.HostName
+	made     time.Duration // when a report was made
+}
+
+// network holds messages under way in order of arrival.
+type network struct {
+	sent     int
+	underWay messages
+}
+
+func (n *network) send(m message) {
+	n.sent++
+	m.sequence = n.sent
+	heap.Push(&n.underWay, m)
+}
+
+// arrived takes the messages out that have arrived.
+func (n *network) arrived(now time.Duration) []message {
+	var batch []message
+	for len(n.underWay) > 0 && n.underWay[0].at <= now {
+		batch = append(batch, heap.Pop(&n.underWay).(message))
+	}
+	return batch
+}
+
+// messages is a heap by arrival.
+type messages []message
+
+func (h messages) Len() int      { return len(h) }
+func (h messages) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h messages) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+// Push adds a message.
+func (h *messages) Push(m any) { *h = append(*h, m.(message)) }
+
+// Pop takes the last message out.
+func (h *messages) Pop() any {
+	last := len(*h) - 1
+	m := (*h)[last]
+	*h = (*h)[:last]
+	return m
+}
