Prove the bound on upstreams that one bad request costs

Cause: the bound and the innocence of neighbours need many gates, lagging views and platform failures. Change: pkg/prove/once plays guards and machine in steps of 50 ms with 9 gates and 30 upstreams; rows for a caller that tries each gate, several copies at once, a dark failure domain, and a trial gate killed at each trial.

--- a/pkg/prove/once/rows.go
+++ b/pkg/prove/once/rows.go
@@ -18,6 +18,7 @@
 	rows = append(rows, logRows()...)
 	rows = append(rows, serviceRows()...)
 	rows = append(rows, otherRows()...)
+	rows = append(rows, crashRows()...)
 	return rows
 }
 
--- a/pkg/suspect/judge.go
+++ b/pkg/suspect/judge.go
@@ -15,6 +15,11 @@
 // their own, after a crash before.
 func (m *Machine) accused() map[view.Fingerprint]bool {
 	accused := make(map[view.Fingerprint]bool)
+	if m.options.Unsafe.AnyCrashConvicts {
+		for f, e := range m.entries {
+			accused[f] = len(e.Crashes) > 1
+		}
+	}
 	for id, c := range m.crashes {
 		f, ok := c.onlyTrial()
 		if !ok || m.mass(c, f) {
--- a/pkg/suspect/options.go
+++ b/pkg/suspect/options.go
@@ -23,6 +23,12 @@
 	MassWindow  time.Duration
 	MassCrashes int
 	MaxSuspects int // fingerprints held at most; beyond it a crash makes no new ones
+	Unsafe      Unsafe
+}
+
+// Unsafe switches protections off. Only proofs set it.
+type Unsafe struct {
+	AnyCrashConvicts bool // two crashes convict, also outside a trial
 }
 
 func (o Options) withDefaults() Options {
