--- a/pkg/fake/service/handler.go
+++ b/pkg/fake/service/handler.go
@@ -76,7 +76,7 @@
 
 // answer tells of an execution and fails as ordered.
 func (s *Service) answer(w http.ResponseWriter, r *http.Request, e Execution, fault Fault, lifted <-chan struct{}) {
-	text := answerText(e)
+	text := []byte(e.Answer())
 	switch fault.Kind {
 	case FaultCutAfter:
 		panic(http.ErrAbortHandler)
@@ -108,16 +108,6 @@
 	_, _ = w.Write(text)
 }
 
-// answerText is the body of the answer to an execution. It holds all of it,
-// so that a checker can tell one execution's answer from another's.
-func answerText(e Execution) []byte {
-	b, err := json.Marshal(e)
-	if err != nil {
-		panic(err)
-	}
-	return b
-}
-
 func (s *Service) availability(w http.ResponseWriter, _ *http.Request) {
 	fault, lifted := s.faults.next()
 	switch fault.Kind {
@@ -138,7 +128,7 @@
 	if o == outcome.Ran {
 		reply.Status = http.StatusOK
 		reply.ContentType = "application/json"
-		reply.Body = answerText(e)
+		reply.Body = []byte(e.Answer())
 	}
 	writeJSON(w, reply)
 }
--- /dev/null
+++ b/pkg/load/arrival.go
@@ -0,0 +1,113 @@
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// kind says what a request is.
+type kind string
+
+// The kinds of requests.
+const (
+	kindStreamed kind = "chat streamed"
+	kindWhole    kind = "chat whole"
+	kindOnce     kind = "once-only"
+)
+
+// arrival is one request of the load and the moment at which it is due.
+type arrival struct {
+	number       int
+	due          time.Duration // since the start
+	kind         kind
+	organisation Organisation
+	gate         int    // index of the first gate to try
+	content      string // prompt, or body of a once-only call
+	key          string // of a once-only call
+	duplicate    bool   // send it through two gates at once
+}
+
+// arrivals draws the load from a seed. The same options give the same
+// arrivals.
+type arrivals struct {
+	options  *Options
+	rand     *rand.Rand
+	prefixes []string
+	total    float64 // of the organisations' weights
+	next     int
+	due      time.Duration
+}
+
+// words are what prompts are made of.
+var words = strings.Fields("vest buckle strap inflator valve cylinder seam report repack boat ferry river cart canoe route landing booking damage bulletin history check service stamp weather portage")
+
+func newArrivals(o *Options) *arrivals {
+	a := &arrivals{options: o, rand: rand.New(rand.NewPCG(o.Seed, 23))}
+	for range o.Prefixes {
+		a.prefixes = append(a.prefixes, a.sentence(o.PrefixWords))
+	}
+	for _, org := range o.Organisations {
+		a.total += org.Weight
+	}
+	return a
+}
+
+// draw returns the next arrival, false after the end of the load.
+func (a *arrivals) draw() (arrival, bool) {
+	a.due += time.Duration(a.rand.ExpFloat64() / a.options.Rate * float64(time.Second))
+	if a.due >= a.options.Duration {
+		return arrival{}, false
+	}
+	a.next++
+	x := arrival{
+		number:       a.next,
+		due:          a.due,
+		organisation: a.organisation(),
+		gate:         a.rand.IntN(len(a.options.Gates)),
+	}
+	switch {
+	case a.rand.Float64() < a.options.Once:
+		x.kind = kindOnce
+		x.content = fmt.Sprintf("%s no. %d", a.sentence(4), a.next)
+		x.key = fmt.Sprintf("%s%d", keyPrefix(a.options), a.next)
+		x.duplicate = a.rand.Float64() < a.options.Duplicates
+		return x, true
+	case a.rand.Float64() < a.options.Streamed:
+		x.kind = kindStreamed
+	default:
+		x.kind = kindWhole
+	}
+	x.content = fmt.Sprintf("%s %s no. %d", a.prefix(), a.sentence(8), a.next)
+	return x, true
+}
+
+func (a *arrivals) organisation() Organisation {
+	at := a.rand.Float64() * a.total
+	for _, o := range a.options.Organisations {
+		if at -= o.Weight; at < 0 {
+			return o
+		}
+	}
+	return a.options.Organisations[len(a.options.Organisations)-1]
+}
+
+// prefix picks a shared beginning; the first ones are the most wanted.
+func (a *arrivals) prefix() string {
+	if len(a.prefixes) == 0 {
+		return ""
+	}
+	return a.prefixes[min(a.rand.IntN(len(a.prefixes)), a.rand.IntN(len(a.prefixes)))]
+}
+
+func (a *arrivals) sentence(n int) string {
+	s := make([]string, n)
+	for i := range s {
+		s[i] = words[a.rand.IntN(len(words))]
+	}
+	return strings.Join(s, " ")
+}
+
+// keyPrefix begins the keys of one load.
+func keyPrefix(o *Options) string { return fmt.Sprintf("load-%x-%s-", o.Seed, o.Run) }
--- /dev/null
+++ b/pkg/load/client.go
@@ -0,0 +1,203 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/edge/infer"
+	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
+)
+
+// maxAnswer bounds a whole answer, in bytes.
+const maxAnswer = 64 << 20
+
+// client sends requests to gates.
+type client struct {
+	options *Options
+	http    *http.Client
+}
+
+func newClient(o *Options) *client {
+	return &client{
+		options: o,
+		http: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConns:        o.MaxInFlight,
+				MaxIdleConnsPerHost: o.MaxInFlight,
+				DisableCompression:  true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// post sends one request. Its body can't be rewound, so that the transport
+// never resends it by itself.
+func (c *client) post(ctx context.Context, x arrival, gate, path string, body []byte, header http.Header) (*http.Response, error) {
+	url := "http://" + gate + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header = header
+	req.Header.Set("Content-Type", "application/json")
+	if x.organisation.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+x.organisation.Key)
+	} else {
+		req.Header.Set(infer.HeaderOrganisation, x.organisation.Name)
+	}
+	return c.http.Do(req)
+}
+
+// request returns the body of a chat.
+func (c *client) request(x arrival) *infer.Request {
+	return &infer.Request{
+		Model:     c.options.Model,
+		Messages:  []infer.Message{{Role: "user", Content: x.content}},
+		Stream:    x.kind == kindStreamed,
+		MaxTokens: c.options.MaxTokens,
+		Seed:      int64(x.number),
+	}
+}
+
+// chat sends a chat once.
+func (c *client) chat(ctx context.Context, x arrival, gate string) answer {
+	body, err := json.Marshal(c.request(x))
+	if err != nil {
+		panic(err)
+	}
+	h := make(http.Header)
+	if c.options.Deadline > 0 {
+		h.Set(infer.HeaderDeadline, strconv.FormatInt(c.options.Deadline.Milliseconds(), 10))
+	}
+	resp, err := c.post(ctx, x, gate, infer.Path, body, h)
+	if err != nil {
+		return answer{ended: time.Now()}
+	}
+	defer resp.Body.Close()
+	a := answer{status: resp.StatusCode, outcome: outcome.Outcome(resp.Header.Get(outcome.Header))}
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		readRefusal(resp.Body, &a)
+	case strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
+		err = readStream(resp.Body, &a)
+	default:
+		err = readCompletion(resp.Body, &a)
+	}
+	if err == nil && a.whole {
+		a.outcome = outcome.Ran
+	}
+	a.ended = time.Now()
+	return a
+}
+
+// readRefusal reads a refusal, as far as it is one.
+func readRefusal(r io.Reader, a *answer) {
+	var refused outcome.Refusal
+	if json.NewDecoder(io.LimitReader(r, maxAnswer)).Decode(&refused) == nil && refused.Reason != "" {
+		a.refuse(refused)
+	}
+}
+
+// readStream reads a streamed chat up to its end marker.
+func readStream(r io.Reader, a *answer) error {
+	events := newEventStream(r)
+	var text strings.Builder
+	last := time.Time{}
+	for {
+		data, err := events.next()
+		if err != nil {
+			return eris.Wrap(errCut, err.Error())
+		}
+		if data == infer.DoneMarker {
+			a.whole = true
+			a.text = text.String()
+			return nil
+		}
+		var failed infer.ErrorEvent
+		if json.Unmarshal([]byte(data), &failed) == nil && failed.Error.Reason != "" {
+			a.refuse(failed.Error)
+			return nil
+		}
+		var chunk infer.Chunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return eris.Wrap(errBadAnswer, err.Error())
+		}
+		a.fingerprint = chunk.SystemFingerprint
+		for _, choice := range chunk.Choices {
+			if choice.Delta.Content == "" {
+				continue
+			}
+			text.WriteString(choice.Delta.Content)
+			last = a.token(last)
+		}
+	}
+}
+
+// token notes the time of a token and returns it.
+func (a *answer) token(last time.Time) time.Time {
+	now := time.Now()
+	a.tokens++
+	if last.IsZero() {
+		a.first = now
+	} else {
+		a.gaps = append(a.gaps, now.Sub(last))
+	}
+	return now
+}
+
+// readCompletion reads a whole chat.
+func readCompletion(r io.Reader, a *answer) error {
+	var whole infer.Completion
+	if err := json.NewDecoder(io.LimitReader(r, maxAnswer)).Decode(&whole); err != nil {
+		return eris.Wrap(errCut, err.Error())
+	}
+	if len(whole.Choices) == 0 {
+		return errBadAnswer
+	}
+	a.whole = true
+	a.text = whole.Choices[0].Message.Content
+	a.fingerprint = whole.SystemFingerprint
+	if whole.Usage != nil {
+		a.tokens = whole.Usage.CompletionTokens
+	}
+	return nil
+}
+
+// once sends a once-only call once.
+func (c *client) once(ctx context.Context, x arrival, gate, request string) answer {
+	h := make(http.Header)
+	h.Set(c.options.KeyHeader, x.key)
+	h.Set(requestHeader, request)
+	resp, err := c.post(ctx, x, gate, serviceproxy.Prefix+c.options.Service+c.options.OncePath, []byte(x.content), h)
+	if err != nil {
+		return answer{ended: time.Now()}
+	}
+	defer resp.Body.Close()
+	a := answer{
+		status:   resp.StatusCode,
+		outcome:  outcome.Outcome(resp.Header.Get(outcome.Header)),
+		replayed: resp.Header.Get(serviceproxy.HeaderReplayed) != "",
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	a.ended = time.Now()
+	if err != nil {
+		return answer{ended: a.ended}
+	}
+	a.text = string(body)
+	a.whole = true
+	if a.status >= http.StatusBadRequest {
+		readRefusal(bytes.NewReader(body), &a)
+	}
+	return a
+}
--- /dev/null
+++ b/pkg/load/executions.go
@@ -0,0 +1,67 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/fake/service"
+	"github.com/sesamemux/sesamemux/pkg/ledger"
+)
+
+// ruleReadable is broken when a service's record can't be read.
+const ruleReadable ledger.Rule = "the services' record can be read"
+
+// checkOnce checks the ledger of once-only calls against the record of the
+// stand-in services, if they are given.
+func (r *Runner) checkOnce(ctx context.Context) {
+	if len(r.options.Records) == 0 || r.options.Once == 0 {
+		return
+	}
+	var executions []ledger.Execution
+	for _, address := range r.options.Records {
+		list, err := r.executions(ctx, address)
+		if err != nil {
+			r.violate(ledger.Violation{Rule: ruleReadable, Key: address, Detail: err.Error()})
+			return
+		}
+		executions = append(executions, list...)
+	}
+	r.violate(ledger.CheckOnce(r.ledger.Entries(), executions)...)
+}
+
+// executions reads what a stand-in executed for this load.
+func (r *Runner) executions(ctx context.Context, address string) ([]ledger.Execution, error) {
+	req, err := http.NewRequestWithContext(context.WithoutCancel(ctx), http.MethodGet, "http://"+address+"/executions", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := r.client.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var all []service.Execution
+	if err := json.NewDecoder(resp.Body).Decode(&all); err != nil {
+		return nil, eris.Wrap(errBadAnswer, err.Error())
+	}
+	mine := keyPrefix(&r.options)
+	var list []ledger.Execution
+	for _, x := range all {
+		if !strings.HasPrefix(x.Key, mine) {
+			continue
+		}
+		list = append(list, ledger.Execution{
+			Serial:       x.Serial,
+			Request:      x.Request,
+			Organisation: x.Organisation,
+			Key:          x.Key,
+			Content:      x.Body,
+			Answer:       x.Answer(),
+		})
+	}
+	return list, nil
+}
--- a/pkg/prove/once/scenario.go
+++ b/pkg/prove/once/scenario.go
@@ -1,7 +1,6 @@
 package once
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -98,16 +97,12 @@
 }
 
 func toLedger(x service.Execution) ledger.Execution {
-	answer, err := json.Marshal(x)
-	if err != nil {
-		panic(err)
-	}
 	return ledger.Execution{
 		Serial:       x.Serial,
 		Request:      x.Request,
 		Organisation: x.Organisation,
 		Key:          x.Key,
 		Content:      x.Body,
-		Answer:       string(answer),
+		Answer:       x.Answer(),
 	}
 }
