--- a/pkg/serviceproxy/handover.go
+++ b/pkg/serviceproxy/handover.go
@@ -8,12 +8,17 @@
 	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
 	"github.com/sesamemux/sesamemux/pkg/outcome"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
+// handOverTime is what a peer may need beyond the service's timeout: to record
+// intent and outcome, and to ask for an outcome.
+const handOverTime = 15 * time.Second
+
 // HandOver passes calls on to a gate with permits when this one has none left
 // for the service. It serves callers; gates serve each other by the Proxy
 // itself, so that a call takes one hop at most.
@@ -100,10 +105,13 @@
 // relay passes a call on. It returns false if nothing left this gate.
 func (h *HandOver) relay(w http.ResponseWriter, r *http.Request, peer view.Gate, body []byte) bool {
 	header := plaincall.EndToEnd(r.Header)
-	if service, ok := h.service(r); ok && service.once() {
-		return h.relayOnce(w, r, peer, header, body)
+	c, known := h.service(r)
+	if known && c.once() {
+		return h.relayOnce(w, r, c, peer, header, body)
 	}
-	resp, err := h.proxy.transport.Do(r.Context(), h.request(r, peer, header, body), h.check)
+	ctx, cancel := context.WithTimeout(r.Context(), c.timeout()+handOverTime)
+	defer cancel()
+	resp, err := h.proxy.transport.Do(ctx, h.request(r, peer, header, body), h.check)
 	if err != nil {
 		return h.broke(w, r, peer, err)
 	}
@@ -113,8 +121,13 @@
 }
 
 // relayOnce passes a once-only call on, once: the peer owns its record.
-func (h *HandOver) relayOnce(w http.ResponseWriter, r *http.Request, peer view.Gate, header http.Header, body []byte) bool {
-	ctx := context.WithoutCancel(r.Context())
+func (h *HandOver) relayOnce(w http.ResponseWriter, r *http.Request, c *call, peer view.Gate, header http.Header, body []byte) bool {
+	if !h.proxy.begin() {
+		return false
+	}
+	defer h.proxy.work.Done()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), c.timeout()+handOverTime)
+	defer cancel()
 	answer, err := h.proxy.transport.Once(ctx, h.request(r, peer, header, body), h.check, h.proxy.config.MaxAnswer)
 	if err != nil {
 		return h.broke(w, r, peer, err)
