Measure once-only requests and suspects

Cause: the cost of a once-only call, of its record, its slope over quorums, unknown outcomes and lost upstreams must be known. Change: pkg/bench/once; prove/once.UnknownShare and PlayCrashes give the simulated figures.

--- /dev/null
+++ b/pkg/bench/once/cost.go
@@ -0,0 +1,49 @@
+package once
+
+import (
+	"context"
+	"errors"
+
+	"github.com/sesamemux/sesamemux/pkg/bench"
+)
+
+// way is one way of making a call.
+type way struct {
+	name     string
+	path     string
+	baseline bool
+	backend  func() (backend, error)
+}
+
+// cost compares once-only calls over several logs with an ordinary call.
+func (e effort) cost(ctx context.Context) ([]bench.Variant, error) {
+	var variants []bench.Variant
+	for _, w := range []way{
+		{"ordinary call", ordinaryPath, true, func() (backend, error) { return newMemoryLog(), nil }},
+		{"once-only, no log", oncePath, false, func() (backend, error) { return newMemoryLog(), nil }},
+		{"once-only, one file, a sync each", oncePath, false, func() (backend, error) { return newFileLog() }},
+		{"once-only, three replicas, a sync each", oncePath, false, func() (backend, error) { return newQuorum(true) }},
+		{"once-only, three replicas, group commit", oncePath, false, func() (backend, error) { return newQuorum(false) }},
+	} {
+		figures, err := e.costOf(ctx, w)
+		if err != nil {
+			return nil, err
+		}
+		variants = append(variants, bench.Variant{Name: w.name, Baseline: w.baseline, Figures: figures})
+	}
+	return variants, nil
+}
+
+func (e effort) costOf(ctx context.Context, w way) (figures []bench.Figure, err error) {
+	b, err := w.backend()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, b.close()) }()
+	r, err := newRig(b)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	return r.measure(ctx, w.path, e.calls, e.span)
+}
--- a/pkg/prove/once/faults.go
+++ b/pkg/prove/once/faults.go
@@ -9,6 +9,12 @@
 // slowMS is beyond the time for a call, in milliseconds.
 const slowMS = 15_000
 
+// serviceCount is how many calls a fault strikes on each host of the service.
+const serviceCount = 2
+
+// serviceStruck is how many calls it strikes on all of them.
+const serviceStruck = serviceCount * hostCount
+
 // chaosOdds is one in how many steps a fault strikes in a run of all faults.
 const chaosOdds = 10
 
@@ -77,11 +83,11 @@
 	switch {
 	case w.plan.chaos:
 		for _, s := range w.services {
-			s.Order(service.Fault{Kind: chaosService[w.pick(len(chaosService))], Count: 2, DelayMS: slowMS})
+			s.Order(service.Fault{Kind: chaosService[w.pick(len(chaosService))], Count: serviceCount, DelayMS: slowMS})
 		}
 	case w.plan.serviceFault != "":
 		for _, s := range w.services {
-			s.Order(service.Fault{Kind: w.plan.serviceFault, Count: 2, DelayMS: slowMS})
+			s.Order(service.Fault{Kind: w.plan.serviceFault, Count: serviceCount, DelayMS: slowMS})
 		}
 	}
 }
--- a/pkg/prove/once/plan.go
+++ b/pkg/prove/once/plan.go
@@ -15,8 +15,9 @@
 	logOp    logOp
 
 	serviceFault service.FaultKind
-	restarts     bool // the records are restored from their snapshot at each operation
-	chaos        bool // all faults at random
+	restarts     bool   // the records are restored from their snapshot at each operation
+	chaos        bool   // all faults at random
+	asking       Asking // "" for one from the seed
 
 	machine machine.Unsafe
 	proxy   serviceproxy.Unsafe
--- a/pkg/prove/once/scenario.go
+++ b/pkg/prove/once/scenario.go
@@ -25,11 +25,15 @@
 
 // scenario returns a plan's run.
 func scenario(p plan) prove.Scenario {
-	return prove.Virtual(func(seed uint64) error { return play(seed, p) })
+	return prove.Virtual(func(seed uint64) error {
+		_, err := play(seed, p)
+		return err
+	})
 }
 
-// play runs callers against the faults of a plan and checks the history.
-func play(seed uint64, p plan) error {
+// play runs callers against the faults of a plan and checks the history. It
+// returns what each key was told when all faults were over.
+func play(seed uint64, p plan) ([]ledger.Entry, error) {
 	w := newWorld(seed, p)
 	w.orderServiceFaults()
 	var callers []chan struct{}
@@ -52,7 +56,7 @@
 	w.heal()
 	time.Sleep(settleTime)
 	last := w.probe()
-	return errors.Join(w.close(), w.judge(last))
+	return last, errors.Join(w.close(), w.judge(last))
 }
 
 // probe resends every key, and sends a new one, when all faults are over.
--- a/pkg/prove/once/world.go
+++ b/pkg/prove/once/world.go
@@ -65,6 +65,9 @@
 		MaxAnswer:  4096,
 	}
 	asked, bars := w.chance(2), w.chance(2)
+	if p.asking != "" {
+		asked, bars = p.asking != NotAsked, p.asking == Barred
+	}
 	if asked {
 		s.OutcomePath = service.OutcomePath
 	}
