--- a/pkg/once/answer.go
+++ b/pkg/once/answer.go
@@ -2,17 +2,17 @@
 
 // HeaderField is one header line of a recorded answer.
 type HeaderField struct {
-	Name  string `json:"name"`
-	Value string `json:"value"`
+	Name  string `json:"name" msgpack:"n"`
+	Value string `json:"value" msgpack:"v"`
 }
 
 // Answer is a service's whole answer as it is recorded.
 type Answer struct {
-	Status  int           `json:"status"`
-	Header  []HeaderField `json:"header,omitempty"`
-	Body    []byte        `json:"body,omitempty"`
-	Omitted bool          `json:"omitted,omitempty"` // header and body were too large to keep
-	Size    int64         `json:"size"`              // bytes of the body as it was
+	Status  int           `json:"status" msgpack:"s"`
+	Header  []HeaderField `json:"header,omitempty" msgpack:"h,omitempty"`
+	Body    []byte        `json:"body,omitempty" msgpack:"b,omitempty"`
+	Omitted bool          `json:"omitted,omitempty" msgpack:"o,omitempty"` // header and body were too large to keep
+	Size    int64         `json:"size" msgpack:"z"`                        // bytes of the body as it was
 }
 
 // bytes is what counts against MaxAnswer.
--- a/pkg/once/conclusion.go
+++ b/pkg/once/conclusion.go
@@ -7,14 +7,14 @@
 
 // Conclusion tells how an attempt ended.
 type Conclusion struct {
-	Organisation string          `json:"organisation"`
-	Service      string          `json:"service"`
-	Key          string          `json:"key"`
-	Attempt      string          `json:"attempt"`
-	Outcome      outcome.Outcome `json:"outcome"`
-	Answer       *Answer         `json:"answer,omitempty"` // for Ran
+	Organisation string          `json:"organisation" msgpack:"o"`
+	Service      string          `json:"service" msgpack:"s"`
+	Key          string          `json:"key" msgpack:"k"`
+	Attempt      string          `json:"attempt" msgpack:"a"`
+	Outcome      outcome.Outcome `json:"outcome" msgpack:"r"`
+	Answer       *Answer         `json:"answer,omitempty" msgpack:"w,omitempty"` // for Ran
 	// Asked says that the service was asked afterwards, by any gate. NotRun
 	// then needs the service's word that it never will run.
-	Asked bool          `json:"asked,omitempty"`
-	Gate  view.GateName `json:"gate,omitempty"`
+	Asked bool          `json:"asked,omitempty" msgpack:"q,omitempty"`
+	Gate  view.GateName `json:"gate,omitempty" msgpack:"g,omitempty"`
 }
--- a/pkg/once/intent.go
+++ b/pkg/once/intent.go
@@ -11,16 +11,16 @@
 // Intent asks to run one attempt of a once-only request. A resend after a lost
 // reply repeats it unchanged; another attempt has another Attempt.
 type Intent struct {
-	Organisation    string           `json:"organisation"`
-	Service         string           `json:"service"`
-	Key             string           `json:"key"`
-	Digest          string           `json:"digest"` // of method, path, query and body
-	Gate            view.GateName    `json:"gate"`
-	GateIncarnation view.Incarnation `json:"gate_incarnation"`
-	Attempt         string           `json:"attempt"` // unique among all attempts of all gates
-	Host            view.HostName    `json:"host"`    // the service host that it will be sent to
+	Organisation    string           `json:"organisation" msgpack:"o"`
+	Service         string           `json:"service" msgpack:"s"`
+	Key             string           `json:"key" msgpack:"k"`
+	Digest          string           `json:"digest" msgpack:"d"` // of method, path, query and body
+	Gate            view.GateName    `json:"gate" msgpack:"g"`
+	GateIncarnation view.Incarnation `json:"gate_incarnation" msgpack:"i"`
+	Attempt         string           `json:"attempt" msgpack:"a"` // unique among all attempts of all gates
+	Host            view.HostName    `json:"host" msgpack:"h"`    // the service host that it will be sent to
 	// Look only asks what is known of the key; the attempt won't run.
-	Look bool `json:"look,omitempty"`
+	Look bool `json:"look,omitempty" msgpack:"l,omitempty"`
 }
 
 // valid tells whether every field is there and within its limit.
--- a/pkg/once/record.go
+++ b/pkg/once/record.go
@@ -10,19 +10,20 @@
 	key          string
 }
 
-// record is what is known of one key.
+// record is what is known of one key. Its names are short in snapshots, which
+// hold many.
 type record struct {
-	Organisation    string
-	Key             string
-	Digest          string
-	State           state
-	Gate            view.GateName
-	GateIncarnation view.Incarnation
-	Attempt         string
-	Host            view.HostName
-	Began           view.Time
-	Due             view.Time // when its state ends: the deadline in progress, else its expiry
-	Answer          *Answer
+	Organisation    string           `msgpack:"o"`
+	Key             string           `msgpack:"k"`
+	Digest          string           `msgpack:"d"`
+	State           state            `msgpack:"s"`
+	Gate            view.GateName    `msgpack:"g"`
+	GateIncarnation view.Incarnation `msgpack:"i"`
+	Attempt         string           `msgpack:"a"`
+	Host            view.HostName    `msgpack:"h,omitempty"`
+	Began           view.Time        `msgpack:"b"`
+	Due             view.Time        `msgpack:"u"` // when its state ends: the deadline in progress, else its expiry
+	Answer          *Answer          `msgpack:"w,omitempty"`
 }
 
 func (r *record) id() recordKey { return recordKey{r.Organisation, r.Key} }
--- a/pkg/serviceproxy/once_call.go
+++ b/pkg/serviceproxy/once_call.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"fmt"
 	"net/http"
 
@@ -50,7 +50,7 @@
 	h := sha256.New()
 	fmt.Fprintf(h, "%s %s?%s\n", c.method, c.path, c.rawQuery)
 	h.Write(c.body)
-	return hex.EncodeToString(h.Sum(nil))
+	return base64.RawURLEncoding.EncodeToString(h.Sum(nil))
 }
 
 // runOnce tries hosts until one may have run the call.
