--- a/pkg/once/service_records.go
+++ b/pkg/once/service_records.go
@@ -1,12 +1,20 @@
 package once
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/outcome"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
+// Indexes that held shrinkFrom records or more are made anew when no more than
+// one in shrinkPart is left.
+const (
+	shrinkFrom = 1024
+	shrinkPart = 4
+)
+
 // inProgressRetry is the advice to a resend while the owner is at work.
 const inProgressRetry = time.Second
 
@@ -24,6 +32,7 @@
 	tombstones map[uint64]struct{}   // hashes of expired opaque keys
 	floor      view.Time             // keys that carry a time up to it are expired
 	due        dueQueue
+	peak       int // records held at once since the maps were made
 }
 
 func newServiceRecords(name string, o *Options) *serviceRecords {
@@ -149,6 +158,7 @@
 
 func (s *serviceRecords) insert(r *record) {
 	s.records[r.id()] = r
+	s.peak = max(s.peak, len(s.records))
 	if !r.timed() {
 		s.opaque++
 	}
@@ -262,12 +272,33 @@
 	for {
 		s.skipStale()
 		if len(s.due) == 0 || s.due[0].at > now {
-			return
+			break
 		}
 		r := s.records[s.due[0].id]
 		s.due.drop()
 		s.end(r)
 	}
+	s.shrink()
+}
+
+// shrink makes the indexes anew when most records have left: a map keeps its
+// largest size.
+func (s *serviceRecords) shrink() {
+	if s.peak < shrinkFrom || len(s.records) > s.peak/shrinkPart {
+		return
+	}
+	s.peak = len(s.records)
+	s.records = copied(s.records)
+	s.progress = copied(s.progress)
+	s.due = slices.Clone(s.due)
+}
+
+func copied(m map[recordKey]*record) map[recordKey]*record {
+	c := make(map[recordKey]*record, len(m))
+	for k, r := range m {
+		c[k] = r
+	}
+	return c
 }
 
 // end carries out the end of a record's state.
