Add connections in memory that can be cut one way, and switches for proofs

Cause: the proofs of the control plane need real keepers and gates over streams that go silent in one direction, in virtual time. Change: memconn (listeners, cuts that hold what is written, kills that reset); keeper.Unsafe with the confirmation, the takeover wait and the barrier as switches; the gate dials upstreams by a function. Ruled out: net.Pipe (no latency, no silence: a cut could only be a close).

--- a/pkg/gate/config.go
+++ b/pkg/gate/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/leader"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -39,6 +40,7 @@
 	Source    Source
 	Limits    Limits
 	Listeners Listeners
+	Dial      rpc.DialFunc // to upstreams; nil: TCP
 }
 
 // Limits bounds what callers may send and how long a shutdown takes.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -18,6 +18,13 @@
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
+const (
+	// idlePerUpstream bounds the idle connections kept to one upstream.
+	idlePerUpstream = 2
+	// idleTime is how long they are kept.
+	idleTime = 30 * time.Second
+)
+
 // Phases of a gate's life.
 const (
 	phaseServing int32 = iota
@@ -37,18 +44,15 @@
 	peers    *http.Server
 	upstream *http.Server
 	rpc      *rpc.Server
+	client   *http.Client // to upstreams
 	handlers []Handlers
 	phase    atomic.Int32
 }
 
 // New returns a gate without request handlers.
 func New(c Config) *Gate {
-	// Upstreams are named by IP address and never asked by way of a proxy.
-	client := &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-	g := &Gate{config: c, logger: c.Logger, registry: newRegistry(c.Clock), rpc: rpc.NewServer()}
+	client := upstreamClient(c.Dial)
+	g := &Gate{config: c, logger: c.Logger, registry: newRegistry(c.Clock), client: client, rpc: rpc.NewServer()}
 	g.courier = newCourier(c.Clock, client, c.Events, c.Logger)
 	g.syncer = &syncer{
 		self:     c.Self,
@@ -67,6 +71,19 @@
 	return g
 }
 
+// upstreamClient returns a client for upstreams, which are named by IP address
+// and never asked by way of a proxy.
+func upstreamClient(dial rpc.DialFunc) *http.Client {
+	t := &http.Transport{MaxIdleConnsPerHost: idlePerUpstream, IdleConnTimeout: idleTime}
+	if dial != nil {
+		t.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
+	}
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 func (g *Gate) viewChanged() {
 	for _, h := range g.handlers {
 		h.ViewChanged()
@@ -216,6 +233,7 @@
 		_ = s.Close()
 	}
 	g.rpc.Close()
+	g.client.CloseIdleConnections()
 	g.config.Listeners.Close()
 	g.config.Caller.Close()
 }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -24,6 +24,7 @@
 	Timing Timing
 	Events Events
 	Logger *log.Logger
+	Unsafe Unsafe
 }
 
 // Keeper is one keeper daemon around its replica.
@@ -35,6 +36,7 @@
 	timing Timing
 	events Events
 	logger *log.Logger
+	unsafe Unsafe
 	peers  *peers
 
 	mu   sync.Mutex
@@ -51,6 +53,7 @@
 		timing: c.Timing,
 		events: c.Events,
 		logger: c.Logger,
+		unsafe: c.Unsafe,
 		peers:  newPeers(c.Dial),
 	}
 }
--- a/pkg/keeper/operator.go
+++ b/pkg/keeper/operator.go
@@ -174,7 +174,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.keeper.clock.Now()
-	out := control.WaitResult{Barrier: t.leases.Barrier(now, current)}
+	out := control.WaitResult{Barrier: t.barrier(now, current)}
 	out.InForce = out.Barrier >= r
 	for _, s := range t.leases.Behind(now, r) {
 		out.Behind = append(out.Behind, s.Gate)
--- a/pkg/keeper/status.go
+++ b/pkg/keeper/status.go
@@ -31,7 +31,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.keeper.clock.Now()
-	out.Barrier = t.leases.Barrier(now, out.ViewRevision)
+	out.Barrier = t.barrier(now, out.ViewRevision)
 	for i := range out.Gates {
 		g := &out.Gates[i]
 		s := membership.Session{Gate: g.Gate.Name, Incarnation: g.Gate.Incarnation}
--- a/pkg/keeper/sync.go
+++ b/pkg/keeper/sync.go
@@ -21,13 +21,22 @@
 	if !ok {
 		return k.relaySync(ctx, req)
 	}
-	// The round that confirms the leadership begins after the request came.
-	if _, err := k.log.ReadIndex(ctx); err != nil {
+	if err := k.confirm(ctx); err != nil {
 		return control.SyncReply{}, k.translate(err)
 	}
 	return t.sync(ctx, req)
 }
 
+// confirm returns nil if this keeper still leads. The round that shows it
+// begins after the call.
+func (k *Keeper) confirm(ctx context.Context) error {
+	if k.unsafe.NoConfirm {
+		return nil
+	}
+	_, err := k.log.ReadIndex(ctx)
+	return err
+}
+
 // relaySync passes a sync on to the leader, for gates that are cut off from
 // it.
 func (k *Keeper) relaySync(ctx context.Context, req control.SyncRequest) (control.SyncReply, error) {
--- a/pkg/keeper/term.go
+++ b/pkg/keeper/term.go
@@ -41,6 +41,9 @@
 		sessions = append(sessions, s.Sessions()...)
 		hosts = s.Hosts()
 	})
+	if k.unsafe.NoTakeover {
+		sessions = nil
+	}
 	return &term{
 		keeper:  k,
 		number:  number,
@@ -112,7 +115,7 @@
 	t.keeper.store.Read(func(s *state.State) {
 		o.Reports = slices.DeleteFunc(o.Reports, s.Known)
 		o.Uses = t.uses.collect(s.ShareChanged)
-		barrier := t.leases.Barrier(now, s.Revision())
+		barrier := t.barrier(now, s.Revision())
 		if barrier > s.Barrier() {
 			o.Barrier = barrier
 		}
@@ -122,6 +125,14 @@
 	return o
 }
 
+// barrier returns the revision that is in force wherever work is taken.
+func (t *term) barrier(now clock.Moment, current view.Revision) view.Revision {
+	if t.keeper.unsafe.NoBarrier {
+		return current
+	}
+	return t.leases.Barrier(now, current)
+}
+
 // holders lists the sessions whose leases may be alive.
 func (t *term) holders(now clock.Moment) []membership.Session {
 	return t.leases.Behind(now, ^view.Revision(0))
--- /dev/null
+++ b/pkg/memconn/listener.go
@@ -0,0 +1,54 @@
+package memconn
+
+import (
+	"net"
+	"sync"
+)
+
+// acceptQueue bounds the connections that wait to be accepted.
+const acceptQueue = 1024
+
+// listener takes connections to one address.
+type listener struct {
+	network *Network
+	host    string
+	address string
+	queue   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.done)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return addr(l.address) }
+
+// addr is a host:port in memory.
+type addr string
+
+// Network implements net.Addr.
+func (addr) Network() string { return "mem" }
+
+// String implements net.Addr.
+func (a addr) String() string { return string(a) }
--- /dev/null
+++ b/pkg/prove/control/gate_process.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/gate"
+	"github.com/sesamemux/sesamemux/pkg/leader"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// gateProcess is one gate that can be killed and started again. It is the
+// gate's only request handler, and notes what comes into force.
+type gateProcess struct {
+	bed  *bed
+	name view.GateName
+	gate *gate.Gate
+	stop func()
+
+	mu      sync.Mutex
+	highest view.Revision // in force in the running process
+	broken  error         // what a view change broke
+}
+
+func newGateProcess(b *bed, name view.GateName) *gateProcess {
+	return &gateProcess{bed: b, name: name}
+}
+
+func (p *gateProcess) upstreamAddress() string { return string(p.name) + ":up" }
+
+// start runs the gate.
+func (p *gateProcess) start() {
+	host := string(p.name)
+	alive := &atomic.Bool{}
+	alive.Store(true)
+	dial := p.bed.dialer(host, alive)
+	p.highest = 0
+	p.gate = gate.New(gate.Config{
+		Self:   view.Gate{Name: p.name, Incarnation: p.bed.incarnation(), FailureDomain: "fd-a", PeerAddress: host + ":peer"},
+		Caller: leader.NewCaller(p.bed.keeperAddresses(), dial),
+		Clock:  clock.NewGo(),
+		Events: noEvents{},
+		Logger: log.New(io.Discard),
+		Source: noWork{},
+		Limits: gate.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 1 << 16, HeaderTimeout: time.Second, RequestTime: time.Second},
+		Listeners: gate.Listeners{
+			Callers:   p.bed.net.Listen(host, host+":http"),
+			Peers:     p.bed.net.Listen(host, host+":peer"),
+			Upstreams: p.bed.net.Listen(host, p.upstreamAddress()),
+			RPC:       p.bed.net.Listen(host, host+":rpc"),
+		},
+		Dial: dial,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.gate.Serve(ctx, p)
+	}()
+	p.stop = func() {
+		alive.Store(false)
+		p.bed.net.Kill(host)
+		p.gate.Lease().Release()
+		cancel()
+		<-done
+	}
+}
+
+// kill ends the process at once.
+func (p *gateProcess) kill() {
+	if p.stop == nil {
+		return
+	}
+	p.stop()
+	p.stop = nil
+}
+
+// takesWork tells whether the gate would take new work now.
+func (p *gateProcess) takesWork() bool {
+	return p.stop != nil && (p.gate.Lease().Valid() || (p.bed.options.ignoreLease && p.gate.View().Revision > 0))
+}
+
+// inForce returns the view in force.
+func (p *gateProcess) inForce() *view.View { return p.gate.View() }
+
+func (p *gateProcess) err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.broken
+}
+
+// ViewChanged implements gate.Handlers.
+func (p *gateProcess) ViewChanged() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.gate.View().Revision
+	if r < p.highest {
+		p.broken = eris.Errorf("gate %s went back from revision %d to %d", p.name, p.highest, r)
+	}
+	p.highest = r
+}
+
+// RegisterCallers implements gate.Handlers.
+func (p *gateProcess) RegisterCallers(*echo.Echo) {}
+
+// RegisterPeers implements gate.Handlers.
+func (p *gateProcess) RegisterPeers(*echo.Echo) {}
+
+// Drain implements gate.Handlers.
+func (p *gateProcess) Drain() {}
+
+// Finish implements gate.Handlers.
+func (p *gateProcess) Finish(context.Context) error { return nil }
+
+// noWork is a gate without requests.
+type noWork struct{}
+
+// Uses implements gate.Source.
+func (noWork) Uses() []view.TargetUse { return nil }
+
+// Settled implements gate.Source: every draining group.
+func (noWork) Settled(v *view.View) []view.GroupID {
+	var out []view.GroupID
+	for _, id := range v.Groups.Keys() {
+		if g, _ := v.Groups.Get(id); g.Draining {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/prove/control/rows.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/keeper"
+	"github.com/sesamemux/sesamemux/pkg/prove"
+)
+
+const area = "control"
+
+// Rows returns the rows of the control plane.
+func Rows() []prove.Row {
+	three := options{gates: 3}
+	lawless := options{gates: 3, ignoreLease: true}
+	hasty := options{gates: 3, keepers: keeper.Unsafe{NoTakeover: true}}
+	blind := options{gates: 3, keepers: keeper.Unsafe{NoBarrier: true}}
+	calm := allGates(3)
+	return []prove.Row{
+		inForce("none", "while changes are accepted", changes(three, quiet, calm...), nil),
+		inForce("leader killed", "at any step of a change", changes(three, killLeader, calm...), nil),
+		inForce("all keepers killed", "at any step of a change", changes(three, killAllKeepers), nil),
+		inForce("leader cut off silently", "for 4 s", changes(three, cutLeader(4*time.Second), calm...), nil),
+		inForce("leader cut off silently", "for 60 s", changes(three, cutLeader(time.Minute), calm...), nil),
+		inForce("leader's way to keepers cut", "while changes are accepted", changes(three, cutLeaderOneWay(true), calm...), nil),
+		inForce("keepers' way to the leader cut", "while changes are accepted", changes(three, cutLeaderOneWay(false), calm...), nil),
+		inForce("gate cut off", "while changes are accepted", changes(three, cutGate, calm[1:]...), changes(lawless, cutGate)),
+		inForce("gate cut off from the leader", "while changes are accepted", changes(three, cutGateFromLeader, calm...), nil),
+		inForce("gate cut off", "while an operator waits for the barrier", changes(three, cutGate), changes(blind, cutGate)),
+		inForce("gate cut off, leader killed", "while an operator waits for the barrier", changes(three, cutGateAndKillLeader), changes(hasty, cutGateAndKillLeader)),
+		inForce("leader's failure domain dark", "while changes are accepted", changes(three, darkDomain, calm[1:]...), nil),
+		inForce("gate restarted", "while one keeper is behind", changes(three, restartGate), nil),
+	}
+}
+
+func inForce(fault, step string, run, unguarded prove.Scenario) prove.Row {
+	return prove.Row{Promise: prove.AcceptedIsInForce, Area: area, Fault: fault, Step: step, Run: run, Unguarded: unguarded}
+}
