Dial outside the RPC client's lock

Cause: in virtual time a run of three keepers and three gates stood still: one goroutine slept in a dial with the client's lock held, others waited for the lock. Change: one dial under way is shared; each call waits for it as long as its own context lasts. Ruled out: a stall of the replica or of memconn: the goroutines that were not durably blocked all stood in rpc.Client.connect.

--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -37,9 +37,17 @@
 	address string
 	dial    DialFunc
 
-	mu     sync.Mutex
-	conn   *jsonrpc2.Conn
-	closed bool
+	mu      sync.Mutex
+	conn    *jsonrpc2.Conn
+	dialing *dialing // nil while no dial is under way
+	closed  bool
+}
+
+// dialing is one dial that any number of calls wait for.
+type dialing struct {
+	done chan struct{} // closed at the end
+	conn *jsonrpc2.Conn
+	err  error
 }
 
 // NewClient returns a client for a server's host:port.
@@ -85,24 +93,54 @@
 	return eris.Wrap(ErrNoReply, err.Error())
 }
 
-// connect returns the connection in use, or a new one.
+// connect returns the connection in use, or a new one. Calls that come while a
+// dial is under way share it, each as long as its own context lasts.
 func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.closed {
+		c.mu.Unlock()
 		return nil, ErrClosed
 	}
 	if c.conn != nil {
+		defer c.mu.Unlock()
 		return c.conn, nil
 	}
+	if c.dialing == nil {
+		c.dialing = &dialing{done: make(chan struct{})}
+		go c.open(c.dialing)
+	}
+	d := c.dialing
+	c.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, eris.Wrapf(ErrNotSent, "dial %s: %v", c.address, ctx.Err())
+	}
+}
+
+// open carries out one dial.
+func (c *Client) open(d *dialing) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
 	raw, err := c.dial(ctx, c.address)
-	if err != nil {
-		return nil, eris.Wrapf(ErrNotSent, "dial %s: %v", c.address, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(d.done)
+	c.dialing = nil
+	switch {
+	case err != nil:
+		d.err = eris.Wrapf(ErrNotSent, "dial %s: %v", c.address, err)
+		return
+	case c.closed:
+		_ = raw.Close()
+		d.err = ErrClosed
+		return
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	c.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{})
-	go c.watch(c.conn)
-	return c.conn, nil
+	d.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{})
+	c.conn = d.conn
+	go c.watch(d.conn)
 }
 
 // watch pings a connection and drops it when it goes silent or ends.
