--- a/pkg/raft/status.go
+++ b/pkg/raft/status.go
@@ -66,3 +66,9 @@
 	}
 	return Brief{Role: c.role, Term: c.term, Leader: c.leader, NextLeader: next, Committed: c.log.committed}
 }
+
+// CommittedOwn tells whether this replica leads and has committed an entry of
+// its term.
+func (c *Core) CommittedOwn() bool {
+	return c.role == Leader && c.log.committed >= c.termStart
+}
