Count a learner's acknowledgements for one store only

Cause: a learner that came back on a new disk under its ID was promoted on what its old disk had acknowledged. Change: the leader starts its progress anew when the store changes. Ruled out: dropping such a learner; it does no harm before its promotion.

--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -149,6 +149,9 @@
 		return
 	}
 	p.active = true
+	if p.store != 0 && p.store != m.Store {
+		*p = progress{next: c.log.last() + 1, probing: true, active: true} // a learner with a new disk
+	}
 	p.store = m.Store
 	c.mark(m.From, m.Term, 0)
 	switch m.Type {
--- a/pkg/raft/rules_test.go
+++ b/pkg/raft/rules_test.go
@@ -141,6 +141,32 @@
 	}
 }
 
+// What a learner acknowledged from one store doesn't count for another.
+func TestLearnerWithANewStoreStartsAnew(t *testing.T) {
+	c := voterOf(2, 1)
+	lead(c)
+	ack(c, 2, 1)
+	from := func(store, index uint64, reject bool) {
+		c.Step(Message{
+			Type: MessageAppendReply, From: 3, To: 1, Store: store, Term: c.term,
+			Index: index, Hint: 1, Reject: reject,
+		})
+		settle(c)
+	}
+	from(77, 1, false)
+	from(88, 1, true)
+	if _, _, err := c.Promote(3); !errors.Is(err, ErrLearnerBehind) {
+		t.Fatalf("promoted on another store's acknowledgement: %v", err)
+	}
+	from(88, 1, false)
+	if _, _, err := c.Promote(3); err != nil {
+		t.Fatal(err)
+	}
+	if m, _ := c.Membership().Member(3); m.Store != 88 {
+		t.Fatalf("recorded store %d", m.Store)
+	}
+}
+
 func TestDeposedLeaderLearnsTheTerm(t *testing.T) {
 	c := voterOf(3, 0, 5)
 	c.Step(Message{Type: MessageHeartbeat, From: 2, To: 1, Term: 4})
