Bound the log by bytes; tie record checksums to their place

Cause: memory and log were bounded by entries only; a torn command that holds a copy of records would look like damage. Ruled out: escaping payloads.

--- a/pkg/raft/config.go
+++ b/pkg/raft/config.go
@@ -10,6 +10,7 @@
 	DefaultInflight       = 32 // appends to one follower
 	DefaultChunkBytes     = 256 << 10
 	DefaultKeepEntries    = 1000 // behind a snapshot, for slow followers
+	DefaultKeepBytes      = 8 << 20
 )
 
 // Config starts a core from what its folder holds.
@@ -31,6 +32,7 @@
 	Inflight       int
 	ChunkBytes     int
 	KeepEntries    uint64
+	KeepBytes      int
 
 	Rand   *rand.Rand
 	Unsafe Unsafe
@@ -52,6 +54,7 @@
 	setDefault(&c.Inflight, DefaultInflight)
 	setDefault(&c.ChunkBytes, DefaultChunkBytes)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	setDefault(&c.KeepBytes, DefaultKeepBytes)
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -217,9 +217,7 @@
 	}
 	meta := SnapshotMeta{Index: index, Term: term, Membership: c.members.at(index)}
 	c.snapshot = Snapshot{Meta: meta, Data: data}
-	if index > c.cfg.KeepEntries {
-		c.log.compact(index - c.cfg.KeepEntries)
-	}
+	c.log.compact(c.log.keepFrom(index, c.cfg.KeepEntries, c.cfg.KeepBytes))
 	c.members.compact(c.log.baseIndex)
 	return meta, true
 }
--- a/pkg/raft/log.go
+++ b/pkg/raft/log.go
@@ -75,6 +75,20 @@
 	l.persisted = min(l.persisted, index-1)
 }
 
+// keepFrom returns the index up to which entries may go when a snapshot covers
+// index, but for a tail bounded in entries and bytes.
+func (l *entryLog) keepFrom(index, maxEntries uint64, maxBytes int) uint64 {
+	size := 0
+	for kept := uint64(0); index > l.baseIndex && kept < maxEntries; kept++ {
+		size += l.entries[index-l.baseIndex-1].size()
+		if size > maxBytes {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 // compact drops the entries up to index.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.baseIndex {
--- a/pkg/raft/rules_test.go
+++ b/pkg/raft/rules_test.go
@@ -112,6 +112,23 @@
 	}
 }
 
+func TestTailBehindASnapshotIsBounded(t *testing.T) {
+	var l entryLog
+	for i := uint64(1); i <= 10; i++ {
+		l.append(Entry{Index: i, Data: make([]byte, 100-entryOverhead)})
+	}
+	cases := []struct {
+		entries uint64
+		bytes   int
+		want    uint64
+	}{{3, 1000, 6}, {20, 1000, 0}, {20, 250, 7}, {20, 50, 9}}
+	for _, tc := range cases {
+		if got := l.keepFrom(9, tc.entries, tc.bytes); got != tc.want {
+			t.Errorf("%d entries, %d bytes: up to %d, want %d", tc.entries, tc.bytes, got, tc.want)
+		}
+	}
+}
+
 func TestMembershipOfACutEntryIsTakenBack(t *testing.T) {
 	c := voterOf(3, 0)
 	next, err := c.Membership().withLearner(7, "sim")
--- a/pkg/replica/apply.go
+++ b/pkg/replica/apply.go
@@ -11,13 +11,13 @@
 // runApply is the only goroutine that touches the Applier.
 func (n *Node) runApply() {
 	defer n.running.Done()
-	last := n.applied.get() // of the latest snapshot
+	since := sinceSnapshot{index: n.applied.get()}
 	for {
 		select {
 		case <-n.stop:
 			return
 		case b := <-n.batches:
-			last = n.applyBatch(b, last)
+			n.applyBatch(b, &since)
 		}
 		select {
 		case n.progress <- struct{}{}:
@@ -26,26 +26,35 @@
 	}
 }
 
-func (n *Node) applyBatch(b applyBatch, lastSnapshot uint64) uint64 {
+// sinceSnapshot is the latest snapshot's index and the bytes of commands
+// applied after it.
+type sinceSnapshot struct {
+	index uint64
+	bytes int
+}
+
+func (n *Node) applyBatch(b applyBatch, since *sinceSnapshot) {
 	if b.snapshot != nil {
-		return n.restore(*b.snapshot)
+		n.restore(*b.snapshot)
+		*since = sinceSnapshot{index: b.snapshot.Meta.Index}
+		return
 	}
 	for _, e := range b.entries {
 		var value any
 		if e.Type == raft.EntryCommand {
 			value = n.cfg.Applier.Apply(e.Index, e.Data)
 		}
+		since.bytes += len(e.Data)
 		n.applied.set(e.Index)
 		n.waiters.resolve(e.Index, e.Term, value)
 	}
-	return n.takeSnapshot(lastSnapshot)
+	n.takeSnapshot(since)
 }
 
-func (n *Node) restore(s raft.Snapshot) uint64 {
+func (n *Node) restore(s raft.Snapshot) {
 	if err := n.cfg.Applier.Restore(s.Data); err != nil {
 		n.end(err)
-		return s.Meta.Index
+		return
 	}
 	n.applied.set(s.Meta.Index)
-	return s.Meta.Index
 }
--- a/pkg/replica/config.go
+++ b/pkg/replica/config.go
@@ -16,6 +16,7 @@
 const (
 	DefaultTickInterval  = 50 * time.Millisecond
 	DefaultSnapshotEvery = 10_000 // entries
+	DefaultSnapshotBytes = 32 << 20
 )
 
 // Peer is a replica of the first membership.
@@ -48,6 +49,7 @@
 	ElectionTicks  int           // default 8; a follower waits 1 to 2 times this
 	HeartbeatTicks int           // default 2
 	SnapshotEvery  uint64        // entries between snapshots; default 10,000
+	SnapshotBytes  int           // of commands between snapshots; default 32 MiB
 	KeepEntries    uint64        // kept behind a snapshot for slow followers; default 1,000
 	SegmentBytes   int           // of the log; default 4 MiB
 	SyncEach       bool          // one sync per entry; for comparison
@@ -73,6 +75,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.Logger == nil {
 		c.Logger = log.New(io.Discard)
 	}
--- a/pkg/replica/node_test.go
+++ b/pkg/replica/node_test.go
@@ -272,3 +272,20 @@
 		})
 	}
 }
+
+// Large commands bring a snapshot before many entries do.
+func TestSnapshotFollowsBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, func(cfg *replica.Config) { cfg.SnapshotBytes = 64 })
+		defer c.stopAll()
+		id := c.leader()
+		for range 9 {
+			c.propose(id, 1)
+		}
+		time.Sleep(time.Second)
+		st, err := c.nodes[id].Status(t.Context())
+		if err != nil || st.Snapshot == 0 {
+			t.Fatalf("snapshot at %d, %v", st.Snapshot, err)
+		}
+	})
+}
--- a/pkg/replica/snapshot.go
+++ b/pkg/replica/snapshot.go
@@ -3,19 +3,20 @@
 import "github.com/sesamemux/sesamemux/pkg/raft"
 
 // takeSnapshot takes one when enough was applied since the last and none is
-// on its way to the disk. It returns the index of the latest.
-func (n *Node) takeSnapshot(last uint64) uint64 {
+// on its way to the disk.
+func (n *Node) takeSnapshot(since *sinceSnapshot) {
 	index := n.applied.get()
-	if index < last+n.cfg.SnapshotEvery || !n.saving.CompareAndSwap(false, true) {
-		return last
+	due := index >= since.index+n.cfg.SnapshotEvery || since.bytes >= n.cfg.SnapshotBytes
+	if !due || !n.saving.CompareAndSwap(false, true) {
+		return
 	}
 	data, err := n.cfg.Applier.Snapshot()
 	if err != nil {
 		n.end(err)
-		return last
+		return
 	}
 	n.taken <- raft.Snapshot{Meta: raft.SnapshotMeta{Index: index}, Data: data}
-	return index
+	*since = sinceSnapshot{index: index}
 }
 
 // nameSnapshot adds what the core knows of the entry and passes it to the
--- a/pkg/wal/doc.go
+++ b/pkg/wal/doc.go
@@ -9,7 +9,8 @@
 //	<index>.snapshot        the state after an entry
 //	*.tmp                   unfinished files, removed at the start
 //
-// A record is its payload's length and CRC-32C, a type and the payload. A
+// A record is its payload's length, a CRC-32C, a type and the payload; the CRC
+// covers the record's offset in the file as well. A
 // segment begins with a header record and the hard state and marks in force,
 // so that older segments can go once a snapshot covers their entries. The
 // snapshot before the last one goes when its successor is on disk.
--- a/pkg/wal/identity.go
+++ b/pkg/wal/identity.go
@@ -38,7 +38,7 @@
 		return Identity{}, &DamageError{File: name, Cause: "identity is not readable"}
 	}
 	body, err := json.Marshal(f.Identity)
-	if err != nil || checksum(0, body) != f.Checksum {
+	if err != nil || checksum(body) != f.Checksum {
 		return Identity{}, &DamageError{File: name, Cause: "identity has a wrong checksum"}
 	}
 	return f.Identity, nil
@@ -49,7 +49,7 @@
 	if err != nil {
 		return eris.Wrap(err, "identity")
 	}
-	data, err := json.MarshalIndent(identityFile{Identity: id, Checksum: checksum(0, body)}, "", "  ")
+	data, err := json.MarshalIndent(identityFile{Identity: id, Checksum: checksum(body)}, "", "  ")
 	if err != nil {
 		return eris.Wrap(err, "identity")
 	}
--- a/pkg/wal/reader.go
+++ b/pkg/wal/reader.go
@@ -13,7 +13,7 @@
 func readSegment(name string, data []byte, last bool) (segment, error) {
 	var seg segment
 	for seg.end < len(data) {
-		r, n, ok := parseRecord(data[seg.end:])
+		r, n, ok := parseRecord(data, seg.end)
 		if !ok {
 			seg.torn = true
 			break
@@ -36,7 +36,7 @@
 // findRecord looks for a valid record at any offset from one on.
 func findRecord(data []byte, from int) (int, bool) {
 	for i := from; i+frameBytes <= len(data); i++ {
-		if _, _, ok := parseRecord(data[i:]); ok {
+		if _, _, ok := parseRecord(data, i); ok {
 			return i, true
 		}
 	}
--- a/pkg/wal/reader_test.go
+++ b/pkg/wal/reader_test.go
@@ -9,11 +9,11 @@
 )
 
 func sampleSegment() []byte {
-	data := appendRecord(nil, recordHeader, encodeHeader(header{magic: headerMagic, sequence: 1, store: 7}))
-	data = appendRecord(data, recordHardState, encodeHardState(raft.HardState{Term: 3, Vote: 2, Commit: 1}))
-	data = appendRecord(data, recordMarks, encodeMarks([]raft.Mark{{ID: 2, Term: 3, Index: 4}}))
-	data = appendRecord(data, recordEntry, encodeEntry(raft.Entry{Index: 1, Term: 1, Data: []byte("first")}))
-	return appendRecord(data, recordEntry, encodeEntry(raft.Entry{Index: 2, Term: 3, Data: []byte("second")}))
+	data := appendRecord(nil, 0, recordHeader, encodeHeader(header{magic: headerMagic, sequence: 1, store: 7}))
+	data = appendRecord(data, 0, recordHardState, encodeHardState(raft.HardState{Term: 3, Vote: 2, Commit: 1}))
+	data = appendRecord(data, 0, recordMarks, encodeMarks([]raft.Mark{{ID: 2, Term: 3, Index: 4}}))
+	data = appendRecord(data, 0, recordEntry, encodeEntry(raft.Entry{Index: 1, Term: 1, Data: []byte("first")}))
+	return appendRecord(data, 0, recordEntry, encodeEntry(raft.Entry{Index: 2, Term: 3, Data: []byte("second")}))
 }
 
 // Every cut is a torn tail; every flipped bit is found.
@@ -47,6 +47,17 @@
 	}
 }
 
+// A torn command that holds a copy of a log is no damage.
+func TestTornCommandMayHoldRecords(t *testing.T) {
+	whole := sampleSegment()
+	e := raft.Entry{Index: 3, Term: 3, Data: append([]byte{0}, whole...)}
+	data := appendRecord(whole, 0, recordEntry, encodeEntry(e))
+	seg, err := readSegment("s", data[:len(data)-1], true)
+	if err != nil || seg.end != len(whole) {
+		t.Fatalf("end %d, %v", seg.end, err)
+	}
+}
+
 // FuzzReader: no input crashes the reader, and what it accepts is the same
 // when written again.
 func FuzzReader(f *testing.F) {
@@ -62,7 +73,7 @@
 		var again []byte
 		st := &State{}
 		for _, r := range seg.records {
-			again = appendRecord(again, r.kind, r.payload)
+			again = appendRecord(again, 0, r.kind, r.payload)
 			st.apply(r)
 		}
 		if !bytes.Equal(again, data[:seg.end]) {
--- a/pkg/wal/record.go
+++ b/pkg/wal/record.go
@@ -35,23 +35,33 @@
 	payload []byte
 }
 
-// appendRecord frames a payload: length (4), CRC-32C of type and payload (4),
-// type (1), payload. Numbers are little-endian.
-func appendRecord(buf []byte, kind recordType, payload []byte) []byte {
+// appendRecord frames a payload: length (4), CRC-32C (4), type (1), payload.
+// Numbers are little-endian. The checksum covers the record's place in the
+// file too, so that bytes of a record elsewhere, such as within a command, are
+// never taken for one. base is the place of buf in the file.
+func appendRecord(buf []byte, base int, kind recordType, payload []byte) []byte {
+	sum := recordChecksum(base+len(buf), kind, payload)
 	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
-	buf = binary.LittleEndian.AppendUint32(buf, checksum(kind, payload))
+	buf = binary.LittleEndian.AppendUint32(buf, sum)
 	buf = append(buf, byte(kind))
 	return append(buf, payload...)
 }
 
-func checksum(kind recordType, payload []byte) uint32 {
-	sum := crc32.Update(0, castagnoli, []byte{byte(kind)})
-	return crc32.Update(sum, castagnoli, payload)
+func recordChecksum(offset int, kind recordType, payload []byte) uint32 {
+	var place [9]byte
+	binary.LittleEndian.PutUint64(place[:], uint64(offset))
+	place[8] = byte(kind)
+	return crc32.Update(checksum(place[:]), castagnoli, payload)
 }
 
-// parseRecord reads the record at the start of data and returns its whole
+func checksum(data []byte) uint32 {
+	return crc32.Checksum(data, castagnoli)
+}
+
+// parseRecord reads the record at an offset of a file and returns its whole
 // length, or false when there is no valid one.
-func parseRecord(data []byte) (record, int, bool) {
+func parseRecord(file []byte, offset int) (record, int, bool) {
+	data := file[offset:]
 	if len(data) < frameBytes {
 		return record{}, 0, false
 	}
@@ -61,7 +71,7 @@
 	}
 	kind := recordType(data[8])
 	payload := data[frameBytes : frameBytes+size]
-	if binary.LittleEndian.Uint32(data[4:]) != checksum(kind, payload) || !wellFormed(kind, payload) {
+	if !wellFormed(kind, payload) || binary.LittleEndian.Uint32(data[4:]) != recordChecksum(offset, kind, payload) {
 		return record{}, 0, false
 	}
 	return record{kind: kind, payload: payload}, frameBytes + size, true
--- a/pkg/wal/snapshot.go
+++ b/pkg/wal/snapshot.go
@@ -25,7 +25,7 @@
 	binary.LittleEndian.PutUint32(buf[4:], uint32(len(meta)))
 	buf = append(buf, meta...)
 	buf = append(buf, s.Data...)
-	binary.LittleEndian.PutUint32(buf, checksum(0, buf[4:]))
+	binary.LittleEndian.PutUint32(buf, checksum(buf[4:]))
 	return l.replaceFile(snapshotName(s.Meta.Index), buf)
 }
 
@@ -35,7 +35,7 @@
 	if err != nil {
 		return raft.Snapshot{}, eris.Wrapf(err, "read %s", name)
 	}
-	if len(data) < snapshotFrameBytes || binary.LittleEndian.Uint32(data) != checksum(0, data[4:]) {
+	if len(data) < snapshotFrameBytes || binary.LittleEndian.Uint32(data) != checksum(data[4:]) {
 		return raft.Snapshot{}, &DamageError{File: name, Cause: "snapshot has a wrong checksum"}
 	}
 	size := int(binary.LittleEndian.Uint32(data[4:]))
