--- a/pkg/wal/open.go
+++ b/pkg/wal/open.go
@@ -207,4 +207,3 @@
 	l.highest = highest
 	return nil
 }
-
