Resend by time, and let removed replicas end by themselves

Cause: under rounds of reads each heartbeat reply repeated what was in flight; a removed replica that ran on asked for votes for ever, and an uncommitted removal could refuse a replica that starts. Change: what is not acknowledged in a heartbeat interval is sent again; a removed replica is told when it asks for votes and ends when it knows; removal counts once committed; a learner may lack 100 entries at its promotion. Ruled out: ending a removed leader at the commit, which would leave the caller of Remove without an answer.

--- a/pkg/prove/consensus/forget_plans.go
+++ b/pkg/prove/consensus/forget_plans.go
@@ -14,8 +14,8 @@
 	"github.com/sesamemux/sesamemux/pkg/wal"
 )
 
-// loseDisk: one replica is behind, the second loses its disk, then the leader
-// dies. The two must not elect a leader without the leader's commits.
+// loseDisk: one replica is behind, the leader dies, and the other follower
+// loses its disk. The two must not elect a leader without the leader's commits.
 func loseDisk(w *world) error {
 	leader, err := w.leader()
 	if err != nil {
@@ -25,9 +25,9 @@
 	forgetful, behind := fs[0], fs[1]
 	w.isolate(behind)
 	time.Sleep(strikePause)
-	forgetful.swapDisk(func() { forgetful.disk.Restore(disk.Image{}) })
 	leader.hold(true)
 	leader.kill()
+	forgetful.swapDisk(func() { forgetful.disk.Restore(disk.Image{}) })
 	w.net.Heal()
 	time.Sleep(partitionTime)
 	leader.hold(false)
--- a/pkg/prove/consensus/replace_plans.go
+++ b/pkg/prove/consensus/replace_plans.go
@@ -78,11 +78,8 @@
 	}
 }
 
-// removedStaysOut restarts a removed replica: it must end by itself.
+// removedStaysOut waits for a removed replica to end by itself.
 func (w *world) removedStaysOut(old *process) error {
-	if old.err() == nil && old.up() {
-		old.kill()
-	}
 	time.Sleep(catchUpTime)
 	var refused *replica.RefusedError
 	if !errors.As(old.err(), &refused) || refused.Reason != raft.RefusalRemoved {
--- a/pkg/raft/change.go
+++ b/pkg/raft/change.go
@@ -1,5 +1,9 @@
 package raft
 
+// promoteSlack is how many committed entries a learner may lack when it gets
+// its vote; under load it always lacks some.
+const promoteSlack = 100
+
 // AddLearner adds a replica that takes the log but doesn't vote. Its ID must
 // be above all IDs used so far.
 func (c *Core) AddLearner(id ID, address string) (index, term uint64, err error) {
@@ -16,7 +20,7 @@
 		if p == nil {
 			return Membership{}, ErrNotMember
 		}
-		if p.match < c.log.committed || p.match < c.termStart || p.store == 0 {
+		if p.match+promoteSlack < c.log.committed || p.match < c.termStart || p.store == 0 {
 			return Membership{}, ErrLearnerBehind
 		}
 		return ms.withVoter(id, p.store)
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -32,6 +32,9 @@
 	if !c.isVoter() {
 		c.electionElapsed = 0
 		c.leader = 0
+		if c.removed(c.id) {
+			c.refused = RefusalRemoved
+		}
 		return
 	}
 	if c.cfg.Unsafe.NoPreVote {
--- a/pkg/raft/greeting.go
+++ b/pkg/raft/greeting.go
@@ -83,9 +83,7 @@
 }
 
 func (c *Core) refusal(m Message) Refusal {
-	ms := c.Membership()
-	_, member := ms.Member(m.From)
-	if !member && m.From <= ms.HighestID {
+	if c.removed(m.From) {
 		return RefusalRemoved
 	}
 	if !c.knownStore(m.From, m.Store) {
@@ -97,6 +95,19 @@
 	return RefusalNone
 }
 
+// removed tells whether a replica is out for good: its ID was used, and the
+// committed membership lacks it.
+func (c *Core) removed(id ID) bool {
+	ms := c.members.at(c.log.committed)
+	_, member := ms.Member(id)
+	return !member && id <= ms.HighestID
+}
+
+// tellRemoved lets a removed replica end that has not heard of it.
+func (c *Core) tellRemoved(to ID) {
+	c.send(Message{Type: MessageHelloReply, To: to, Reject: true, Reason: RefusalRemoved})
+}
+
 // bindStore records the store of an initial member when it is first seen.
 func (c *Core) bindStore(id ID, store uint64) {
 	if _, ok := c.Membership().Member(id); !ok || c.storeOf(id) != 0 {
@@ -107,6 +118,10 @@
 }
 
 func (c *Core) stepHelloReply(m Message) {
+	if m.Reject && m.Reason == RefusalRemoved {
+		c.refused = m.Reason
+		return
+	}
 	// Once it takes part, a repeated hello may be behind newer promises.
 	if !c.greeting.open || m.Round != c.cfg.Nonce {
 		return
--- a/pkg/raft/install.go
+++ b/pkg/raft/install.go
@@ -35,11 +35,8 @@
 	})
 }
 
-// tickChunk sends the chunk again that got no answer for a heartbeat or two.
+// tickChunk sends the chunk again that got no answer for two heartbeats.
 func (c *Core) tickChunk(id ID, p *progress) {
-	if !p.snapshot {
-		return
-	}
 	p.chunkTicks++
 	if p.chunkTicks >= 2 {
 		c.sendChunk(id, p)
--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -63,10 +63,28 @@
 	c.heartbeatElapsed++
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
 		c.heartbeatElapsed = 0
+		c.resendLost()
 		c.sendHeartbeats()
 	}
 }
 
+// resendLost sends again what a follower that answers has not acknowledged in
+// a whole heartbeat interval.
+func (c *Core) resendLost() {
+	for _, id := range c.peers() {
+		p := c.progress[id]
+		switch {
+		case p.snapshot:
+			c.tickChunk(id, p)
+		case p.replied && !p.moved && p.match < c.log.last():
+			p.retreat(p.match + 1)
+			c.sendAppend(id, p)
+		}
+		p.replied = false
+		p.moved = false
+	}
+}
+
 // checkQuorum tells whether a majority was heard of since the last check.
 func (c *Core) checkQuorum() bool {
 	if c.cfg.Unsafe.NoCheckQuorum {
@@ -100,7 +118,6 @@
 			Round:  c.round,
 			Marks:  marks,
 		})
-		c.tickChunk(id, p)
 	}
 }
 
@@ -194,12 +211,8 @@
 
 func (c *Core) stepHeartbeatReply(m Message, p *progress) {
 	p.round = max(p.round, m.Round)
+	p.replied = true
 	c.confirmReads()
-	if p.match < c.log.last() && !p.moved && !p.snapshot {
-		p.retreat(p.match + 1) // what was sent may be lost
-		c.sendAppend(m.From, p)
-	}
-	p.moved = false
 }
 
 // maybeCommit commits what a majority holds, if it is of this term. The
--- a/pkg/raft/progress.go
+++ b/pkg/raft/progress.go
@@ -6,7 +6,8 @@
 	next     uint64
 	inflight int  // appends sent since the last reply that told something
 	probing  bool // one append at a time until a match is found
-	moved    bool // match grew since the last heartbeat reply
+	moved    bool // match grew since the last heartbeat
+	replied  bool // a heartbeat was answered since the last one
 	active   bool // heard of since the last check of the quorum
 	round    uint64
 	store    uint64
--- a/pkg/raft/rules_test.go
+++ b/pkg/raft/rules_test.go
@@ -184,6 +184,44 @@
 	}
 }
 
+// Rounds of reads don't repeat appends; a heartbeat interval without an
+// acknowledgement does.
+func TestLostAppendsAreSentAgainByTime(t *testing.T) {
+	c := voterOf(3, 0)
+	lead(c)
+	ack(c, 2, 1)
+	if _, _, err := c.Propose(nil); err != nil {
+		t.Fatal(err)
+	}
+	c.Flush()
+	settle(c)
+	appends := func(ms []Message) int {
+		n := 0
+		for _, m := range ms {
+			if m.Type == MessageAppend && m.To == 2 && len(m.Entries) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	for token := range uint64(5) {
+		c.ReadIndex(token)
+		c.Step(Message{Type: MessageHeartbeatReply, From: 2, To: 1, Term: c.term, Round: c.round})
+		if n := appends(settle(c)); n > 0 {
+			t.Fatalf("a round of reads repeated %d appends", n)
+		}
+	}
+	repeated := 0
+	for range 3 * c.cfg.HeartbeatTicks {
+		c.Step(Message{Type: MessageHeartbeatReply, From: 2, To: 1, Term: c.term})
+		c.Tick()
+		repeated += appends(settle(c))
+	}
+	if repeated == 0 {
+		t.Fatal("a lost append is never sent again")
+	}
+}
+
 func TestDeposedLeaderLearnsTheTerm(t *testing.T) {
 	c := voterOf(3, 0, 5)
 	c.Step(Message{Type: MessageHeartbeat, From: 2, To: 1, Term: 4})
--- a/pkg/raft/step.go
+++ b/pkg/raft/step.go
@@ -20,6 +20,10 @@
 		c.greet(m.From)
 		return
 	}
+	if m.Type == MessagePreVote && c.removed(m.From) {
+		c.tellRemoved(m.From)
+		return
+	}
 	if c.stepTerm(m) {
 		c.dispatch(m)
 	}
