--- a/pkg/access/allow.go
+++ b/pkg/access/allow.go
@@ -17,6 +17,7 @@
 	control.MethodOnceIntent:        {Gate, Keeper},
 	control.MethodOnceOutcome:       {Gate, Keeper},
 	control.MethodCrashReport:       {Gate, Keeper},
+	control.MethodRanWell:           {Gate, Keeper},
 	control.MethodApply:             {Operator, Gate, Keeper},
 	control.MethodCheck:             {Operator, Gate, Keeper},
 	control.MethodGet:               {Operator, Gate, Keeper},
@@ -42,8 +43,9 @@
 	if Allow(id.Role, m) {
 		return nil
 	}
-	return &jsonrpc2.Error{
-		Code:    control.CodeDenied,
-		Message: fmt.Sprintf("%s has no right to call %s", id, m),
-	}
+	return denied(fmt.Sprintf("%s has no right to call %s", id, m))
+}
+
+func denied(message string) error {
+	return &jsonrpc2.Error{Code: control.CodeDenied, Message: message}
 }
--- a/pkg/prove/once/scenario.go
+++ b/pkg/prove/once/scenario.go
@@ -1,7 +1,6 @@
 package once
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -26,11 +25,15 @@
 
 // scenario returns a plan's run.
 func scenario(p plan) prove.Scenario {
-	return prove.Virtual(func(seed uint64) error { return play(seed, p) })
+	return prove.Virtual(func(seed uint64) error {
+		_, err := play(seed, p)
+		return err
+	})
 }
 
-// play runs callers against the faults of a plan and checks the history.
-func play(seed uint64, p plan) error {
+// play runs callers against the faults of a plan and checks the history. It
+// returns what each key was told when all faults were over.
+func play(seed uint64, p plan) ([]ledger.Entry, error) {
 	w := newWorld(seed, p)
 	w.orderServiceFaults()
 	var callers []chan struct{}
@@ -53,7 +56,7 @@
 	w.heal()
 	time.Sleep(settleTime)
 	last := w.probe()
-	return errors.Join(w.close(), w.judge(last))
+	return last, errors.Join(w.close(), w.judge(last))
 }
 
 // probe resends every key, and sends a new one, when all faults are over.
@@ -98,16 +101,12 @@
 }
 
 func toLedger(x service.Execution) ledger.Execution {
-	answer, err := json.Marshal(x)
-	if err != nil {
-		panic(err)
-	}
 	return ledger.Execution{
 		Serial:       x.Serial,
 		Request:      x.Request,
 		Organisation: x.Organisation,
 		Key:          x.Key,
 		Content:      x.Body,
-		Answer:       string(answer),
+		Answer:       x.Answer(),
 	}
 }
