--- a/pkg/raft/rules_test.go
+++ b/pkg/raft/rules_test.go
@@ -112,6 +112,23 @@
 	}
 }
 
+func TestTailBehindASnapshotIsBounded(t *testing.T) {
+	var l entryLog
+	for i := uint64(1); i <= 10; i++ {
+		l.append(Entry{Index: i, Data: make([]byte, 100-entryOverhead)})
+	}
+	cases := []struct {
+		entries uint64
+		bytes   int
+		want    uint64
+	}{{3, 1000, 6}, {20, 1000, 0}, {20, 250, 7}, {20, 50, 9}}
+	for _, tc := range cases {
+		if got := l.keepFrom(9, tc.entries, tc.bytes); got != tc.want {
+			t.Errorf("%d entries, %d bytes: up to %d, want %d", tc.entries, tc.bytes, got, tc.want)
+		}
+	}
+}
+
 func TestMembershipOfACutEntryIsTakenBack(t *testing.T) {
 	c := voterOf(3, 0)
 	next, err := c.Membership().withLearner(7, "sim")
@@ -141,6 +158,70 @@
 	}
 }
 
+// What a learner acknowledged from one store doesn't count for another.
+func TestLearnerWithANewStoreStartsAnew(t *testing.T) {
+	c := voterOf(2, 1)
+	lead(c)
+	ack(c, 2, 1)
+	from := func(store, index uint64, reject bool) {
+		c.Step(Message{
+			Type: MessageAppendReply, From: 3, To: 1, Store: store, Term: c.term,
+			Index: index, Hint: 1, Reject: reject,
+		})
+		settle(c)
+	}
+	from(77, 1, false)
+	from(88, 1, true)
+	if _, _, err := c.Promote(3); !errors.Is(err, ErrLearnerBehind) {
+		t.Fatalf("promoted on another store's acknowledgement: %v", err)
+	}
+	from(88, 1, false)
+	if _, _, err := c.Promote(3); err != nil {
+		t.Fatal(err)
+	}
+	if m, _ := c.Membership().Member(3); m.Store != 88 {
+		t.Fatalf("recorded store %d", m.Store)
+	}
+}
+
+// Rounds of reads don't repeat appends; a heartbeat interval without an
+// acknowledgement does.
+func TestLostAppendsAreSentAgainByTime(t *testing.T) {
+	c := voterOf(3, 0)
+	lead(c)
+	ack(c, 2, 1)
+	if _, _, err := c.Propose(nil); err != nil {
+		t.Fatal(err)
+	}
+	c.Flush()
+	settle(c)
+	appends := func(ms []Message) int {
+		n := 0
+		for _, m := range ms {
+			if m.Type == MessageAppend && m.To == 2 && len(m.Entries) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	for token := range uint64(5) {
+		c.ReadIndex(token)
+		c.Step(Message{Type: MessageHeartbeatReply, From: 2, To: 1, Term: c.term, Round: c.round})
+		if n := appends(settle(c)); n > 0 {
+			t.Fatalf("a round of reads repeated %d appends", n)
+		}
+	}
+	repeated := 0
+	for range 3 * c.cfg.HeartbeatTicks {
+		c.Step(Message{Type: MessageHeartbeatReply, From: 2, To: 1, Term: c.term})
+		c.Tick()
+		repeated += appends(settle(c))
+	}
+	if repeated == 0 {
+		t.Fatal("a lost append is never sent again")
+	}
+}
+
 func TestDeposedLeaderLearnsTheTerm(t *testing.T) {
 	c := voterOf(3, 0, 5)
 	c.Step(Message{Type: MessageHeartbeat, From: 2, To: 1, Term: 4})
