--- a/pkg/group/life.go
+++ b/pkg/group/life.go
@@ -79,7 +79,7 @@
 
 // seated gives the host of a rank, or nil while the seat is vacant.
 func (m *Machine) seated(g *group, rank int) *host {
-	return m.hosts[g.Seats[rank].Host]
+	return g.Seats[rank].host
 }
 
 // progress tells how far a group is that did not serve at its epoch yet.
--- a/pkg/group/merge.go
+++ b/pkg/group/merge.go
@@ -76,7 +76,7 @@
 	source := rank
 	if source >= len(from.Seats) || !m.movable(from, source) {
 		source = slices.IndexFunc(from.Seats, func(s seat) bool {
-			h := m.hosts[s.Host]
+			h := s.host
 			return h != nil && h.Present && h.Reported && !m.out(h)
 		})
 	}
--- a/pkg/group/schedule.go
+++ b/pkg/group/schedule.go
@@ -58,12 +58,23 @@
 		Priority:     mod.want.Priority,
 	}
 	for rank := range g.Seats {
-		l.Ready += len(m.fetchers(g, rank))
+		if m.couldFetch(m.seated(g, rank), g) {
+			l.Ready++
+		}
+		if m.couldFetch(m.prepared(g, rank), g) {
+			l.Ready++
+		}
 		l.Remaining += m.unloaded(g, rank)
 	}
 	return l
 }
 
+// couldFetch tells whether a host waits for its load for a group and could
+// begin at once.
+func (m *Machine) couldFetch(h *host, g *group) bool {
+	return h != nil && h.Load.Phase == loadWaiting && h.Role.Group == g.ID && m.orderable(h)
+}
+
 // unloaded is 1 if no host has a rank's weights, else 0.
 func (m *Machine) unloaded(g *group, rank int) int {
 	h := m.seated(g, rank)
@@ -80,7 +91,7 @@
 func (m *Machine) fetchers(g *group, rank int) []*host {
 	var ready []*host
 	for _, h := range []*host{m.seated(g, rank), m.prepared(g, rank)} {
-		if h != nil && h.Role.Group == g.ID && h.Load.Phase == loadWaiting && m.orderable(h) {
+		if m.couldFetch(h, g) {
 			ready = append(ready, h)
 		}
 	}
--- a/pkg/group/snapshot.go
+++ b/pkg/group/snapshot.go
@@ -142,6 +142,10 @@
 }
 
 func (m *Machine) restoreGroup(g *group) {
+	for rank := range g.Seats {
+		s := &g.Seats[rank]
+		s.host, s.next = m.hosts[s.Host], m.hosts[s.Next]
+	}
 	m.addGroup(g)
 	g.counted = tally{}
 	m.recount(g)
--- a/pkg/group/trouble.go
+++ b/pkg/group/trouble.go
@@ -86,9 +86,5 @@
 
 // prepared gives the host that is to take a rank over, or nil.
 func (m *Machine) prepared(g *group, rank int) *host {
-	name := g.Seats[rank].Next
-	if name == "" {
-		return nil
-	}
-	return m.hosts[name]
+	return g.Seats[rank].next
 }
