Prove the gates' promises under faults, first rows

Two faults found on the way: a permit taken under a lease that lapsed and was renewed before the first byte was still used (Permit.Start now checks that the share in force has room); a crash under most live requests ran into the retry budget (now a quarter of live requests, at least 32). Proxy.Refuse is the second phase of a shutdown.

--- a/pkg/fake/engine/errors.go
+++ b/pkg/fake/engine/errors.go
@@ -9,5 +9,6 @@
 	errWrongGroup  = eris.New("request is meant for another group or epoch")
 	errBroken      = eris.New("a member of the group is gone")
 	errCancelled   = eris.New("attempt was cancelled")
+	errCut         = eris.New("answer was cut off as ordered")
 	errPeer        = eris.New("peer is not a ready member of the group")
 )
--- a/pkg/fake/engine/event_writer.go
+++ b/pkg/fake/engine/event_writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -19,7 +20,8 @@
 	fault   Fault
 	version string
 	die     func()
-	sent    int // bytes of the body
+	events  int // written
+	held    []byte
 	buffer  []byte
 }
 
@@ -108,16 +110,44 @@
 	return b
 }
 
-// write sends part of the body, or cuts it off where a fault says so.
+// write sends an event, or what a fault makes of it.
 func (w *eventWriter) write(b []byte) error {
-	if w.fault.Kind == FaultTruncate && w.sent+len(b) >= w.fault.AfterBytes {
-		_, _ = w.context.Response().Write(b[:max(0, w.fault.AfterBytes-w.sent)])
-		w.context.Response().Flush()
-		return w.abort()
+	w.events++
+	due := w.events == w.fault.AfterTokens+1
+	switch {
+	case w.fault.Kind == FaultTruncate && due:
+		_ = w.flush(b[:w.cutAt(len(b))])
+		if err := w.abort(); err != nil {
+			return err
+		}
+		return errCut
+	case w.fault.Kind == FaultTwice:
+		return errors.Join(w.flush(b), w.flush(b))
+	case w.fault.Kind == FaultStale && due:
+		stale := infer.EventID{Request: w.stream.key.Request, Attempt: w.stream.key.Attempt + 1, Offset: w.events - 1}
+		return errors.Join(w.flush(append(stale.Append([]byte("id: ")), "\ndata: {}\n\n"...)), w.flush(b))
+	case w.fault.Kind == FaultSwap && due:
+		w.held = append([]byte(nil), b...)
+		return nil
+	case w.held != nil:
+		held := w.held
+		w.held = nil
+		return errors.Join(w.flush(b), w.flush(held))
+	default:
+		return w.flush(b)
 	}
-	n, err := w.context.Response().Write(b)
-	w.sent += n
-	if err != nil {
+}
+
+// cutAt is where a truncated event of n bytes ends.
+func (w *eventWriter) cutAt(n int) int {
+	if w.fault.AfterBytes < 0 {
+		return max(0, n+w.fault.AfterBytes)
+	}
+	return min(n, w.fault.AfterBytes)
+}
+
+func (w *eventWriter) flush(b []byte) error {
+	if _, err := w.context.Response().Write(b); err != nil {
 		return err
 	}
 	w.context.Response().Flush()
--- a/pkg/fake/engine/fault.go
+++ b/pkg/fake/engine/fault.go
@@ -10,9 +10,12 @@
 const (
 	FaultPause    FaultKind = "pause"    // nothing happens for Millis
 	FaultDie      FaultKind = "die"      // the process ends after AfterTokens of an answer
-	FaultTruncate FaultKind = "truncate" // the connection ends after AfterBytes of an answer's body
+	FaultTruncate FaultKind = "truncate" // the connection ends AfterBytes into the event that follows AfterTokens events
 	FaultReset    FaultKind = "reset"    // the connection is reset after AfterTokens
 	FaultSilent   FaultKind = "silent"   // nothing more comes on the connection after AfterTokens
+	FaultTwice    FaultKind = "twice"    // every event comes twice
+	FaultSwap     FaultKind = "swap"     // two events change places after AfterTokens
+	FaultStale    FaultKind = "stale"    // an event of another attempt comes after AfterTokens
 	FaultPoison   FaultKind = "poison"   // the process ends when a prompt holds Pattern
 	FaultSlow     FaultKind = "slow"     // steps take Factor times as long
 	FaultClear    FaultKind = "clear"    // all faults end
@@ -23,7 +26,7 @@
 	Kind        FaultKind `json:"kind"`
 	Millis      int64     `json:"millis,omitempty"`
 	AfterTokens int       `json:"after_tokens,omitempty"`
-	AfterBytes  int       `json:"after_bytes,omitempty"`
+	AfterBytes  int       `json:"after_bytes,omitempty"` // below 0: from the end of the event
 	Pattern     string    `json:"pattern,omitempty"`
 	Factor      float64   `json:"factor,omitempty"`
 	Count       int       `json:"count,omitempty"` // answers that it strikes; 0: one
--- a/pkg/fake/engine/faults.go
+++ b/pkg/fake/engine/faults.go
@@ -32,7 +32,7 @@
 		f.poison = o.Pattern
 	case FaultClear:
 		f.pausedUntil, f.slow, f.poison, f.answers = time.Time{}, 0, "", nil
-	case FaultDie, FaultTruncate, FaultReset, FaultSilent:
+	case FaultDie, FaultTruncate, FaultReset, FaultSilent, FaultTwice, FaultSwap, FaultStale:
 		for range max(1, o.Count) {
 			f.answers = append(f.answers, o)
 		}
@@ -79,13 +79,18 @@
 	}
 }
 
+// SetFault lets something go wrong.
+func (e *Engine) SetFault(o Fault) {
+	e.faults.set(o)
+	e.log.Info("fault ordered", "kind", o.Kind)
+}
+
 func (e *Engine) handleFault(c echo.Context) error {
 	var o Fault
 	if err := c.Bind(&o); err != nil {
 		return c.String(http.StatusBadRequest, err.Error())
 	}
-	e.faults.set(o)
-	e.log.Info("fault ordered", "kind", o.Kind)
+	e.SetFault(o)
 	return c.NoContent(http.StatusNoContent)
 }
 
--- a/pkg/permit/allocator_test.go
+++ b/pkg/permit/allocator_test.go
@@ -37,6 +37,12 @@
 	permit      *Permit
 }
 
+// waiting is a request with a permit whose first byte is still to be sent.
+type waiting struct {
+	gate   *process
+	permit *Permit
+}
+
 // flight is a report on its way, which may be late and out of order.
 type flight struct {
 	from   *process
@@ -53,6 +59,7 @@
 	gone      []*process // lost a lease or died with work running
 	granted   map[view.GateName]lapse
 	jobs      []job
+	waiting   []waiting
 	flights   []flight
 	target    view.Incarnation
 	up        bool
@@ -201,7 +208,20 @@
 	if !ok {
 		return nil
 	}
-	m.jobs = append(m.jobs, job{gate: g, incarnation: m.target, permit: p})
+	m.waiting = append(m.waiting, waiting{gate: g, permit: p})
+	return nil
+}
+
+// begin sends the first byte of a request that took its permit earlier.
+func (m *model) begin(i int) error {
+	w := m.waiting[i]
+	m.waiting = slices.Delete(m.waiting, i, i+1)
+	confirmed := w.permit.Incarnation == m.target // connections see to it
+	if w.gate.dead || m.now >= w.gate.lease || !confirmed || !w.permit.Start() {
+		w.permit.Release(EndNotProven)
+		return nil
+	}
+	m.jobs = append(m.jobs, job{gate: w.gate, incarnation: m.target, permit: w.permit})
 	if len(m.jobs) > m.allowed() {
 		return fmt.Errorf("%d requests run on the target, its bound is %d", len(m.jobs), m.allowed())
 	}
@@ -238,7 +258,7 @@
 	name := rapid.SampledFrom(testGates).Draw(t, "gate")
 	g := m.gates[name]
 	action := rapid.SampledFrom([]string{
-		"start", "start", "start", "start", "end", "end", "sync", "sync", "send", "send", "deliver", "deliver",
+		"start", "start", "start", "start", "begin", "end", "end", "sync", "sync", "send", "send", "deliver", "deliver",
 		"time", "time", "queue", "suspect", "kill", "restart gate", "target up", "count", "rare",
 	}).Draw(t, "action")
 	if action == "rare" {
@@ -250,7 +270,14 @@
 	}
 	switch action {
 	case "start":
-		return m.start(g)
+		if err := m.start(g); err != nil || len(m.waiting) == 0 || rapid.Bool().Draw(t, "later") {
+			return err
+		}
+		return m.begin(len(m.waiting) - 1)
+	case "begin":
+		if len(m.waiting) > 0 {
+			return m.begin(rapid.IntRange(0, len(m.waiting)-1).Draw(t, "waiting"))
+		}
 	case "end":
 		if len(m.jobs) > 0 {
 			i := rapid.IntRange(0, len(m.jobs)-1).Draw(t, "job")
@@ -320,7 +347,10 @@
 	for _, j := range m.jobs {
 		j.permit.Release(EndFinished)
 	}
-	m.jobs, m.flights = nil, nil
+	for _, w := range m.waiting {
+		w.permit.Release(EndNotProven)
+	}
+	m.jobs, m.flights, m.waiting = nil, nil, nil
 	for range 60 {
 		m.advance(time.Second)
 		for _, name := range testGates {
--- a/pkg/permit/local.go
+++ b/pkg/permit/local.go
@@ -29,6 +29,7 @@
 // counts is the gate's work on one incarnation of a target.
 type counts struct {
 	inFlight int
+	started  int // of those in flight, that went to the target
 	finished uint64
 	failed   uint64
 	suspect  bool
@@ -178,11 +179,27 @@
 	return u.limit(c) - c.inFlight
 }
 
-func (l *Local) release(id view.TargetID, inc view.Incarnation, end End) {
+func (l *Local) start(p *Permit) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := l.use(id).of(inc)
+	u := l.use(p.Target)
+	c := u.of(p.Incarnation)
+	if u.share.Incarnation != p.Incarnation || c.started >= u.limit(c) {
+		return false
+	}
+	c.started++
+	p.started = true
+	return true
+}
+
+func (l *Local) release(p *Permit, end End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.use(p.Target).of(p.Incarnation)
 	c.inFlight--
+	if p.started {
+		c.started--
+	}
 	switch end {
 	case EndFinished:
 		c.finished++
--- a/pkg/prove/gates/caller.go
+++ b/pkg/prove/gates/caller.go
@@ -38,7 +38,6 @@
 	refusal *outcome.Refusal
 	err     error // the connection broke: the caller sees that it is not whole
 	elapsed time.Duration
-	first   time.Duration
 }
 
 // ask sends a request to a gate and checks that an answer is the caller's own.
@@ -154,3 +153,9 @@
 	}
 	return reply{whole: true}, nil
 }
+
+// text is the prompt as engines see it.
+func (q question) text() string {
+	r := infer.Request{Messages: []infer.Message{{Role: "user", Content: q.prompt}}}
+	return r.Prompt()
+}
--- a/pkg/prove/gates/gate.go
+++ b/pkg/prove/gates/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -27,7 +28,10 @@
 	lease   atomic.Int64 // end, in nanoseconds since the epoch
 	cut     atomic.Bool  // cut off from the keepers
 	leaving atomic.Bool
-	ignore  atomic.Bool // leaves its lease out of account, for unguarded runs
+	ignore  atomic.Bool  // leaves its lease out of account, for unguarded runs
+	paused  atomic.Int64 // until when the process stands still, in nanoseconds since the epoch
+	crashes atomic.Int64 // reported
+	dead    bool
 	stop    context.CancelFunc
 	servers []*http.Server
 }
@@ -56,7 +60,8 @@
 		View:    g.view.Load,
 		Lease:   g,
 		Permits: g.local,
-		Dial:    w.network.dialer(g.self.PeerAddress),
+		Dial:    g.dial,
+		Crash:   func(proxy.CrashReport) { g.crashes.Add(1) },
 		Options: o,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -90,6 +95,7 @@
 	if g.cut.Load() {
 		return
 	}
+	g.waitPause()
 	sent := time.Now()
 	uses := g.proxy.Uses()
 	final := g.leaving.Load() && g.proxy.Active() == 0
@@ -103,8 +109,32 @@
 	g.lease.Store(sent.Add(leaseTime).UnixNano())
 }
 
+// pause lets the process stand still: it neither syncs nor opens connections.
+func (g *gate) pause(d time.Duration) { g.paused.Store(time.Now().Add(d).UnixNano()) }
+
+func (g *gate) waitPause() {
+	if left := g.paused.Load() - time.Now().UnixNano(); left > 0 {
+		time.Sleep(time.Duration(left))
+	}
+}
+
+// dial opens a connection. A pause passes before it: what was chosen earlier
+// is sent after waking.
+func (g *gate) dial(ctx context.Context, to string) (net.Conn, error) {
+	before := time.Now()
+	g.waitPause()
+	if time.Since(before) > 0 {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return g.world.network.dial(ctx, g.self.PeerAddress, to)
+}
+
 // kill ends the gate's process.
 func (g *gate) kill() {
+	if g.dead {
+		return
+	}
+	g.dead = true
 	g.cut.Store(true)
 	g.stop()
 	g.world.network.kill(g.address)
--- a/pkg/prove/gates/host.go
+++ b/pkg/prove/gates/host.go
@@ -18,6 +18,7 @@
 	engine  *engine.Engine
 	server  *http.Server
 	stop    context.CancelFunc
+	dead    bool
 }
 
 func (w *world) startHost(name view.HostName, m engine.ModelOptions) *host {
@@ -31,24 +32,29 @@
 		Dial: func(_, to string) (net.Conn, error) {
 			return w.network.dial(context.Background(), h.address, to)
 		},
-		Die: h.kill,
+		Observe: func(prompt string) { w.ledger.began(h.name, prompt) },
+		Die:     h.kill,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	w.goes(func() { _ = h.engine.Run(ctx) })
 	h.server = w.serve(h.address, h.engine.Handler())
-	w.hosts[name] = h
+	w.hosts = append(w.hosts, h)
 	return h
 }
 
 // kill ends the host's process.
 func (h *host) kill() {
+	if h.dead {
+		return
+	}
+	h.dead = true
 	h.stop()
 	h.world.network.kill(h.address)
 	_ = h.server.Close()
 }
 
-// head makes the host the only member of a group that is in service.
+// order makes the host the only member of a group that is in service.
 func (h *host) order(id view.GroupID, epoch view.Epoch) error {
 	return h.engine.Order(order.Order{
 		Host:        h.name,
--- a/pkg/prove/gates/keeper.go
+++ b/pkg/prove/gates/keeper.go
@@ -103,8 +103,21 @@
 	k.step(permit.Ticked{})
 }
 
-func (k *keeper) current() *view.View {
+// share returns a target's published share.
+func (k *keeper) share(id view.GroupID) view.Share {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.view
+	s, _ := k.view.Shares.Get(view.TargetID("group/" + id))
+	return s
+}
+
+// drain takes groups out of service, or back in.
+func (k *keeper) drain(out bool, ids ...view.GroupID) {
+	k.edit(func(v *view.View, r view.Revision) {
+		for _, id := range ids {
+			g, _ := v.Groups.Get(id)
+			g.Draining = out
+			v.Groups.Put(id, g, r)
+		}
+	})
 }
--- a/pkg/prove/gates/link.go
+++ b/pkg/prove/gates/link.go
@@ -25,9 +25,13 @@
 	}
 }
 
-func (k *link) silence() {
-	k.client.in.silence()
-	k.client.out.silence()
+func (k *link) silence(d direction) {
+	if d != toServer {
+		k.client.in.silence()
+	}
+	if d != toClient {
+		k.client.out.silence()
+	}
 }
 
 func (k *link) reset() {
@@ -144,7 +148,7 @@
 
 func (p *pipe) read(b []byte) (int, error) {
 	for {
-		n, err, wait, changed := p.tryRead(b)
+		n, wait, changed, err := p.tryRead(b)
 		if n > 0 || err != nil || len(b) == 0 {
 			return n, err
 		}
@@ -163,17 +167,17 @@
 
 // tryRead reads what has arrived, or says how long to wait: below 0 without
 // limit.
-func (p *pipe) tryRead(b []byte) (int, error, time.Duration, <-chan struct{}) {
+func (p *pipe) tryRead(b []byte) (int, time.Duration, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	switch {
 	case p.abandoned:
-		return 0, net.ErrClosed, 0, nil
+		return 0, 0, nil, net.ErrClosed
 	case p.wasReset:
-		return 0, syscall.ECONNRESET, 0, nil
+		return 0, 0, nil, syscall.ECONNRESET
 	case !p.deadline.IsZero() && !now.Before(p.deadline):
-		return 0, os.ErrDeadlineExceeded, 0, nil
+		return 0, 0, nil, os.ErrDeadlineExceeded
 	}
 	wait := time.Duration(-1)
 	if len(p.segments) > 0 {
@@ -184,11 +188,11 @@
 			if len(s.data) == 0 {
 				p.segments = p.segments[1:]
 			}
-			return n, nil, 0, nil
+			return n, 0, nil, nil
 		}
 		wait = s.at.Sub(now)
 	} else if p.finished {
-		return 0, io.EOF, 0, nil
+		return 0, 0, nil, io.EOF
 	}
 	if !p.deadline.IsZero() {
 		left := p.deadline.Sub(now)
@@ -196,5 +200,5 @@
 			wait = left
 		}
 	}
-	return 0, nil, wait, p.changed
+	return 0, wait, p.changed, nil
 }
--- a/pkg/prove/gates/network.go
+++ b/pkg/prove/gates/network.go
@@ -38,11 +38,7 @@
 	return l
 }
 
-// dialer returns a dial function for a process at an address.
-func (n *network) dialer(from string) func(context.Context, string) (net.Conn, error) {
-	return func(ctx context.Context, to string) (net.Conn, error) { return n.dial(ctx, from, to) }
-}
-
+// dial opens a connection between two addresses.
 func (n *network) dial(ctx context.Context, from, to string) (net.Conn, error) {
 	select {
 	case <-time.After(2 * n.latency):
@@ -72,15 +68,24 @@
 	return k.client, nil
 }
 
-// silence loses everything on the connections that stand to an address; new
-// ones work.
-func (n *network) silence(to string) int {
+// direction is which way a connection loses what is sent.
+type direction int
+
+const (
+	bothWays direction = iota
+	toServer
+	toClient
+)
+
+// silence loses everything on the connections that stand to an address, one
+// way or both; new ones work.
+func (n *network) silence(to string, d direction) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	count := 0
 	for _, k := range n.links {
 		if k.to == to {
-			k.silence()
+			k.silence(d)
 			count++
 		}
 	}
@@ -94,18 +99,11 @@
 	n.blocked[address] = true
 	for _, k := range n.links {
 		if k.to == address || k.from == address {
-			k.silence()
+			k.silence(bothWays)
 		}
 	}
 }
 
-// unblock lets new connections of an address work again.
-func (n *network) unblock(address string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	delete(n.blocked, address)
-}
-
 // kill ends a process: its listener and connections are gone.
 func (n *network) kill(address string) {
 	n.mu.Lock()
--- /dev/null
+++ b/pkg/prove/gates/refusals.go
@@ -0,0 +1,41 @@
+package gates
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/fake/engine"
+	"github.com/sesamemux/sesamemux/pkg/prove"
+	"github.com/sesamemux/sesamemux/pkg/proxy"
+)
+
+// refusals lets callers' time be up at every moment of their requests, while
+// engines pause and one dies. What is refused as not run must not have run.
+func refusals(o proxy.Options) prove.Scenario {
+	return func(seed uint64) error {
+		o.ServiceTime = 10 * time.Millisecond
+		w, err := two(o)
+		if err != nil {
+			return err
+		}
+		defer w.close()
+		r, l := random(seed), w.newLoad()
+		for range 10 {
+			for i := range 20 {
+				l.ask(upTo(r, 400*time.Millisecond), w.gates[i%2], question{organisation: "boia", tokens: answerTokens, streaming: i%4 < 2, deadline: 20*time.Millisecond + upTo(r, 400*time.Millisecond)})
+			}
+			time.Sleep(upTo(r, 300*time.Millisecond))
+			w.hosts[r.IntN(2)].engine.SetFault(engine.Fault{Kind: engine.FaultPause, Millis: r.Int64N(400)})
+			time.Sleep(300 * time.Millisecond)
+		}
+		w.hosts[r.IntN(2)].kill()
+		if err := l.wait(); err != nil {
+			return err
+		}
+		if l.whole() == 0 || l.whole() == len(l.replies) {
+			return eris.Errorf("%d of %d requests were answered; the run shows nothing", l.whole(), len(l.replies))
+		}
+		return nil
+	}
+}
--- a/pkg/prove/gates/world.go
+++ b/pkg/prove/gates/world.go
@@ -22,19 +22,19 @@
 	network      *network
 	keeper       *keeper
 	gates        []*gate
-	hosts        map[view.HostName]*host
+	hosts        []*host
 	incarnations uint64
 	epochs       view.Epoch
 	wg           sync.WaitGroup
 	done         chan struct{}
 	limits       object.ModelGroup
+	ledger       ledger
 }
 
 func newWorld(o permit.Options) *world {
 	w := &world{
 		network: newNetwork(networkLatency),
 		keeper:  newKeeper(o),
-		hosts:   make(map[view.HostName]*host),
 		done:    make(chan struct{}),
 		limits:  object.ModelGroup{Name: modelGroup, Version: "v1", MaxInFlight: 32, ColdInFlight: 4, RampTime: 4 * time.Second},
 	}
@@ -123,6 +123,17 @@
 	}
 	close(w.done)
 	w.wg.Wait()
+	time.Sleep(restTime)
+}
+
+// restTime is longer than a proxy keeps a permit for an attempt that may run.
+const restTime = 2 * time.Minute
+
+// warmModel bears full work from its start.
+func warmModel() engine.ModelOptions {
+	m := fastModel()
+	m.ColdTime = 0
+	return m
 }
 
 func fastModel() engine.ModelOptions {
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -55,7 +55,7 @@
 		Header:      p.header(c),
 		Body:        body,
 		BeforeSend: func() error {
-			if err := p.mayStart(&g.place); err != nil {
+			if err := p.mayStart(&g); err != nil {
 				return err
 			}
 			var err error
@@ -103,14 +103,14 @@
 }
 
 // mayStart is the check right before the first byte.
-func (p *Proxy) mayStart(at *place) error {
+func (p *Proxy) mayStart(g *grant) error {
 	if p.options.Unguarded.NoSecondCheck {
 		return nil
 	}
 	if !p.config.Lease.Valid() {
 		return errNoLease
 	}
-	if !p.index.Load().allows(at) {
+	if !p.index.Load().allows(&g.place) || !g.permit.Start() {
 		return errRevoked
 	}
 	return nil
@@ -150,7 +150,7 @@
 		return result{whole: true, outcome: outcome.Ran}
 	}
 	c.refuseGate(peer.Name)
-	res := result{outcome: outcomeOf(err), err: err}
+	res := result{outcome: p.outcomeOf(err), err: err}
 	res.free = res.outcome == outcome.NotRun
 	if c.tracker.Offset() > before {
 		res.outcome = outcome.Ran
--- a/pkg/proxy/failure.go
+++ b/pkg/proxy/failure.go
@@ -11,7 +11,10 @@
 )
 
 // outcomeOf tells what an error leaves known of an attempt.
-func outcomeOf(err error) outcome.Outcome {
+func (p *Proxy) outcomeOf(err error) outcome.Outcome {
+	if p.options.Unguarded.ClaimNotRun {
+		return outcome.NotRun
+	}
 	var refused *refusedError
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
@@ -26,7 +29,7 @@
 // failedEngine finds out what a failed attempt means for its permit and its
 // target.
 func (p *Proxy) failedEngine(ctx context.Context, q *queue, c *call, g grant, err error) result {
-	res := result{outcome: outcomeOf(err), err: err}
+	res := result{outcome: p.outcomeOf(err), err: err}
 	var refused *refusedError
 	var before *upstream.RefusedError
 	switch {
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -21,6 +21,9 @@
 	if p.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if p.closing.Load() {
+		return p.end(&wholeSink{writer: w}, nil, refuseShutdown())
+	}
 	if !p.config.Lease.Valid() {
 		return p.end(&wholeSink{writer: w}, nil, refuseNoLease())
 	}
--- a/pkg/proxy/options.go
+++ b/pkg/proxy/options.go
@@ -10,8 +10,8 @@
 	FirstByte       time.Duration // until an upstream answers; default 10 s
 	Stall           time.Duration // between two bytes of an answer; default 3 s
 	CallerStall     time.Duration // until a caller takes what is written; default 30 s
-	RetryShare      float64       // retries in progress per live request; default 0.1
-	RetryLeast      int           // retries in progress always allowed; default 3
+	RetryShare      float64       // retries in progress per live request; default 0.25
+	RetryLeast      int           // retries in progress always allowed; default 32
 	PrefixBlocks    int           // hints kept for each upstream; default 16384
 	ServiceTime     time.Duration // assumed before any request was seen; default 500 ms
 
@@ -25,8 +25,8 @@
 	defaultFirstByte    = 10 * time.Second
 	defaultStall        = 3 * time.Second
 	defaultCallerStall  = 30 * time.Second
-	defaultRetryShare   = 0.1
-	defaultRetryLeast   = 3
+	defaultRetryShare   = 0.25
+	defaultRetryLeast   = 32
 	defaultPrefixBlocks = 1 << 14
 )
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -37,6 +37,7 @@
 	guard   sync.RWMutex // see upstream.Options
 	index   atomic.Pointer[index]
 	leaving atomic.Bool
+	closing atomic.Bool
 	active  atomic.Int64
 
 	mu     sync.Mutex
@@ -77,15 +78,22 @@
 }
 
 func (p *Proxy) poolOptions(probe string) upstream.Options {
-	return upstream.Options{
+	o := upstream.Options{
 		Dial:      p.config.Dial,
 		Guard:     &p.guard,
 		ProbePath: probe,
 		FirstByte: p.options.FirstByte,
 		Stall:     p.options.Stall,
 	}
+	if p.options.Unguarded.NoSilenceWatch {
+		o.FirstByte, o.Stall, o.ProbeAfter = forever, forever, forever
+	}
+	return o
 }
 
+// forever is longer than any request.
+const forever = 24 * time.Hour
+
 // Register serves callers on their port.
 func (p *Proxy) Register(e *echo.Echo) {
 	e.POST(infer.Path, func(c echo.Context) error { return p.handle(c, false) })
@@ -135,6 +143,10 @@
 // still takes requests, for as long as the balancer may send some.
 func (p *Proxy) Drain() { p.leaving.Store(true) }
 
+// Refuse makes the proxy refuse whatever comes from now on, as not run. What
+// is in it goes on.
+func (p *Proxy) Refuse() { p.closing.Store(true) }
+
 // Active returns the requests that are in the proxy, waiting ones included,
 // and permits that are held for attempts which may still run.
 func (p *Proxy) Active() int { return int(p.active.Load()) }
--- a/pkg/proxy/refusal.go
+++ b/pkg/proxy/refusal.go
@@ -29,6 +29,10 @@
 	return refuse(http.StatusServiceUnavailable, outcome.ReasonNoLease, "this gate may take no new work now").after(leaseRetry)
 }
 
+func refuseShutdown() *refusal {
+	return refuse(http.StatusServiceUnavailable, outcome.ReasonShuttingDown, "this gate is about to stop").after(leaseRetry)
+}
+
 func refuseDeadline() *refusal {
 	return refuse(http.StatusGatewayTimeout, outcome.ReasonDeadline, "it can't be finished before its deadline").after(leaseRetry)
 }
--- a/pkg/proxy/settle.go
+++ b/pkg/proxy/settle.go
@@ -84,7 +84,7 @@
 	defer stop()
 	res, err := p.engines.Do(ctx, &upstream.Request{
 		Address:     at.head.Address,
-		Incarnation: at.head.Incarnation,
+		Incarnation: p.incarnation(&at),
 		Method:      http.MethodPost,
 		Path:        infer.CancelPath,
 		Header:      http.Header{"Content-Type": {"application/json"}},
--- a/pkg/proxy/unguarded.go
+++ b/pkg/proxy/unguarded.go
@@ -9,5 +9,7 @@
 	ForgetPermits  bool // give permits back though the attempt may run
 	NoTracking     bool // forward events as they come and take any end as whole
 	NoConfirmation bool // take any process at an address for the right one
+	NoSilenceWatch bool // wait for silent connections for ever
+	ClaimNotRun    bool // say not run of whatever broke
 	Admission      admission.Unguarded
 }
