--- a/pkg/access/access_test.go
+++ b/pkg/access/access_test.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"crypto/tls"
-	"encoding/hex"
 	"errors"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/object"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
+	"github.com/sesamemux/sesamemux/pkg/settings"
 )
 
 var loopback = net.IPv4(127, 0, 0, 1)
@@ -153,18 +158,16 @@
 }
 
 func TestEachMethodHasItsCallers(t *testing.T) {
-	all := []control.Method{
-		control.MethodRaft, control.MethodGateSync, control.MethodOnceIntent, control.MethodOnceOutcome, control.MethodCrashReport,
-		control.MethodApply, control.MethodCheck, control.MethodGet, control.MethodHistory, control.MethodRollback,
-		control.MethodDrain, control.MethodRestore, control.MethodStatus, control.MethodWait, control.MethodKeeperReplace,
-		control.MethodKeeperStatus, control.MethodQuarantineList, control.MethodQuarantineRelease, control.MethodTimeline,
-	}
+	all := allMethods(t)
 	forOperators := []control.Method{
 		control.MethodApply, control.MethodCheck, control.MethodGet, control.MethodHistory, control.MethodRollback,
 		control.MethodDrain, control.MethodRestore, control.MethodStatus, control.MethodWait, control.MethodKeeperReplace,
 		control.MethodKeeperStatus, control.MethodQuarantineList, control.MethodQuarantineRelease, control.MethodTimeline,
 	}
 	for _, m := range all {
+		if len(callers[m]) == 0 {
+			t.Errorf("nobody may call %s; add it to callers", m)
+		}
 		if Allow(Upstream, m) {
 			t.Errorf("an upstream may call %s", m)
 		}
@@ -180,15 +183,31 @@
 	}
 }
 
-func TestAPIKeys(t *testing.T) {
-	digest := func(key string) string {
-		d := sha256.Sum256([]byte(key))
-		return hex.EncodeToString(d[:])
+// allMethods reads the methods from the source, so that none is forgotten.
+func allMethods(t *testing.T) []control.Method {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), "../control/methods.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []control.Method
+	ast.Inspect(f, func(n ast.Node) bool {
+		if l, ok := n.(*ast.BasicLit); ok && l.Kind == token.STRING {
+			list = append(list, control.Method(strings.Trim(l.Value, `"`)))
+		}
+		return true
+	})
+	if len(list) < 15 {
+		t.Fatalf("only %d methods were found", len(list))
 	}
+	return list
+}
+
+func TestAPIKeys(t *testing.T) {
 	k := NewKeys([]object.Organisation{
-		{Name: "a", KeySHA256: digest("key of a")}, {Name: "open"}, {Name: "b", KeySHA256: digest("key of b")}, {Name: "bad", KeySHA256: "zz"},
+		{Name: "a", KeySHA256: Digest("key of a")}, {Name: "open"}, {Name: "b", KeySHA256: Digest("key of b")}, {Name: "bad", KeySHA256: "zz"},
 	})
-	for key, want := range map[string]string{"key of a": "a", "key of b": "b", "": "", "key of c": "", digest("key of a"): ""} {
+	for key, want := range map[string]string{"key of a": "a", "key of b": "b", "": "", "key of c": "", Digest("key of a"): ""} {
 		got, ok := k.Organisation(key)
 		if got != want || ok != (want != "") {
 			t.Errorf("key %q is of %q, %v", key, got, ok)
@@ -213,3 +232,73 @@
 		t.Fatal(info.Mode(), err)
 	}
 }
+
+// TestLinks plays calls over links, protected and plain.
+func TestLinks(t *testing.T) {
+	a := newAuthority(t, "shops")
+	open := func(f Files) *Links {
+		l, err := OpenLinks(settings.TLS{Cert: f.Cert, Key: f.Key, CA: f.CA}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	keeper := open(issue(t, a, a, Keeper, "k1", loopback))
+	plain := open(Files{})
+	cases := []struct {
+		name           string
+		server, client *Links
+		ok             bool
+	}{
+		{"keeper and gate", keeper, open(issue(t, a, a, Gate, "g1", loopback)), true},
+		{"keeper and upstream", keeper, open(issue(t, a, a, Upstream, "u1", loopback)), false},
+		{"keeper and plain client", keeper, plain, false},
+		{"plain", plain, plain, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := c.server.Listen("127.0.0.1:0", Keeper, Gate)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := rpc.NewServer()
+			defer s.Close()
+			defer func() { _ = l.Close() }()
+			rpc.Handle(s, string(control.MethodGateSync), func(context.Context, struct{}) (struct{}, error) { return struct{}{}, nil })
+			go func() { _ = s.Serve(l) }()
+			client := rpc.NewClient(l.Addr().String(), c.client.Dial(Keeper))
+			defer client.Close()
+			err = client.Call(t.Context(), string(control.MethodGateSync), struct{}{}, nil)
+			if (err == nil) != c.ok {
+				t.Fatalf("error is %v", err)
+			}
+		})
+	}
+}
+
+// TestSilentClientIsCutOff opens a connection and never begins the handshake.
+func TestSilentClientIsCutOff(t *testing.T) {
+	a := newAuthority(t, "shops")
+	config := newSource(t, issue(t, a, a, Keeper, "k1", loopback), nil).ServerConfig()
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		c, err := boundedListener{oneConn{conn: far}}.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		_, err = Peer(t.Context(), tls.Server(c, config))
+		if !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(began) != handshakeTimeout {
+			t.Fatalf("after %s: %v", time.Since(began), err)
+		}
+	})
+}
+
+// oneConn is a listener with one connection.
+type oneConn struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneConn) Accept() (net.Conn, error) { return l.conn, nil }
--- /dev/null
+++ b/pkg/ctl/check.go
@@ -0,0 +1,53 @@
+package ctl
+
+import (
+	"io"
+
+	"github.com/sesamemux/sesamemux/pkg/object"
+)
+
+// checkCommand checks files without a server.
+type checkCommand struct {
+	Files []string `arg:"" predictor:"file" help:"Files, each with a complete set of objects."`
+}
+
+// Help implements kong.HelpProvider.
+func (*checkCommand) Help() string {
+	return `Lists every error with file, line, object and field.
+
+Examples:
+  sesamectl check objects.ini
+  sesamectl check -o json objects.ini`
+}
+
+// checkOutput tells of one file without problems.
+type checkOutput struct {
+	File    string `json:"file"`
+	Objects int    `json:"objects"`
+}
+
+// Run implements the command.
+func (c *checkCommand) Run(s *session) error {
+	var problems []object.Problem
+	good := []checkOutput{}
+	for _, name := range c.Files {
+		f, err := readSet(name)
+		if err == nil {
+			good = append(good, checkOutput{name, f.set.Len()})
+			continue
+		}
+		failure, ok := err.(*Failure)
+		if !ok || len(failure.Problems) == 0 {
+			return err
+		}
+		problems = append(problems, failure.Problems...)
+	}
+	if len(problems) > 0 {
+		return &Failure{Code: ExitRefused, Message: count(len(problems), "problem") + " in the objects", Problems: problems}
+	}
+	return s.print(good, func(w io.Writer) {
+		for _, g := range good {
+			say(w, "%s: %s in order", g.File, count(g.Objects, "object"))
+		}
+	})
+}
