--- a/pkg/load/client.go
+++ b/pkg/load/client.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +19,9 @@
 	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
 )
 
+// reasonNoGate is the caller's own: the gate took no connection.
+const reasonNoGate outcome.Reason = "no-gate"
+
 // maxAnswer bounds a whole answer, in bytes.
 const maxAnswer = 64 << 20
 
@@ -82,7 +87,7 @@
 	}
 	resp, err := c.post(ctx, x, gate, infer.Path, body, h)
 	if err != nil {
-		return answer{ended: time.Now()}
+		return noReply(err)
 	}
 	defer resp.Body.Close()
 	a := answer{status: resp.StatusCode, outcome: outcome.Outcome(resp.Header.Get(outcome.Header))}
@@ -101,6 +106,18 @@
 	return a
 }
 
+// noReply tells a request that found no gate from one that broke off: a
+// balancer would have sent the first one elsewhere.
+func noReply(err error) answer {
+	a := answer{ended: time.Now()}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		a.outcome = outcome.NotRun
+		a.reason = reasonNoGate
+	}
+	return a
+}
+
 // readRefusal reads a refusal, as far as it is one.
 func readRefusal(r io.Reader, a *answer) {
 	var refused outcome.Refusal
@@ -181,7 +198,7 @@
 	h.Set(requestHeader, request)
 	resp, err := c.post(ctx, x, gate, serviceproxy.Prefix+c.options.Service+c.options.OncePath, []byte(x.content), h)
 	if err != nil {
-		return answer{ended: time.Now()}
+		return noReply(err)
 	}
 	defer resp.Body.Close()
 	a := answer{
