Prove once-only requests while the leading keeper is killed or cut off

Cause: keeper fail-over at every step must be shown on real replicas, not on a stub of the log. Ruled out: two fall-overs of the harness (a replica revived twice).

--- a/pkg/bench/once/cost.go
+++ b/pkg/bench/once/cost.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { err = errors.Join(err, b.close()) }()
+	defer func() { err = errors.Join(err, b.Close()) }()
 	r, err := newRig(b)
 	if err != nil {
 		return nil, err
--- a/pkg/bench/once/record_cost.go
+++ b/pkg/bench/once/record_cost.go
@@ -55,7 +55,8 @@
 
 // fill returns a machine with recorded answers.
 func fill(n, size int) *machine.Machine {
-	m := newApplier().machine
+	m := machine.NewMachine(machine.Options{})
+	m.Publish(measuredSet())
 	for i := range n {
 		x := intent(i)
 		m.Intend(start, x)
--- a/pkg/bench/once/rig.go
+++ b/pkg/bench/once/rig.go
@@ -19,6 +19,7 @@
 	machine "github.com/sesamemux/sesamemux/pkg/once"
 	"github.com/sesamemux/sesamemux/pkg/outcome"
 	"github.com/sesamemux/sesamemux/pkg/permit"
+	"github.com/sesamemux/sesamemux/pkg/prove/recordlog"
 	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
@@ -60,23 +61,18 @@
 
 // Intend implements serviceproxy.Records.
 func (r records) Intend(ctx context.Context, i machine.Intent) (machine.Decision, error) {
-	c := newCommand()
-	c.Intend = &i
-	v, err := r.backend.propose(ctx, c)
-	if err != nil {
-		return machine.Decision{}, err
-	}
-	return v.(machine.Decision), nil
+	out, err := r.backend.Propose(ctx, recordlog.Command{At: now(), Intend: &i})
+	return out.Decision, err
 }
 
 // Conclude implements serviceproxy.Records.
-func (r records) Conclude(ctx context.Context, x machine.Conclusion) error {
-	c := newCommand()
-	c.Conclude = &x
-	_, err := r.backend.propose(ctx, c)
+func (r records) Conclude(ctx context.Context, c machine.Conclusion) error {
+	_, err := r.backend.Propose(ctx, recordlog.Command{At: now(), Conclude: &c})
 	return err
 }
 
+func now() view.Time { return view.Time(time.Now().UnixNano()) }
+
 // rig is a gate before one service host, all on loopback.
 type rig struct {
 	proxy   *serviceproxy.Proxy
--- a/pkg/bench/once/shards.go
+++ b/pkg/bench/once/shards.go
@@ -39,7 +39,7 @@
 	defer func() {
 		for _, q := range quorums {
 			if q != nil {
-				err = errors.Join(err, q.close())
+				err = errors.Join(err, q.Close())
 			}
 		}
 	}()
--- a/pkg/prove/once/faults.go
+++ b/pkg/prove/once/faults.go
@@ -20,6 +20,7 @@
 
 var (
 	chaosStrikes = []strike{kill, freeze, silence, leave}
+	chaosKeepers = []strike{killLeader, cutLeader}
 	chaosLog     = []logFault{logRefused, logLostRequest, logLostReply, logLate}
 	chaosService = []service.FaultKind{
 		service.FaultCutBefore, service.FaultCutAfter, service.FaultCutAnswer, service.FaultSlow,
@@ -36,6 +37,9 @@
 	}
 	if w.plan.chaos && w.rand.IntN(chaosOdds) == 0 {
 		w.struck++
+		if w.quorum != nil && w.rand.IntN(3) == 0 {
+			return chaosKeepers[w.rand.IntN(len(chaosKeepers))], true
+		}
 		return chaosStrikes[w.rand.IntN(len(chaosStrikes))], true
 	}
 	if w.plan.strike == "" || w.plan.step != s || w.struck > 0 {
@@ -106,3 +110,16 @@
 	}
 	return true
 }
+
+// killLeader ends the leading keeper and starts it again later.
+func (w *world) killLeader() {
+	id, killed := w.quorum.KillLeader()
+	if !killed {
+		return
+	}
+	w.later(keeperTime, func() {
+		if err := w.quorum.Revive(id); err != nil {
+			panic(err)
+		}
+	})
+}
--- a/pkg/prove/once/gate.go
+++ b/pkg/prove/once/gate.go
@@ -16,6 +16,7 @@
 	leaseTime   = 3 * time.Second
 	freezeTime  = 10 * time.Second
 	restartTime = 6 * time.Second
+	keeperTime  = 5 * time.Second // that a keeper is away
 )
 
 // gate is one process of a gate.
@@ -131,6 +132,11 @@
 		g.mu.Unlock()
 	case leave:
 		g.hostsLeave()
+	case killLeader:
+		g.world.killLeader()
+	case cutLeader:
+		g.world.quorum.CutLeader()
+		g.world.later(keeperTime, g.world.quorum.Heal)
 	}
 }
 
--- a/pkg/prove/once/log.go
+++ b/pkg/prove/once/log.go
@@ -1,59 +1,59 @@
 package once
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/object"
 	machine "github.com/sesamemux/sesamemux/pkg/once"
+	"github.com/sesamemux/sesamemux/pkg/prove/recordlog"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
-// replicated is the replicated log with its machine, reduced to the order in
-// which commands are applied.
-type replicated struct {
+// recordLog orders commands and applies them.
+type recordLog interface {
+	Propose(ctx context.Context, c recordlog.Command) (recordlog.Result, error)
+	Close() error
+}
+
+func now() view.Time { return view.Time(time.Now().UnixNano()) }
+
+// sequence is a log reduced to the order in which commands are applied.
+type sequence struct {
 	mu       sync.Mutex
 	options  machine.Options
-	machine  *machine.Machine
-	restarts bool
+	set      object.Set
+	applier  *recordlog.Applier
+	restarts bool // it is restored from its snapshot at each command
 }
 
-func newReplicated(o machine.Options, set object.Set, restarts bool) *replicated {
-	r := &replicated{options: o, machine: machine.NewMachine(o), restarts: restarts}
-	r.machine.Tick(now())
-	r.machine.Publish(set)
-	return r
+func newSequence(o machine.Options, set object.Set, restarts bool) *sequence {
+	return &sequence{options: o, set: set, applier: recordlog.NewApplier(o, set), restarts: restarts}
 }
 
-func now() view.Time { return view.Time(time.Now().UnixNano()) }
-
-// apply carries out one command.
-func (r *replicated) apply(command func(*machine.Machine)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.restarts {
-		r.restart()
+// Propose implements recordLog.
+func (s *sequence) Propose(_ context.Context, c recordlog.Command) (recordlog.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.restarts {
+		s.restart()
 	}
-	command(r.machine)
+	return s.applier.Do(c), nil
 }
 
 // restart replaces the machine by one restored from its snapshot.
-func (r *replicated) restart() {
-	b, err := r.machine.Snapshot()
+func (s *sequence) restart() {
+	b, err := s.applier.Snapshot()
 	if err != nil {
 		panic(err)
 	}
-	m := machine.NewMachine(r.options)
-	if err := m.Restore(b); err != nil {
+	a := recordlog.NewApplier(s.options, s.set)
+	if err := a.Restore(b); err != nil {
 		panic(err)
 	}
-	r.machine = m
-}
-
-func (r *replicated) tick() {
-	r.apply(func(m *machine.Machine) { m.Tick(now()) })
+	s.applier = a
 }
 
-func (r *replicated) gateGone(g view.GateName, inc view.Incarnation) {
-	r.apply(func(m *machine.Machine) { m.GateGone(now(), g, inc) })
-}
+// Close implements recordLog.
+func (s *sequence) Close() error { return nil }
--- a/pkg/prove/once/plan.go
+++ b/pkg/prove/once/plan.go
@@ -15,6 +15,7 @@
 	logOp    logOp
 
 	serviceFault service.FaultKind
+	replicas     bool   // the records are on three replicas
 	restarts     bool   // the records are restored from their snapshot at each operation
 	chaos        bool   // all faults at random
 	asking       Asking // "" for one from the seed
--- a/pkg/prove/once/records.go
+++ b/pkg/prove/once/records.go
@@ -5,10 +5,12 @@
 	"time"
 
 	machine "github.com/sesamemux/sesamemux/pkg/once"
+	"github.com/sesamemux/sesamemux/pkg/prove/recordlog"
 )
 
 const (
 	logDelay    = 2 * time.Millisecond   // of one operation
+	recordTime  = 2 * time.Second        // that a gate gives one operation
 	lostTime    = 500 * time.Millisecond // until a caller of the records gives up
 	lateTime    = 4 * time.Second        // of a late delivery
 	outageTime  = 8 * time.Second
@@ -21,23 +23,22 @@
 }
 
 // Intend implements serviceproxy.Records.
-func (r records) Intend(_ context.Context, i machine.Intent) (machine.Decision, error) {
-	var d machine.Decision
+func (r records) Intend(ctx context.Context, i machine.Intent) (machine.Decision, error) {
 	r.gate.strikeAt(beforeIntent)
-	err := r.call(opIntent, func(m *machine.Machine) { d = m.Intend(now(), i) })
-	if err == nil && d.Kind == machine.Run {
+	out, err := r.call(ctx, opIntent, recordlog.Command{Intend: &i})
+	if err == nil && out.Decision.Kind == machine.Run {
 		r.gate.strikeAt(afterIntent)
 	}
 	if r.gate.isDead() {
 		return machine.Decision{}, errDead
 	}
-	return d, err
+	return out.Decision, err
 }
 
 // Conclude implements serviceproxy.Records.
-func (r records) Conclude(_ context.Context, c machine.Conclusion) error {
+func (r records) Conclude(ctx context.Context, c machine.Conclusion) error {
 	r.gate.strikeAt(beforeConclusion)
-	err := r.call(opConclusion, func(m *machine.Machine) { m.Conclude(now(), c) })
+	_, err := r.call(ctx, opConclusion, recordlog.Command{Conclude: &c})
 	if err == nil {
 		r.gate.strikeAt(afterConclusion)
 	}
@@ -48,27 +49,29 @@
 }
 
 // call carries a command to the log and fails as ordered.
-func (r records) call(op logOp, command func(*machine.Machine)) error {
+func (r records) call(ctx context.Context, op logOp, c recordlog.Command) (recordlog.Result, error) {
 	time.Sleep(logDelay)
 	if r.gate.isDead() {
-		return errDead
+		return recordlog.Result{}, errDead
 	}
 	w := r.gate.world
+	c.At = now()
 	switch w.nextLogFault(op) {
 	case logRefused, logOutage:
-		return machine.ErrNotRecorded
+		return recordlog.Result{}, machine.ErrNotRecorded
 	case logLostRequest:
 		time.Sleep(lostTime)
-		return machine.ErrRecordUnknown
+		return recordlog.Result{}, machine.ErrRecordUnknown
 	case logLostReply:
-		w.log.apply(command)
+		_, _ = w.log.Propose(ctx, c)
 		time.Sleep(lostTime)
-		return machine.ErrRecordUnknown
+		return recordlog.Result{}, machine.ErrRecordUnknown
 	case logLate:
-		w.later(lateTime, func() { w.log.apply(command) })
+		w.later(lateTime, func() { _, _ = w.log.Propose(context.Background(), c) })
 		time.Sleep(lostTime)
-		return machine.ErrRecordUnknown
+		return recordlog.Result{}, machine.ErrRecordUnknown
 	}
-	w.log.apply(command)
-	return nil
+	ctx, cancel := context.WithTimeout(ctx, recordTime)
+	defer cancel()
+	return w.log.Propose(ctx, c)
 }
--- a/pkg/prove/once/rows.go
+++ b/pkg/prove/once/rows.go
@@ -16,6 +16,7 @@
 	var rows []prove.Row
 	rows = append(rows, gateRows()...)
 	rows = append(rows, logRows()...)
+	rows = append(rows, keeperRows()...)
 	rows = append(rows, serviceRows()...)
 	rows = append(rows, otherRows()...)
 	rows = append(rows, crashRows()...)
@@ -76,6 +77,28 @@
 	return rows
 }
 
+// keeperRows strike the leading one of three replicas at each step.
+func keeperRows() []prove.Row {
+	var rows []prove.Row
+	for _, s := range allSteps {
+		for _, x := range []strike{killLeader, cutLeader} {
+			p := plan{strike: x, step: s, replicas: true}
+			q := p
+			q.proxy = serviceproxy.Unsafe{NoIntent: true}
+			rows = append(rows, row(prove.OnceOnly, string(x), string(s), p, keeperUnguarded(q)))
+		}
+	}
+	return rows
+}
+
+// keeperUnguarded returns a plan without intents, at steps that it still has.
+func keeperUnguarded(p plan) *plan {
+	if p.step == beforeIntent || p.step == afterIntent {
+		return nil
+	}
+	return &p
+}
+
 // serviceRows strike the services.
 func serviceRows() []prove.Row {
 	var rows []prove.Row
@@ -117,8 +140,12 @@
 	chaos := plan{chaos: true, restarts: true}
 	unrecorded := chaos
 	unrecorded.proxy = serviceproxy.Unsafe{NoIntent: true}
+	keepers := plan{chaos: true, replicas: true}
+	keepersUnrecorded := keepers
+	keepersUnrecorded.proxy = serviceproxy.Unsafe{NoIntent: true}
 	return []prove.Row{
 		row(prove.OnceOnly, "gate killed, records restored", "between intent and outcome", restarts, &forgets),
 		row(prove.OnceOnly, "all faults", "at any step", chaos, &unrecorded),
+		row(prove.OnceOnly, "all faults, keepers too", "at any step", keepers, &keepersUnrecorded),
 	}
 }
--- a/pkg/prove/once/strike.go
+++ b/pkg/prove/once/strike.go
@@ -1,14 +1,17 @@
 package once
 
-// strike is what happens to a gate at a step.
+// strike is what happens at a step.
 type strike string
 
-// The strikes on a gate.
+// The strikes on a gate, and on the keepers while a gate is at a step.
 const (
 	kill    strike = "gate killed"
 	freeze  strike = "gate frozen"
 	silence strike = "gate's lease lapses"
 	leave   strike = "host leaves"
+
+	killLeader strike = "leading keeper killed"
+	cutLeader  strike = "leading keeper cut off"
 )
 
 // logFault is how a call to the replicated records fails.
--- a/pkg/prove/once/world.go
+++ b/pkg/prove/once/world.go
@@ -13,6 +13,7 @@
 	"github.com/sesamemux/sesamemux/pkg/ledger"
 	"github.com/sesamemux/sesamemux/pkg/object"
 	machine "github.com/sesamemux/sesamemux/pkg/once"
+	"github.com/sesamemux/sesamemux/pkg/prove/recordlog"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -22,6 +23,9 @@
 	serviceName = "records"
 	callTimeout = 12 * time.Second
 	settleTime  = 3 * time.Minute
+
+	replicaDelay  = time.Millisecond
+	snapshotEvery = 20 // entries of the log
 )
 
 // world holds one run.
@@ -30,7 +34,8 @@
 	network  *network
 	record   *service.Record
 	services []*service.Service
-	log      *replicated
+	log      recordLog
+	quorum   *recordlog.Quorum // the log, if it is one of replicas
 	view     *view.View
 	ledger   ledger.Ledger
 	stop     context.CancelFunc
@@ -71,7 +76,7 @@
 	if asked {
 		s.OutcomePath = service.OutcomePath
 	}
-	w.log = newReplicated(machine.Options{Unsafe: p.machine}, object.Set{Services: []object.Service{s}}, p.restarts)
+	w.startLog(seed, object.Set{Services: []object.Service{s}})
 	w.view.Revision = 1
 	w.view.Services.Put(s.Name, s, 1)
 	w.view.Organisations.Put("boia", object.Organisation{Name: "boia"}, 1)
@@ -87,6 +92,29 @@
 	return w
 }
 
+// startLog starts the log: three replicas if the plan strikes them.
+func (w *world) startLog(seed uint64, set object.Set) {
+	o := machine.Options{Unsafe: w.plan.machine}
+	if !w.plan.replicas {
+		w.log = newSequence(o, set, w.plan.restarts)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	q, err := recordlog.New(ctx, recordlog.Config{
+		Set:           set,
+		Options:       o,
+		Delay:         replicaDelay,
+		SnapshotEvery: snapshotEvery,
+		Seed:          seed,
+	})
+	if err != nil {
+		panic(err)
+	}
+	w.log = q
+	w.quorum = q
+}
+
 func (w *world) startService(ctx context.Context, n int, bars bool) {
 	h := view.Host{
 		Name:        view.HostName(fmt.Sprintf("r%d", n)),
@@ -149,11 +177,12 @@
 			return
 		case <-tick.C:
 		}
-		w.log.tick()
+		w.propose(ctx, recordlog.Command{Tick: true})
 		for n, g := range w.current() {
 			g.renew()
 			if g.lapse() {
-				w.log.gateGone(g.name, g.inc)
+				gone := recordlog.GateGone{Gate: g.name, Incarnation: g.inc}
+				w.later(0, func() { w.proposeUntilDone(gone) })
 			}
 			if at, dead := g.died(); dead && time.Since(at) > restartTime {
 				w.startGate(n, g.inc+1)
@@ -162,6 +191,21 @@
 	}
 }
 
+func (w *world) propose(ctx context.Context, c recordlog.Command) bool {
+	ctx, cancel := context.WithTimeout(ctx, recordTime)
+	defer cancel()
+	c.At = now()
+	_, err := w.log.Propose(ctx, c)
+	return err == nil
+}
+
+// proposeUntilDone tells the log that a gate is gone. It may be told twice.
+func (w *world) proposeUntilDone(gone recordlog.GateGone) {
+	for !w.propose(context.Background(), recordlog.Command{GateGone: &gone}) {
+		time.Sleep(lostTime)
+	}
+}
+
 func (w *world) current() []*gate {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -200,5 +244,5 @@
 	}
 	w.stop()
 	w.work.Wait()
-	return errors.Join(errs...)
+	return errors.Join(append(errs, w.log.Close())...)
 }
--- /dev/null
+++ b/pkg/prove/recordlog/command.go
@@ -0,0 +1,27 @@
+package recordlog
+
+import (
+	"github.com/sesamemux/sesamemux/pkg/once"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// Command is one entry of the log. Exactly one field besides At is set.
+type Command struct {
+	At       view.Time
+	Intend   *once.Intent     `msgpack:",omitempty"`
+	Conclude *once.Conclusion `msgpack:",omitempty"`
+	GateGone *GateGone        `msgpack:",omitempty"`
+	Tick     bool             `msgpack:",omitempty"`
+}
+
+// GateGone tells that the lease of a gate's incarnation has lapsed.
+type GateGone struct {
+	Gate        view.GateName
+	Incarnation view.Incarnation
+}
+
+// Result is what a command led to.
+type Result struct {
+	Decision once.Decision
+	Settled  once.Result
+}
