--- a/pkg/ctl/caller.go
+++ b/pkg/ctl/caller.go
@@ -1,10 +1,9 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
-	"github.com/sesamemux/sesamemux/pkg/object"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
 )
 
@@ -20,7 +18,6 @@
 	attemptTimeout = 3 * time.Second        // one server that does not answer
 	retryInterval  = 200 * time.Millisecond // between two attempts
 	leastAttempt   = 50 * time.Millisecond  // an attempt with less time left is not begun
-	maxHops        = 3                      // answers that name another leader, followed at once
 )
 
 // caller finds the leader and calls it.
@@ -41,33 +38,39 @@
 	}
 }
 
+// ask sends one request to one server, with the usual bound on its time.
+func (c *caller) ask(ctx context.Context, address string, m control.Method, params, result any) error {
+	return c.once(ctx, address, request{method: m, params: params}, result)
+}
+
 // once sends one request to one server.
-func (c *caller) once(ctx context.Context, address string, m control.Method, params, result any) error {
+func (c *caller) once(ctx context.Context, address string, r request, result any) error {
 	k := c.clients[address]
 	if k == nil {
 		k = rpc.NewClient(address, c.dial)
 		c.clients[address] = k
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(r.attempt, attemptTimeout))
 	defer cancel()
-	err := k.Call(ctx, string(m), params, result)
+	err := k.Call(ctx, string(r.method), r.params, result)
 	if err != nil {
-		c.last[address] = err.Error()
+		c.last[address] = shortError(err)
 	}
 	return err
 }
 
-// search is the state of one call's way to the leader.
-type search struct {
-	next  int    // index of the server to try
-	hint  string // leader named by the last answer
-	hops  int
-	maybe bool // an attempt may have taken effect
+// shortError leaves out the code of a server's error.
+func shortError(err error) string {
+	var coded *jsonrpc2.Error
+	if errors.As(err, &coded) {
+		return coded.Message
+	}
+	return err.Error()
 }
 
 // call tries servers until one answers for good or the time is over.
 func (c *caller) call(ctx context.Context, r request, result any) error {
-	var s search
+	s := search{strangers: make(map[string]bool)}
 	for {
 		address := s.hint
 		s.hint = ""
@@ -75,13 +78,16 @@
 			address = c.servers[s.next%len(c.servers)]
 			s.next++
 		}
-		err := c.once(ctx, address, r.method, r.params, result)
+		err := c.once(ctx, address, r, result)
 		if err == nil {
 			return nil
 		}
-		if final := s.judge(address, err, r); final != nil {
+		if final := s.judge(address, err); final != nil {
 			return final
 		}
+		if len(s.strangers) == len(c.servers) {
+			return stranger(r)
+		}
 		if s.hint != "" {
 			continue
 		}
@@ -91,92 +97,6 @@
 	}
 }
 
-// judge takes in a failed attempt; it returns the failure when trying again is
-// of no use.
-func (s *search) judge(address string, err error, r request) error {
-	if errors.Is(err, rpc.ErrNotSent) {
-		return nil
-	}
-	var coded *jsonrpc2.Error
-	if !errors.As(err, &coded) {
-		return s.mayHaveRun(r)
-	}
-	switch coded.Code {
-	case control.CodeNotLeader:
-		s.follow(address, coded)
-		return nil
-	case control.CodeUnavailable:
-		return nil
-	case control.CodeUnknown:
-		return s.mayHaveRun(r)
-	}
-	return refusal(coded)
-}
-
-// mayHaveRun notes an attempt whose outcome is unknown. What can't be sent
-// again ends there.
-func (s *search) mayHaveRun(r request) error {
-	s.maybe = true
-	if r.resend {
-		return nil
-	}
-	return unknownOutcome(r)
-}
-
-// follow takes the named leader as the next server, but for answers that lead
-// round in circles.
-func (s *search) follow(from string, coded *jsonrpc2.Error) {
-	var d control.NotLeader
-	if !decodeData(coded, &d) || d.Leader == "" || d.Leader == from || s.hops >= maxHops {
-		s.hops = 0
-		return
-	}
-	s.hops++
-	s.hint = d.Leader
-}
-
-func decodeData(e *jsonrpc2.Error, v any) bool {
-	return e.Data != nil && json.Unmarshal(*e.Data, v) == nil
-}
-
-// refusal turns an answer that stands into a failure.
-func refusal(e *jsonrpc2.Error) *Failure {
-	switch e.Code {
-	case control.CodeConflict:
-		return conflict(e)
-	case control.CodeInvalid:
-		var problems []object.Problem
-		decodeData(e, &problems)
-		return &Failure{Code: ExitRefused, Message: e.Message, Problems: problems, Hint: "nothing was changed; mend the problems and apply again"}
-	case control.CodeNotFound:
-		return &Failure{Code: ExitRefused, Message: e.Message, Hint: programName + " status and history show what there is"}
-	case control.CodeDenied:
-		return &Failure{Code: ExitDenied, Message: e.Message, Hint: "nothing was changed; use a certificate with the role operator (tls_cert)"}
-	case jsonrpc2.CodeMethodNotFound:
-		return &Failure{Code: ExitRefused, Message: e.Message, Hint: "the server may be of another version, or no keeper or gate"}
-	}
-	return &Failure{Code: ExitRefused, Message: e.Message}
-}
-
-func conflict(e *jsonrpc2.Error) *Failure {
-	var d control.Conflict
-	f := &Failure{Code: ExitConflict, Message: e.Message, Hint: "nothing was changed; look at " + programName + " status and try again"}
-	if decodeData(e, &d) {
-		f.Message = fmt.Sprintf("the change started from object revision %d, in force is %d", d.Base, d.Current)
-		f.Hint = fmt.Sprintf("nothing was changed; see %s diff FILE, merge, and apply with --base %d", programName, d.Current)
-	}
-	return f
-}
-
-func unknownOutcome(r request) *Failure {
-	f := &Failure{Code: ExitUnknown, ChangeID: r.changeID, Message: "the reply was lost: the change may or may not have taken effect"}
-	f.Hint = "look at " + programName + " keeper status before trying again"
-	if r.changeID != "" {
-		f.Hint = fmt.Sprintf("run the same command again with --change-id %s: it takes effect at most once", r.changeID)
-	}
-	return f
-}
-
 // giveUp tells how the call ended when its time was over.
 func (c *caller) giveUp(s search, r request) error {
 	if s.maybe && r.changes {
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"github.com/sesamemux/sesamemux/pkg/access"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/timeline"
@@ -53,6 +55,8 @@
 		{"follower names the leader", []fault{notLeader}, nil, apply, ExitOK, 1, "accepted as object revision 1"},
 		{"follower knows no leader", []fault{noLeader}, nil, apply, ExitOK, 1, "accepted"},
 		{"leaders name each other", []fault{notLeader, notLeader, notLeader}, []fault{answer(control.CodeNotLeader, control.NotLeader{Leader: follower}), answer(control.CodeNotLeader, control.NotLeader{Leader: follower})}, apply, ExitOK, 1, "accepted"},
+		{"a server that does not know the method", repeat(answer(jsonrpc2.CodeMethodNotFound, nil)), nil, apply, ExitOK, 1, "accepted"},
+		{"no server knows the method", repeat(answer(jsonrpc2.CodeMethodNotFound, nil)), repeat(answer(jsonrpc2.CodeMethodNotFound, nil)), apply, ExitRefused, 0, "name a keeper"},
 		{"reply lost", []fault{loseReply}, nil, apply, ExitOK, 1, "accepted earlier; this is the first answer"},
 		{"reply lost twice", []fault{loseReply, loseReply}, []fault{loseReply}, apply, ExitOK, 1, "accepted earlier"},
 		{"unknown, then accepted", []fault{unknown}, nil, apply, ExitOK, 1, "accepted"},
@@ -64,6 +68,7 @@
 		{"file of an old revision", nil, nil, []string{"apply", servers, old}, ExitConflict, 0, "started from object revision 7, in force is 0"},
 		{"base by flag", nil, nil, []string{"apply", servers, "--base", "3", file}, ExitConflict, 0, "started from object revision 3"},
 		{"problems at the server", []fault{answer(control.CodeInvalid, someProblems)}, nil, apply, ExitRefused, 0, "objects.ini:3: [version v1] model: is missing"},
+		{"change ID of another change", []fault{answer(control.CodeInvalid, nil)}, nil, []string{"apply", servers, "--change-id", "c-1", file}, ExitRefused, 0, "as a new change"},
 		{"no right", []fault{answer(control.CodeDenied, nil)}, nil, apply, ExitDenied, 0, "role operator"},
 		{"problems here", nil, nil, []string{"apply", servers, writeFile(t, "[robot x]\n")}, ExitRefused, 0, "unknown kind"},
 		{"no such file", nil, nil, []string{"apply", servers, "none.ini"}, ExitRefused, 0, "no such file"},
@@ -75,7 +80,8 @@
 		{"drain of nothing", []fault{answer(control.CodeNotFound, nil)}, nil, []string{"drain", servers, "upstream", "h9"}, ExitRefused, 0, "status and history"},
 		{"drain of another kind", nil, nil, []string{"drain", servers, "rack", "r1"}, ExitUsage, 0, `must be one of "failure-domain","upstream"`},
 		{"replacement", nil, nil, []string{"keeper", "replace", servers, "2", "4", "127.0.0.1:9"}, ExitOK, 0, "was replaced by 4"},
-		{"replacement, reply lost", []fault{loseReply}, nil, []string{"keeper", "replace", servers, "2", "4", "127.0.0.1:9"}, ExitUnknown, 0, "keeper status"},
+		{"replacement, reply lost", []fault{loseReply}, nil, []string{"keeper", "replace", servers, "2", "4", "127.0.0.1:9"}, ExitOK, 0, "was replaced by 4"},
+		{"replacement, reply lost, then no quorum", append([]fault{loseReply}, repeat(unavailable)...), repeat(unavailable), []string{"keeper", "replace", servers, "2", "4", "127.0.0.1:9"}, ExitUnknown, 0, "goes on where the first one stopped"},
 		{"release, reply lost", []fault{loseReply}, nil, []string{"quarantine", "release", servers, "ab12"}, ExitOK, 0, "released ab12"},
 	}
 	for _, c := range cases {
@@ -128,6 +134,8 @@
 		{[]string{"diff"}, ExitOK, []string{"no differences"}},
 		{[]string{"history", "--limit", "1"}, ExitOK, []string{"c-b"}},
 		{[]string{"status"}, ExitOK, []string{"in force everywhere up to 39", "g1", "lapsed", "assistant-1", "h2 h3", "service records", "drained"}},
+		{[]string{"status", "--domain", "fd-b"}, ExitOK, []string{"0 groups, 1 hosts of fd-b"}},
+		{[]string{"status", "--short"}, ExitOK, []string{"in force everywhere up to 39"}},
 		{[]string{"status", "-o", "json"}, ExitOK, []string{`"barrier": 39`}},
 		{[]string{"wait"}, ExitOK, []string{"view revision 40 is in force everywhere"}},
 		{[]string{"wait", "2000", "--wait-timeout", "5s"}, ExitTimedOut, []string{"behind: g2", "waiting for view revision 2000"}},
@@ -137,6 +145,8 @@
 		{[]string{"settings", "print"}, ExitOK, []string{"operator = ana", "SESAME_CTL_SERVERS"}},
 		{[]string{"settings", "check", "--set", "timeout=never"}, ExitRefused, []string{"--set: timeout: ", "allowed: 100ms to 10m"}},
 		{[]string{"status", "--set", "speed=3"}, ExitRefused, []string{"unknown key"}},
+		{[]string{"explain", "model-group"}, ExitOK, []string{"hosts_per_group", "1 to 16", "required"}},
+		{[]string{"explain", "robot"}, ExitUsage, []string{"no kind of object"}},
 		{[]string{"completion", "bash"}, ExitOK, []string{"complete -C sesamectl sesamectl"}},
 		{[]string{"stauts"}, ExitUsage, []string{"sesamectl --help"}},
 		{[]string{"apply"}, ExitUsage, []string{"<file>"}},
@@ -219,6 +229,18 @@
 	if o := play(t, newCluster(), args...); o.code != ExitRefused || !strings.Contains(o.errOut, "never overwritten") {
 		t.Fatalf("%d %s", o.code, o.errOut)
 	}
+	if o := play(t, newCluster(), "keys", "add", dir, "--gate", "g2=127.0.0.1"); o.code != ExitOK {
+		t.Fatalf("%d %s", o.code, o.errOut)
+	}
+	added, err := access.NewSource(access.Options{Files: access.Files{
+		Cert: filepath.Join(dir, "gate-g2.pem"), Key: filepath.Join(dir, "gate-g2-key.pem"), CA: filepath.Join(dir, "ca.pem"),
+	}})
+	if err != nil || added.Identity() != (access.Identity{Cluster: "sesame", Role: access.Gate, Name: "g2"}) {
+		t.Fatal(err)
+	}
+	if o := play(t, newCluster(), "keys", "add", t.TempDir(), "--gate", "g2=127.0.0.1"); o.code != ExitRefused {
+		t.Fatalf("%d %s", o.code, o.errOut)
+	}
 	for _, bad := range [][]string{{}, {"--keeper", "k1"}, {"--keeper", "K=127.0.0.1"}, {"--operator", "ana", "--cluster", "A B"}} {
 		if o := play(t, newCluster(), append([]string{"keys", "init", dir + "2"}, bad...)...); o.code != ExitUsage {
 			t.Errorf("%v: exit %d", bad, o.code)
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -74,6 +74,11 @@
 		_, p := Load[Fake](path, nil, nil)
 		return path, p
 	}
+	ctl := func(text string) (string, []Problem) {
+		path := write(t, text)
+		_, p := Load[Ctl](path, nil, nil)
+		return path, p
+	}
 	cases := []struct {
 		name string
 		load func(string) (string, []Problem)
@@ -104,7 +109,10 @@
 		{"address of no host", keeper, goodKeeper + "rpc_listen = 0.0.0.0:7700\n", 7, "rpc_listen", "names no host"},
 		{"plain off loopback", keeper, goodKeeper + "rpc_listen = 10.0.0.7:7700\n", 7, "rpc_listen", "say allow_plain = yes"},
 		{"plain to a keeper off loopback", gate, strings.Replace(goodGate, "127.0.0.1:7710", "10.0.0.7:7700", 1), 4, "keepers", "say allow_plain = yes"},
-		{"half a TLS configuration", keeper, goodKeeper + "tls_cert = a.pem\ntls_key = b.pem\n", 0, "tls_ca", "go together"},
+		{"half a TLS configuration", ctl, "[ctl]\ntls_cert = a.pem\ntls_key = b.pem\n", 0, "tls_ca", "go together"},
+		{"server off loopback without TLS", ctl, "[ctl]\nservers = 10.0.0.7:7700\n", 2, "servers", "say allow_plain = yes"},
+		{"TLS that the daemon does not serve", keeper, goodKeeper + "tls_cert = a.pem\ntls_key = b.pem\ntls_ca = c.pem\n", 7, "tls_cert", "does not protect"},
+		{"TLS that the gate does not serve", gate, goodGate + "tls_cert = a.pem\ntls_key = b.pem\ntls_ca = c.pem\n", 5, "tls_cert", "does not protect"},
 		{"yes or no", keeper, goodKeeper + "join = true\n", 7, "join", "neither yes nor no; allowed: yes or no"},
 		{"log level", keeper, goodKeeper + "log_level = loud\n", 7, "log_level", "unknown log level"},
 		{"name of a failure domain", keeper, strings.Replace(goodKeeper, "fd-a", "FD A", 1), 4, "failure_domain", "not a name"},
@@ -117,6 +125,7 @@
 		{"size that overflows", gate, goodGate + "max_body_bytes = 99999999999TiB\n", 5, "max_body_bytes", "not a size"},
 		{"duration without a unit", gate, goodGate + "header_timeout = 5\n", 5, "header_timeout", "not a duration"},
 		{"duration out of range", gate, goodGate + "header_timeout = 0s\n", 5, "header_timeout", "out of range; allowed: 100ms to 1m"},
+		{"request that outlives its permits", gate, goodGate + "max_request_time = 10m\n", 5, "max_request_time", "out of range; allowed: 1s to 1m30s"},
 		{"connections", gate, goodGate + "max_connections = 0\n", 5, "max_connections", "out of range"},
 		{"callers plain off loopback", gate, goodGate + "http_listen = 0.0.0.0:80\n", 5, "http_listen", "say allow_plain = yes"},
 		{"kind of fake", fake, goodFake + "kind = robot\n", 6, "kind", "neither engine nor service"},
@@ -187,7 +196,7 @@
 	}{
 		{"run", Flags{Settings: write(t, goodGate)}, true, ExitOK, "", ""},
 		{"check", Flags{Settings: write(t, goodGate), CheckSettings: true}, false, ExitOK, "in order", ""},
-		{"check problems", Flags{CheckSettings: true}, false, ExitRefused, "", "3 problems"},
+		{"check problems", Flags{CheckSettings: true}, false, ExitRefused, "", "problems in the settings: 3"},
 		{"print", Flags{PrintSettings: true}, false, ExitOK, "SESAME_GATE_KEEPERS", "keepers: is missing"},
 	}
 	for _, c := range cases {
