--- a/pkg/fake/engine/model.go
+++ b/pkg/fake/engine/model.go
@@ -84,7 +84,7 @@
 func (m *Model) Begin(now time.Duration) time.Duration {
 	prefill := m.admit()
 	cold := now-m.started < m.options.ColdTime
-	m.judge(cold)
+	m.judge(now-m.started, cold)
 	d := m.options.StepBase + time.Duration(len(m.running))*m.options.StepPerSequence
 	d += time.Duration(prefill) * m.options.PrefillPerToken
 	switch {
@@ -114,16 +114,23 @@
 
 // judge starts a collapse when a cold engine has more work than it bears, and
 // ends it when little is left.
-func (m *Model) judge(cold bool) {
+func (m *Model) judge(age time.Duration, cold bool) {
 	load := len(m.running) + len(m.waiting)
 	switch {
-	case cold && load > m.options.ColdBatch:
+	case cold && load > m.bears(age):
 		m.collapsed = true
 	case load <= m.options.ColdBatch/2 || (!cold && load <= m.options.ColdBatch):
 		m.collapsed = false
 	}
 }
 
+// bears is the work that an engine of an age bears: from ColdBatch to MaxBatch
+// over ColdTime.
+func (m *Model) bears(age time.Duration) int {
+	more := float64(m.options.MaxBatch-m.options.ColdBatch) * float64(age) / float64(m.options.ColdTime)
+	return m.options.ColdBatch + int(more)
+}
+
 // End finishes a step: each sequence that was in the batch gets a token. It
 // returns them; those that are done have left the batch.
 func (m *Model) End() []*Sequence {
--- a/pkg/fake/engine/model_options.go
+++ b/pkg/fake/engine/model_options.go
@@ -10,7 +10,7 @@
 	PrefillPerToken time.Duration // added for each prompt token that is not cached
 	CacheBlocks     int           // prefix blocks that the cache holds
 	ColdTime        time.Duration // from the start until warm
-	ColdBatch       int           // sequences that a cold engine bears
+	ColdBatch       int           // sequences that an engine bears at its start
 	ColdFactor      float64       // step time of a cold engine, 1 or more
 	CollapseFactor  float64       // step time of a collapsed engine, 1 or more
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -130,6 +130,7 @@
 			return
 		case <-t.C:
 			p.pumpAll()
+			p.noteDemand()
 			p.engines.Expire()
 			p.peers.Expire()
 		}
--- a/pkg/proxy/queue.go
+++ b/pkg/proxy/queue.go
@@ -179,16 +179,20 @@
 
 // Uses tells this gate's work and demand on its targets, for the keepers.
 func (p *Proxy) Uses() []view.TargetUse {
+	p.noteDemand()
+	return p.config.Permits.Uses()
+}
+
+// noteDemand tells the permits what waits for each target.
+func (p *Proxy) noteDemand() {
 	x := p.index.Load()
 	for _, q := range p.allQueues() {
 		places := x.models[q.modelGroup]
 		if len(places) == 0 {
 			continue
 		}
-		each := (q.demand() + len(places) - 1) / len(places)
-		for i := range places {
-			p.config.Permits.SetQueued(places[i].target, places[i].head.Incarnation, each)
+		for i, n := range permit.Spread(q.demand(), len(places)) {
+			p.config.Permits.SetQueued(places[i].target, places[i].head.Incarnation, n)
 		}
 	}
-	return p.config.Permits.Uses()
 }
