Ask for rights before every JSON-RPC handler

Cause: nothing asked who calls, and the JSON-RPC library wrote free text to the standard error. Change: rpc.Server takes an Authorizer, asked with the connection before every handler, and a logger for what the library tells; access.Links is one. Operators' methods are for operators alone: gates pass none on. Ruled out: roles at the listener of the RPC port, as a refused handshake comes to the caller without a reason and not as CodeDenied.

--- a/pkg/access/allow.go
+++ b/pkg/access/allow.go
@@ -10,7 +10,8 @@
 )
 
 // callers lists the roles that may call each method. What is not listed may
-// be called by none.
+// be called by none. A gate passes no operator's request on, so that it needs no
+// right to make one.
 var callers = map[control.Method][]Role{
 	control.MethodRaft:              {Keeper},
 	control.MethodGateSync:          {Gate, Keeper},
@@ -18,20 +19,20 @@
 	control.MethodOnceOutcome:       {Gate, Keeper},
 	control.MethodCrashReport:       {Gate, Keeper},
 	control.MethodRanWell:           {Gate, Keeper},
-	control.MethodApply:             {Operator, Gate, Keeper},
-	control.MethodCheck:             {Operator, Gate, Keeper},
-	control.MethodGet:               {Operator, Gate, Keeper},
-	control.MethodHistory:           {Operator, Gate, Keeper},
-	control.MethodRollback:          {Operator, Gate, Keeper},
-	control.MethodDrain:             {Operator, Gate, Keeper},
-	control.MethodRestore:           {Operator, Gate, Keeper},
-	control.MethodStatus:            {Operator, Gate, Keeper},
-	control.MethodWait:              {Operator, Gate, Keeper},
+	control.MethodApply:             {Operator},
+	control.MethodCheck:             {Operator},
+	control.MethodGet:               {Operator},
+	control.MethodHistory:           {Operator},
+	control.MethodRollback:          {Operator},
+	control.MethodDrain:             {Operator},
+	control.MethodRestore:           {Operator},
+	control.MethodStatus:            {Operator},
+	control.MethodWait:              {Operator},
 	control.MethodKeeperReplace:     {Operator},
-	control.MethodKeeperStatus:      {Operator, Gate, Keeper},
-	control.MethodQuarantineList:    {Operator, Gate, Keeper},
+	control.MethodKeeperStatus:      {Operator},
+	control.MethodQuarantineList:    {Operator},
 	control.MethodQuarantineRelease: {Operator},
-	control.MethodTimeline:          {Operator, Gate, Keeper},
+	control.MethodTimeline:          {Operator},
 }
 
 // Allow tells whether a role may call a method.
--- a/pkg/access/links.go
+++ b/pkg/access/links.go
@@ -65,8 +65,8 @@
 
 // Authorize tells whether the other end of a connection may call a method. On
 // plain links everyone may: the settings allow them on loopback or by
-// allow_plain alone.
-func (l *Links) Authorize(ctx context.Context, c net.Conn, m control.Method) error {
+// allow_plain alone. It implements rpc.Authorizer.
+func (l *Links) Authorize(ctx context.Context, c net.Conn, method string) error {
 	if l.source == nil {
 		return nil
 	}
@@ -74,7 +74,7 @@
 	if err != nil {
 		return denied(err.Error())
 	}
-	return Authorize(id, m)
+	return Authorize(id, control.Method(method))
 }
 
 // boundedListener sets a deadline for the handshake; the TLS configuration
--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -100,7 +100,7 @@
 		return nil, eris.Wrapf(ErrNotSent, "dial %s: %v", c.address, err)
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	c.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{})
+	c.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{}, jsonrpc2.SetLogger(connLog{}))
 	go c.watch(c.conn)
 	return c.conn, nil
 }
--- a/pkg/rpc/server.go
+++ b/pkg/rpc/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 
+	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -21,6 +22,9 @@
 
 // Server answers JSON-RPC requests with registered typed handlers.
 type Server struct {
+	authorizer Authorizer  // nil: every call is allowed
+	logger     *log.Logger // nil: none
+
 	mu       sync.Mutex
 	handlers map[string]handlerFunc
 	conns    map[*jsonrpc2.Conn]struct{}
@@ -28,12 +32,15 @@
 }
 
 // NewServer returns a server without handlers.
-func NewServer() *Server {
+func NewServer(options ...Option) *Server {
 	s := &Server{
 		handlers: make(map[string]handlerFunc),
 		conns:    make(map[*jsonrpc2.Conn]struct{}),
 	}
 	s.handlers[pingMethod] = func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil }
+	for _, o := range options {
+		o(s)
+	}
 	return s
 }
 
@@ -68,14 +75,15 @@
 // ServeConn answers requests on one connection, in the background.
 func (s *Server) ServeConn(c net.Conn) {
 	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
-	h := &connHandler{server: s, slots: make(chan struct{}, maxConcurrent)}
+	h := &connHandler{server: s, raw: c, slots: make(chan struct{}, maxConcurrent)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		_ = c.Close()
 		return
 	}
-	conn := jsonrpc2.NewConn(context.Background(), stream, h)
+	told := jsonrpc2.SetLogger(connLog{s.logger, c.RemoteAddr().String()})
+	conn := jsonrpc2.NewConn(context.Background(), stream, h, told)
 	s.conns[conn] = struct{}{}
 	go s.forget(conn)
 }
@@ -107,6 +115,7 @@
 // most maxConcurrent of them; notifications run in order.
 type connHandler struct {
 	server *Server
+	raw    net.Conn // its other end is who calls
 	slots  chan struct{}
 }
 
@@ -124,6 +133,10 @@
 }
 
 func (h *connHandler) answer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if err := h.authorize(ctx, req.Method); err != nil {
+		h.reply(ctx, conn, req, nil, err)
+		return
+	}
 	f, ok := h.server.handlers[req.Method]
 	if !ok {
 		h.reply(ctx, conn, req, nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method})
@@ -137,6 +150,19 @@
 	h.reply(ctx, conn, req, result, err)
 }
 
+// authorize tells whether the other end may call a method. Everyone who could
+// connect may ping.
+func (h *connHandler) authorize(ctx context.Context, method string) error {
+	if h.server.authorizer == nil || method == pingMethod {
+		return nil
+	}
+	err := h.server.authorizer.Authorize(ctx, h.raw, method)
+	if err != nil && h.server.logger != nil {
+		h.server.logger.Warn("rpc request refused", "method", method, "remote", h.raw.RemoteAddr(), "err", err)
+	}
+	return err
+}
+
 func (h *connHandler) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, result any, err error) {
 	if req.Notif {
 		return
