--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -141,7 +141,7 @@
 		return
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	d.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{})
+	d.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{}, jsonrpc2.SetLogger(connLog{}))
 	c.conn = d.conn
 	go c.watch(d.conn)
 }
