Run the fault matrix from one command

Cause: the areas' rows could not be played or replayed together. Ruled out: a program of its own (virtual time works in test binaries alone).

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 # virtual time, which only test binaries have.
 prove:
 	$(GO) test -c -o $(BIN)/prove.test ./pkg/prove/matrix
-	$(BIN)/prove.test -matrix -seed $(SEED)
+	$(BIN)/prove.test -matrix -seed $(SEED) -test.timeout 20m
 
 bench:
 	bash scripts/bench.sh
--- /dev/null
+++ b/pkg/prove/matrix/result.go
@@ -0,0 +1,55 @@
+package matrix
+
+import (
+	"fmt"
+
+	"github.com/sesamemux/sesamemux/pkg/prove"
+)
+
+// verdict is how one row ended.
+type verdict string
+
+const (
+	pass     verdict = "pass"
+	red      verdict = "red"
+	knownRed verdict = "known red"
+)
+
+// result is one played row.
+type result struct {
+	row      prove.Row
+	seed     uint64
+	verdict  verdict
+	guarded  error // what the run showed
+	contrast string
+}
+
+// play runs a row, and its run without protection.
+func play(row prove.Row, seed uint64, known knownReds) result {
+	r := result{row: row, seed: seed, verdict: pass, contrast: "no switch"}
+	r.guarded = row.Run(seed)
+	if r.guarded != nil {
+		r.verdict = red
+	}
+	if row.Unguarded != nil {
+		r.contrast = "fails without protection"
+		if row.Unguarded(seed) == nil {
+			r.contrast = "PASSES WITHOUT PROTECTION"
+			r.verdict = red
+		}
+	}
+	if r.verdict == red && known.lists(row) {
+		r.verdict = knownRed
+	}
+	return r
+}
+
+// String gives the row as one line of the table.
+func (r result) String() string {
+	s := fmt.Sprintf("%-9s %2d %-10s %-45s %-45s seed %-4d %s",
+		r.verdict, r.row.Promise, r.row.Area, r.row.Fault, r.row.Step, r.seed, r.contrast)
+	if r.guarded != nil {
+		s += "\n          " + r.guarded.Error()
+	}
+	return s
+}
