--- a/cmd/sesame-load/cli.go
+++ b/cmd/sesame-load/cli.go
@@ -17,6 +17,7 @@
 	Run          string        `help:"Tells the keys of this run from those of others; the time of the start if empty." placeholder:"NAME"`
 	Rate         float64       `default:"10" help:"Requests a second over all kinds."`
 	Duration     time.Duration `default:"10s" help:"Time of the arrivals."`
+	Requests     int           `placeholder:"N" help:"Exactly so many requests, in place of a duration."`
 	Organisation []string      `default:"boia=1" help:"Organisation and weight as NAME=WEIGHT or NAME=WEIGHT:APIKEY; may be repeated." placeholder:"NAME=WEIGHT"`
 	Model        string        `default:"assistant" help:"Model group of the chats."`
 	Prefixes     int           `default:"8" help:"Shared beginnings of prompts."`
@@ -46,6 +47,7 @@
 		Run:         c.Run,
 		Rate:        c.Rate,
 		Duration:    c.Duration,
+		Requests:    c.Requests,
 		Model:       c.Model,
 		Prefixes:    c.Prefixes,
 		PrefixWords: c.PrefixWords,
--- a/pkg/load/arrival.go
+++ b/pkg/load/arrival.go
@@ -54,10 +54,19 @@
 	return a
 }
 
+// ended tells whether the load is over: by its number of requests if that is
+// set, else by its time.
+func (a *arrivals) ended() bool {
+	if a.options.Requests > 0 {
+		return a.next >= a.options.Requests
+	}
+	return a.due >= a.options.Duration
+}
+
 // draw returns the next arrival, false after the end of the load.
 func (a *arrivals) draw() (arrival, bool) {
 	a.due += time.Duration(a.rand.ExpFloat64() / a.options.Rate * float64(time.Second))
-	if a.due >= a.options.Duration {
+	if a.ended() {
 		return arrival{}, false
 	}
 	a.next++
--- a/pkg/load/options.go
+++ b/pkg/load/options.go
@@ -13,6 +13,7 @@
 	Run           string         // tells the keys of one run from those of another
 	Rate          float64        // requests a second over all kinds, above 0
 	Duration      time.Duration  // of the arrivals
+	Requests      int            // in all, in place of Duration; 0: as many as come in it
 	Organisations []Organisation // at least one
 	Model         string         // model group, for chats
 	Prefixes      int            // shared beginnings of prompts
