Try a suspect again when its broken trial was no crash

Cause: a trial that broke while its upstream lived on left the suspect refused until it expired, 10 minutes later (TestBrokenTrialWithoutACrash fails without the change). Change: the guard waits 10 s for the crash to be noticed, and a minute for the keepers once they are told. Ruled out: a call by which the proxy takes the judgement back (nobody made it).

--- a/pkg/suspect/guard.go
+++ b/pkg/suspect/guard.go
@@ -27,11 +27,11 @@
 	view func() *view.View
 
 	mu     sync.Mutex
-	runs   map[*Run]struct{}         // that have not ended
-	trials map[view.Fingerprint]*Run // those of them on trial
-	recent []*Run                    // ended without a whole answer, oldest first
-	judged map[view.Fingerprint]int  // trials that ended badly: crashes when they began
-	well   []view.Fingerprint        // suspects that ended well, to be reported
+	runs   map[*Run]struct{}               // that have not ended
+	trials map[view.Fingerprint]*Run       // those of them on trial
+	recent []*Run                          // ended without a whole answer, oldest first
+	judged map[view.Fingerprint]*judgement // trials that broke
+	well   []view.Fingerprint              // suspects that ended well, to be reported
 }
 
 // NewGuard returns a guard for a gate and its view in force.
@@ -41,7 +41,7 @@
 		view:   v,
 		runs:   make(map[*Run]struct{}),
 		trials: make(map[view.Fingerprint]*Run),
-		judged: make(map[view.Fingerprint]int),
+		judged: make(map[view.Fingerprint]*judgement),
 	}
 }
 
@@ -65,7 +65,7 @@
 	if q.Trial != g.self {
 		return Verdict{Kind: Elsewhere, Gate: q.Trial, RetryAfter: trialRetry}
 	}
-	if crashes, waits := g.judged[f]; waits && crashes >= q.Crashes {
+	if j := g.judged[f]; j != nil && j.crashes >= q.Crashes && !j.over(now) {
 		return Verdict{Kind: Waiting, RetryAfter: trialRetry}
 	}
 	if g.trials[f] != nil {
@@ -131,7 +131,7 @@
 	g.recent = append(g.recent, r)
 	if r.trial && how == EndedBroken {
 		q, _ := g.view().Quarantines.Get(r.fingerprint)
-		g.judged[r.fingerprint] = q.Crashes
+		g.judged[r.fingerprint] = &judgement{crashes: q.Crashes, at: now}
 	}
 }
 
@@ -165,6 +165,9 @@
 		if r.host != host || r.incarnation != inc {
 			return
 		}
+		if j := g.judged[r.fingerprint]; j != nil && r.trial {
+			j.reported = true
+		}
 		before := ran[r.fingerprint]
 		ran[r.fingerprint] = Running{Fingerprint: r.fingerprint, Organisation: r.organisation, Trial: before.Trial || r.trial}
 	}
@@ -194,11 +197,3 @@
 	g.well = nil
 	return well
 }
-
-// Unjudged lets a suspect be tried again whose broken trial was no crash of
-// its upstream.
-func (g *Guard) Unjudged(f view.Fingerprint) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.judged, f)
-}
--- a/pkg/suspect/guard_test.go
+++ b/pkg/suspect/guard_test.go
@@ -67,3 +67,36 @@
 		t.Fatal("a request that ended a minute ago is blamed")
 	}
 }
+
+// TestBrokenTrialWithoutACrash breaks a trial while its upstream lives on: the
+// suspect must be tried again soon, not only when it expires.
+func TestBrokenTrialWithoutACrash(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := view.New()
+	g := NewGuard("g1", func() *view.View { return v })
+	q := view.Quarantine{Fingerprint: "f", Crashes: 1, Isolate: true, Trial: "g1", Until: view.Time(now.Add(time.Hour).UnixNano())}
+	v.Quarantines.Put("f", q, 1)
+	try := func(host view.HostName) {
+		t.Helper()
+		r, ok := g.Start(now, "f", "o", host, 1)
+		if !ok {
+			t.Fatalf("no trial on %s: %s", host, g.Check(now, "f").Kind)
+		}
+		r.End(now, EndedBroken)
+		if kind := g.Check(now, "f").Kind; kind != Waiting {
+			t.Fatalf("right after the trial it is %s", kind)
+		}
+	}
+	try("u1")
+	now = now.Add(noCrashTime + time.Second)
+	try("u2")
+	if _, ok := g.Crashed(now, "u2", 1); !ok {
+		t.Fatal("the trial is not blamed")
+	}
+	now = now.Add(noCrashTime + time.Second)
+	if kind := g.Check(now, "f").Kind; kind != Waiting {
+		t.Fatalf("its crash is reported and not judged, and it is %s", kind)
+	}
+	now = now.Add(judgeTime)
+	try("u3")
+}
