Start permits right before the first byte of a service call, and prove handed-over calls

Cause: a share lowered between the choice of a host and the first byte was not seen (TestLoweredShare fails without the change); calls over two gates had no rows. Change: the last check starts the permit; rows for a gate killed or frozen at each step while calls are handed over.

--- a/pkg/prove/once/caller.go
+++ b/pkg/prove/once/caller.go
@@ -75,7 +75,7 @@
 	done := make(chan struct{})
 	w.spawn(func() {
 		defer close(done)
-		r.serve(g.proxy, req)
+		r.serve(g.callers, req)
 	})
 	select {
 	case <-done:
--- a/pkg/prove/once/gate.go
+++ b/pkg/prove/once/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	inc   view.Incarnation
 	proxy *serviceproxy.Proxy
 
+	callers http.Handler // what callers reach
+	peers   *http.Server // what other gates reach
+
 	mu        sync.Mutex
 	view      *view.View
 	lease     time.Time // end of it
@@ -59,9 +63,33 @@
 		Transport:   plaincall.New(g.dial),
 		Unsafe:      w.plan.proxy,
 	})
+	g.callers = g.proxy
+	if w.plan.handOver {
+		g.servePeers(permits)
+	}
 	return g
 }
 
+// servePeers hands calls over to other gates and takes theirs.
+func (g *gate) servePeers(permits *permit.Local) {
+	g.callers = serviceproxy.NewHandOver(g.proxy, permits.Room)
+	g.peers = &http.Server{Handler: http.HandlerFunc(g.servePeer)}
+	l := g.world.network.listen(peerAddress(g.name))
+	g.world.spawn(func() { _ = g.peers.Serve(l) })
+}
+
+// servePeer answers another gate, unless this one dies before.
+func (g *gate) servePeer(w http.ResponseWriter, r *http.Request) {
+	kept := newReply()
+	kept.serve(g.proxy, r)
+	if g.isDead() || kept.broken {
+		panic(http.ErrAbortHandler)
+	}
+	kept.copyTo(w)
+}
+
+func peerAddress(n view.GateName) string { return string(n) + ":1" }
+
 func (g *gate) inForce() *view.View {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -154,6 +182,9 @@
 	for c := range g.conns {
 		_ = c.Conn.Close()
 	}
+	if g.peers != nil {
+		_ = g.peers.Close()
+	}
 }
 
 // hostsLeave brings a view into force in which every host leaves, for a while.
--- a/pkg/prove/once/plan.go
+++ b/pkg/prove/once/plan.go
@@ -16,6 +16,7 @@
 
 	serviceFault service.FaultKind
 	replicas     bool   // the records are on three replicas
+	handOver     bool   // only one gate has permits, and the others hand over to it
 	restarts     bool   // the records are restored from their snapshot at each operation
 	chaos        bool   // all faults at random
 	asking       Asking // "" for one from the seed
--- a/pkg/prove/once/reply.go
+++ b/pkg/prove/once/reply.go
@@ -46,3 +46,12 @@
 	}()
 	h.ServeHTTP(r, req)
 }
+
+// copyTo passes the answer on.
+func (r *reply) copyTo(w http.ResponseWriter) {
+	for name, values := range r.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(r.status)
+	_, _ = w.Write(r.body.Bytes())
+}
--- a/pkg/prove/once/rows.go
+++ b/pkg/prove/once/rows.go
@@ -15,6 +15,7 @@
 func Rows() []prove.Row {
 	var rows []prove.Row
 	rows = append(rows, gateRows()...)
+	rows = append(rows, handOverRows()...)
 	rows = append(rows, logRows()...)
 	rows = append(rows, keeperRows()...)
 	rows = append(rows, serviceRows()...)
@@ -63,15 +64,26 @@
 	return &p
 }
 
+// handOverRows strike either gate of a call that is handed over.
+func handOverRows() []prove.Row {
+	var rows []prove.Row
+	for _, s := range allSteps {
+		for _, x := range []strike{kill, freeze} {
+			p := plan{strike: x, step: s, handOver: true}
+			rows = append(rows, row(prove.OnceOnly, string(x)+", handed over", string(s), p, unrecorded(p)))
+		}
+	}
+	chaos := plan{chaos: true, handOver: true}
+	return append(rows, row(prove.OnceOnly, "all faults, handed over", "at any step", chaos, unrecorded(chaos)))
+}
+
 // logRows strike the way to the replicated records.
 func logRows() []prove.Row {
 	var rows []prove.Row
 	for _, op := range []logOp{opIntent, opConclusion} {
 		for _, f := range []logFault{logRefused, logLostRequest, logLostReply, logLate, logOutage} {
 			p := plan{logFault: f, logOp: op}
-			q := p
-			q.proxy = serviceproxy.Unsafe{NoIntent: true}
-			rows = append(rows, row(prove.OnceOnly, string(f), string(op), p, &q))
+			rows = append(rows, row(prove.OnceOnly, string(f), string(op), p, unrecorded(p)))
 		}
 	}
 	return rows
@@ -83,19 +95,19 @@
 	for _, s := range allSteps {
 		for _, x := range []strike{killLeader, cutLeader} {
 			p := plan{strike: x, step: s, replicas: true}
-			q := p
-			q.proxy = serviceproxy.Unsafe{NoIntent: true}
-			rows = append(rows, row(prove.OnceOnly, string(x), string(s), p, keeperUnguarded(q)))
+			rows = append(rows, row(prove.OnceOnly, string(x), string(s), p, unrecorded(p)))
 		}
 	}
 	return rows
 }
 
-// keeperUnguarded returns a plan without intents, at steps that it still has.
-func keeperUnguarded(p plan) *plan {
+// unrecorded returns a plan in which calls run without a record, unless its
+// fault strikes at the intent, which they then don't have.
+func unrecorded(p plan) *plan {
 	if p.step == beforeIntent || p.step == afterIntent {
 		return nil
 	}
+	p.proxy = serviceproxy.Unsafe{NoIntent: true}
 	return &p
 }
 
@@ -138,14 +150,10 @@
 	forgets := restarts
 	forgets.machine = machine.Unsafe{ForgetUnknown: true}
 	chaos := plan{chaos: true, restarts: true}
-	unrecorded := chaos
-	unrecorded.proxy = serviceproxy.Unsafe{NoIntent: true}
 	keepers := plan{chaos: true, replicas: true}
-	keepersUnrecorded := keepers
-	keepersUnrecorded.proxy = serviceproxy.Unsafe{NoIntent: true}
 	return []prove.Row{
 		row(prove.OnceOnly, "gate killed, records restored", "between intent and outcome", restarts, &forgets),
-		row(prove.OnceOnly, "all faults", "at any step", chaos, &unrecorded),
-		row(prove.OnceOnly, "all faults, keepers too", "at any step", keepers, &keepersUnrecorded),
+		row(prove.OnceOnly, "all faults", "at any step", chaos, unrecorded(chaos)),
+		row(prove.OnceOnly, "all faults, keepers too", "at any step", keepers, unrecorded(keepers)),
 	}
 }
--- a/pkg/prove/once/world.go
+++ b/pkg/prove/once/world.go
@@ -21,6 +21,7 @@
 	gateCount   = 3
 	hostCount   = 2
 	serviceName = "records"
+	gatePermits = 64
 	callTimeout = 12 * time.Second
 	settleTime  = 3 * time.Minute
 
@@ -85,6 +86,9 @@
 	for n := range hostCount {
 		w.startService(ctx, n, bars)
 	}
+	for n := range gateCount {
+		w.view.Gates.Put(gateName(n), view.Gate{Name: gateName(n), Incarnation: 1, PeerAddress: peerAddress(gateName(n))}, 1)
+	}
 	for n := range gateCount {
 		w.startGate(n, 1)
 	}
@@ -125,9 +129,9 @@
 	}
 	w.view.Hosts.Put(h.Name, h, 1)
 	target := view.TargetID("host/" + string(h.Name))
-	share := view.Share{Target: target, Incarnation: 1, Bound: 64 * gateCount, Cold: 8 * gateCount}
+	share := view.Share{Target: target, Incarnation: 1, Bound: gatePermits * gateCount, Cold: gatePermits * gateCount}
 	for g := range gateCount {
-		share.Gates = append(share.Gates, view.GateShare{Gate: gateName(g), Permits: 64})
+		share.Gates = append(share.Gates, view.GateShare{Gate: gateName(g), Permits: w.permits(g)})
 	}
 	w.view.Shares.Put(target, share, 1)
 	s := service.New(service.Config{Host: h, Listener: w.network.listen(h.Address), Record: w.record, Bars: bars})
@@ -135,6 +139,14 @@
 	w.spawn(func() { _ = s.Run(ctx) })
 }
 
+// permits is the part of each host's share that a gate has.
+func (w *world) permits(gate int) int {
+	if w.plan.handOver && gate > 0 {
+		return 0
+	}
+	return gatePermits
+}
+
 func gateName(n int) view.GateName { return view.GateName(fmt.Sprintf("g%d", n)) }
 
 func (w *world) startGate(n int, inc view.Incarnation) {
@@ -240,6 +252,9 @@
 	all := w.all
 	w.mu.Unlock()
 	for _, g := range all {
+		if g.peers != nil {
+			errs = append(errs, g.peers.Close())
+		}
 		errs = append(errs, g.proxy.Close(ctx))
 	}
 	w.stop()
--- a/pkg/serviceproxy/hosts.go
+++ b/pkg/serviceproxy/hosts.go
@@ -14,6 +14,7 @@
 // place is a host with a permit for one call. Further releases do nothing.
 type place struct {
 	host    view.Host
+	start   func() bool // whether the permit still holds, right before the first byte
 	release func(permit.End)
 }
 
@@ -70,7 +71,7 @@
 func (p *Proxy) place(h view.Host, taken *permit.Permit) place {
 	p.load.add(h.Name, 1)
 	var once sync.Once
-	return place{host: h, release: func(end permit.End) {
+	return place{host: h, start: taken.Start, release: func(end permit.End) {
 		once.Do(func() { p.load.add(h.Name, -1) })
 		taken.Release(end)
 	}}
--- a/pkg/serviceproxy/ordinary.go
+++ b/pkg/serviceproxy/ordinary.go
@@ -44,7 +44,7 @@
 // last.
 func (p *Proxy) tryOrdinary(ctx context.Context, w http.ResponseWriter, c *call, at place, last bool) (outcome.Outcome, bool) {
 	p.event(EventSend, c, at.host.Name, "")
-	resp, err := p.transport.Do(ctx, c.request(at.host), p.lastCheck(at.host))
+	resp, err := p.transport.Do(ctx, c.request(at.host), p.lastCheck(at))
 	defer func() { at.release(p.permitEnd(at.host, err)) }()
 	if err != nil {
 		o := callOutcome(err)
@@ -64,7 +64,7 @@
 }
 
 // lastCheck returns the check right before the first byte to a host.
-func (p *Proxy) lastCheck(h view.Host) func() error {
+func (p *Proxy) lastCheck(at place) func() error {
 	return func() error {
 		if p.config.Unsafe.NoLateCheck {
 			return nil
@@ -72,9 +72,12 @@
 		if !p.config.Lease.Valid() {
 			return errNoLease
 		}
-		if !p.stillThere(h) {
+		if !p.stillThere(at.host) {
 			return errHostGone
 		}
+		if !at.start() {
+			return errNoPermit
+		}
 		return nil
 	}
 }
--- a/pkg/serviceproxy/proxy_test.go
+++ b/pkg/serviceproxy/proxy_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -295,3 +296,23 @@
 		t.Fatalf("new call without hosts: %+v", refused)
 	}
 }
+
+// TestLoweredShare lowers a gate's share between the choice of a host and the
+// first byte.
+func TestLoweredShare(t *testing.T) {
+	b := newBench(t, true, false)
+	at, ok, _ := b.proxy.choose("records", nil)
+	if !ok {
+		t.Fatal("no place")
+	}
+	v := b.proxy.config.View()
+	v.Revision++
+	for _, name := range []view.HostName{"r1", "r2"} {
+		v.Shares.Put(target(name), view.Share{Target: target(name), Incarnation: 1, Bound: 9, Cold: 9, Gates: []view.GateShare{{Gate: "g1"}}}, v.Revision)
+	}
+	b.proxy.config.Permits.(*permit.Local).Install(v)
+	if err := b.proxy.lastCheck(at)(); !errors.Is(err, errNoPermit) {
+		t.Fatalf("the first byte would go out: %v", err)
+	}
+	at.release(permit.EndNotProven)
+}
--- a/pkg/serviceproxy/send.go
+++ b/pkg/serviceproxy/send.go
@@ -14,7 +14,7 @@
 	p.event(EventSend, c, at.host.Name, "")
 	limited, cancel := context.WithTimeout(ctx, c.timeout())
 	defer cancel()
-	answer, err := p.transport.Once(limited, c.request(at.host), p.lastCheck(at.host), p.config.MaxAnswer)
+	answer, err := p.transport.Once(limited, c.request(at.host), p.lastCheck(at), p.config.MaxAnswer)
 	at.release(p.permitEnd(at.host, err))
 	o := p.ended(answer, err)
 	p.event(EventEnd, c, at.host.Name, o)
