Put the links between processes under mutual TLS

Cause: keepers and gates opened every link plain and refused settings that asked for protection. Change: keepers, gates and stand-ins open their links by access.Links: raft, sync, records and operators' commands, hand-over between gates, and upstreams' announcements. A process starts with a certificate of its own role, deployment and, for a gate, name alone; an upstream announces only the host that its certificate names. A request for a gate is told from one for an upstream by the address, and a gate's address stays known when it leaves the view. HTTP servers' own lines go through the logger. Ruled out: TLS on the callers' port, which stays behind the platform's balancer; TLS to upstreams for requests and orders, as upstreams serve plain HTTP. Conclusion: settings that ask for protection get it.

--- a/cmd/sesame-fake/engine.go
+++ b/cmd/sesame-fake/engine.go
@@ -37,7 +37,8 @@
 	CacheBlocks   int           `help:"Prefix blocks in the cache." default:"4096"`
 	ColdTime      time.Duration `help:"Time from the start until warm." default:"5s"`
 	ColdBatch     int           `help:"Requests that a cold engine bears." default:"4"`
-	LogLevel      string        `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
+	linkFlags
+	LogLevel string `help:"Least level of log lines." enum:"debug,info,warn,error" default:"info"`
 }
 
 // Run serves until the process is told to stop.
@@ -46,14 +47,18 @@
 	if err != nil {
 		return err
 	}
-	e := engine.New(c.options(l.Addr().String()))
+	dial, err := c.dialGates()
+	if err != nil {
+		return err
+	}
+	e := engine.New(c.options(l.Addr().String(), dial))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	log.Info("engine member listens", "name", c.Name, "address", l.Addr(), "incarnation", e.Incarnation())
 	return serveEngine(ctx, e, l)
 }
 
-func (c *engineCommand) options(address string) engine.Options {
+func (c *engineCommand) options(address string, dialGates dialFunc) engine.Options {
 	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
 	level, err := log.ParseLevel(c.LogLevel)
 	if err == nil {
@@ -69,6 +74,7 @@
 		FabricDomain:  c.FabricDomain,
 		Address:       address,
 		Gates:         c.Gates,
+		Dial:          gatesOr(c.Gates, dialGates),
 		IgnoreFence:   c.IgnoreFence,
 		LoadRate:      c.LoadRate,
 		Model:         m,
--- a/cmd/sesame-fake/service.go
+++ b/cmd/sesame-fake/service.go
@@ -21,6 +21,7 @@
 	Service       string   `help:"Name of the service object." required:""`
 	FailureDomain string   `help:"Failure domain of the host." required:""`
 	Gates         []string `help:"Addresses of gates to announce to, host:port." sep:","`
+	linkFlags
 }
 
 // Run serves until the process is told to stop.
@@ -29,6 +30,10 @@
 	if err != nil {
 		return err
 	}
+	dial, err := c.dialGates()
+	if err != nil {
+		return err
+	}
 	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -41,6 +46,7 @@
 		},
 		Listener: l,
 		Gates:    c.Gates,
+		Client:   announcer(dial),
 		Logger:   logger.With("host", c.Name),
 	})
 	logger.Info("service host listens", "name", c.Name, "service", c.Service, "address", l.Addr())
--- /dev/null
+++ b/pkg/access/dial.go
@@ -0,0 +1,41 @@
+package access
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/rotisserie/eris"
+)
+
+// dialFunc opens a connection to host:port.
+type dialFunc = func(ctx context.Context, address string) (net.Conn, error)
+
+// dialTCP opens a plain connection.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Over returns a function that connects as Dial's does, over connections that
+// inner opens.
+func (s *Source) Over(inner dialFunc, roles ...Role) dialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, eris.Wrap(err, "address")
+		}
+		raw, err := inner(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		protected := tls.Client(raw, s.clientConfig(host, roles))
+		if err := protected.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, eris.Wrap(err, "TLS handshake")
+		}
+		return protected, nil
+	}
+}
--- a/pkg/access/errors.go
+++ b/pkg/access/errors.go
@@ -7,6 +7,8 @@
 	ErrIdentity = eris.New("certificate names no holder")
 	// ErrCluster says that the other side is of another deployment.
 	ErrCluster = eris.New("certificate is of another deployment")
+	// ErrOwn says that a process was given the certificate of another one.
+	ErrOwn = eris.New("certificate is not this process's")
 	// ErrNoPeer says that the other side showed no certificate.
 	ErrNoPeer = eris.New("no certificate was shown")
 	// ErrExists says that a file would be overwritten.
--- a/pkg/access/identity.go
+++ b/pkg/access/identity.go
@@ -42,9 +42,9 @@
 	return Identity{}, ErrIdentity
 }
 
-// peerIdentity reads the holder at the other end of a connection whose
+// PeerOf reads the holder at the other end of a connection whose
 // handshake is over.
-func peerIdentity(state tls.ConnectionState) (Identity, error) {
+func PeerOf(state tls.ConnectionState) (Identity, error) {
 	if len(state.VerifiedChains) == 0 || len(state.PeerCertificates) == 0 {
 		return Identity{}, ErrNoPeer
 	}
--- a/pkg/access/links.go
+++ b/pkg/access/links.go
@@ -53,14 +53,35 @@
 
 // Dial returns a function that connects to servers in the roles; no roles
 // stand for all. It fits rpc.DialFunc.
-func (l *Links) Dial(roles ...Role) func(ctx context.Context, address string) (net.Conn, error) {
-	if l.source != nil {
-		return l.source.Dial(roles...)
+func (l *Links) Dial(roles ...Role) dialFunc { return l.Over(dialTCP, roles...) }
+
+// Over returns a function that connects as Dial's does, over connections that
+// inner opens.
+func (l *Links) Over(inner dialFunc, roles ...Role) dialFunc {
+	if l.source == nil {
+		return inner
+	}
+	return l.source.Over(inner, roles...)
+}
+
+// Expect tells whether the process's own certificate is of a role, a
+// deployment and a name, "" for any name. Plain links hold no certificate.
+func (l *Links) Expect(role Role, cluster, name string) error {
+	if l.source == nil {
+		return nil
+	}
+	id := l.source.Identity()
+	if id.Role != role || id.Cluster != cluster || name != "" && id.Name != name {
+		return eris.Wrapf(ErrOwn, "it is of %s in %s, and this is %s/%s in %s", id, id.Cluster, role, orAny(name), cluster)
 	}
-	d := &net.Dialer{Timeout: dialTimeout}
-	return func(ctx context.Context, address string) (net.Conn, error) {
-		return d.DialContext(ctx, "tcp", address)
+	return nil
+}
+
+func orAny(name string) string {
+	if name == "" {
+		return "*"
 	}
+	return name
 }
 
 // Authorize tells whether the other end of a connection may call a method. On
--- a/pkg/access/source.go
+++ b/pkg/access/source.go
@@ -118,7 +118,7 @@
 // verify checks who the other side is, after its chain was verified.
 func (m *material) verify(roles []Role) func(tls.ConnectionState) error {
 	return func(state tls.ConnectionState) error {
-		id, err := peerIdentity(state)
+		id, err := PeerOf(state)
 		if err != nil {
 			return err
 		}
@@ -135,19 +135,7 @@
 // Dial returns a function that connects to host:port of a server in one of
 // the roles; no roles stand for all. The server's certificate must hold the
 // host's IP number. It fits rpc.DialFunc.
-func (s *Source) Dial(roles ...Role) func(ctx context.Context, address string) (net.Conn, error) {
-	return func(ctx context.Context, address string) (net.Conn, error) {
-		host, _, err := net.SplitHostPort(address)
-		if err != nil {
-			return nil, eris.Wrap(err, "address")
-		}
-		d := &tls.Dialer{
-			NetDialer: &net.Dialer{Timeout: dialTimeout},
-			Config:    s.clientConfig(host, roles),
-		}
-		return d.DialContext(ctx, "tcp", address)
-	}
-}
+func (s *Source) Dial(roles ...Role) dialFunc { return s.Over(dialTCP, roles...) }
 
 // Peer returns the identity at the other end of a connection, after its
 // handshake.
@@ -159,5 +147,5 @@
 	if err := t.HandshakeContext(ctx); err != nil {
 		return Identity{}, eris.Wrap(err, "TLS handshake")
 	}
-	return peerIdentity(t.ConnectionState())
+	return PeerOf(t.ConnectionState())
 }
--- a/pkg/gate/config.go
+++ b/pkg/gate/config.go
@@ -41,6 +41,8 @@
 	Limits    Limits
 	Listeners Listeners
 	Dial      rpc.DialFunc // to upstreams; nil: TCP
+	// Authorizer is asked before each call at the RPC port; nil: all may call.
+	Authorizer rpc.Authorizer
 }
 
 // Limits bounds what callers may send and how long a shutdown takes.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -52,7 +52,7 @@
 // New returns a gate without request handlers.
 func New(c Config) *Gate {
 	client := upstreamClient(c.Dial)
-	g := &Gate{config: c, logger: c.Logger, registry: newRegistry(c.Clock), client: client, rpc: rpc.NewServer()}
+	g := &Gate{config: c, logger: c.Logger, registry: newRegistry(c.Clock), client: client, rpc: newRPC(c)}
 	g.courier = newCourier(c.Clock, client, c.Events, c.Logger)
 	g.syncer = &syncer{
 		self:     c.Self,
@@ -71,6 +71,13 @@
 	return g
 }
 
+func newRPC(c Config) *rpc.Server {
+	if c.Authorizer == nil {
+		return rpc.NewServer(rpc.WithLogger(c.Logger))
+	}
+	return rpc.NewServer(rpc.WithLogger(c.Logger), rpc.WithAuthorizer(c.Authorizer))
+}
+
 // upstreamClient returns a client for upstreams, which are named by IP address
 // and never asked by way of a proxy.
 func upstreamClient(dial rpc.DialFunc) *http.Client {
@@ -165,7 +172,7 @@
 		h.RegisterCallers(callers)
 		h.RegisterPeers(peers)
 	}
-	a := &announcements{self: g.config.Self.Name, registry: g.registry, events: g.config.Events}
+	a := &announcements{self: g.config.Self.Name, registry: g.registry, events: g.config.Events, logger: g.logger}
 	a.register(upstreams)
 	g.callers = g.server(http.MaxBytesHandler(callers, g.config.Limits.MaxBodyBytes))
 	g.peers = g.server(peers)
@@ -184,6 +191,7 @@
 		Handler:           h,
 		ReadHeaderTimeout: g.config.Limits.HeaderTimeout,
 		MaxHeaderBytes:    g.config.Limits.MaxHeaderBytes,
+		ErrorLog:          g.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 	}
 }
 
--- a/pkg/gate/listeners.go
+++ b/pkg/gate/listeners.go
@@ -5,6 +5,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/netutil"
+
+	"github.com/sesamemux/sesamemux/pkg/access"
 )
 
 // Listeners are the ports of a gate.
@@ -20,19 +22,22 @@
 	Callers, Peers, Upstreams, RPC string
 }
 
-// Listen opens all ports, or none.
-func Listen(a Addresses, maxConnections int) (Listeners, error) {
+// Listen opens all ports, or none. Callers need no certificate of ours, other
+// gates and upstreams one in their role; the RPC port takes every role, and the
+// server behind it asks what each may call.
+func Listen(a Addresses, maxConnections int, links *access.Links) (Listeners, error) {
 	var l Listeners
 	for _, p := range []struct {
 		address string
 		to      *net.Listener
+		open    func(address string) (net.Listener, error)
 	}{
-		{a.Callers, &l.Callers},
-		{a.Peers, &l.Peers},
-		{a.Upstreams, &l.Upstreams},
-		{a.RPC, &l.RPC},
+		{a.Callers, &l.Callers, listenPlain},
+		{a.Peers, &l.Peers, listenTo(links, access.Gate)},
+		{a.Upstreams, &l.Upstreams, listenTo(links, access.Upstream)},
+		{a.RPC, &l.RPC, listenTo(links)},
 	} {
-		opened, err := net.Listen("tcp", p.address)
+		opened, err := p.open(p.address)
 		if err != nil {
 			l.Close()
 			return Listeners{}, eris.Wrap(err, "listen")
@@ -43,6 +48,12 @@
 	return l, nil
 }
 
+func listenPlain(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func listenTo(l *access.Links, roles ...access.Role) func(string) (net.Listener, error) {
+	return func(address string) (net.Listener, error) { return l.Listen(address, roles...) }
+}
+
 // Close closes the ports that are open.
 func (l Listeners) Close() {
 	for _, open := range []net.Listener{l.Callers, l.Peers, l.Upstreams, l.RPC} {
--- a/pkg/gatedaemon/daemon.go
+++ b/pkg/gatedaemon/daemon.go
@@ -10,14 +10,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sesamemux/sesamemux/pkg/access"
 	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
 	"github.com/sesamemux/sesamemux/pkg/gate"
 	"github.com/sesamemux/sesamemux/pkg/introspect"
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/logging"
 	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/proxy"
-	"github.com/sesamemux/sesamemux/pkg/rpc"
 	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
 	"github.com/sesamemux/sesamemux/pkg/settings"
 	"github.com/sesamemux/sesamemux/pkg/suspect"
@@ -39,27 +40,48 @@
 }
 
 func run(ctx context.Context, s settings.Gate, logger *log.Logger) error {
-	events, err := newRecorder(s)
+	links, err := openLinks(s, logger)
 	if err != nil {
 		return err
 	}
-	defer events.Close()
 	listeners, err := gate.Listen(gate.Addresses{
 		Callers:   s.HTTPListen,
 		Peers:     s.PeerListen,
 		Upstreams: s.UpstreamListen,
 		RPC:       s.RPCListen,
-	}, s.MaxConnections)
+	}, s.MaxConnections, links)
+	if err != nil {
+		return err
+	}
+	return runOn(ctx, s, links, listeners, logger)
+}
+
+// runOn runs a gate that is reached by open ports.
+func runOn(ctx context.Context, s settings.Gate, links *access.Links, listeners gate.Listeners, logger *log.Logger) error {
+	defer listeners.Close()
+	events, err := newRecorder(s)
 	if err != nil {
 		return err
 	}
-	d := build(s, listeners, events, logger)
+	defer events.Close()
+	d := build(s, links, listeners, events, logger)
 	introspect.ServeTimeline(d.gate.RPC(), "gate/"+s.Name, events)
 	events.Record(timeline.Event{Kind: timeline.ProcessStarted})
-	logger.Info("gate started", "callers", s.HTTPListen, "upstreams", s.UpstreamListen)
+	logger.Info("gate started", "callers", s.HTTPListen, "upstreams", s.UpstreamListen, "protected", links.Protected())
 	return d.serve(ctx, s.MetricsListen)
 }
 
+// openLinks opens the gate's links to other processes.
+func openLinks(s settings.Gate, logger *log.Logger) (*access.Links, error) {
+	links, err := access.OpenLinks(s.TLS, func(err error) {
+		logger.Error("TLS files can't be read; the last good ones stay", "err", err)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return links, links.Expect(access.Gate, s.Cluster, s.Name)
+}
+
 func newRecorder(s settings.Gate) (*timeline.Recorder, error) {
 	o := timeline.Options{Process: "gate/" + s.Name, FailureDomain: s.FailureDomain}
 	if s.DataDir != "" {
@@ -71,6 +93,7 @@
 // daemon is a gate with its handlers.
 type daemon struct {
 	gate     *gate.Gate
+	targets  *targetDialer
 	models   *proxy.Proxy
 	services serviceHandlers
 	suspects *suspects
@@ -78,7 +101,7 @@
 }
 
 // build joins the parts of a gate.
-func build(s settings.Gate, l gate.Listeners, events *timeline.Recorder, logger *log.Logger) *daemon {
+func build(s settings.Gate, links *access.Links, l gate.Listeners, events *timeline.Recorder, logger *log.Logger) *daemon {
 	self := view.Gate{
 		Name:          view.GateName(s.Name),
 		Incarnation:   view.Incarnation(time.Now().UnixNano()),
@@ -86,7 +109,7 @@
 		PeerAddress:   s.PeerListen,
 		RPCAddress:    s.RPCListen,
 	}
-	dial := rpc.DialTCP(nil)
+	dial := links.Dial(access.Keeper)
 	local := permit.NewLocal(self.Name)
 	g := gate.New(gate.Config{
 		Self:      self,
@@ -97,13 +120,17 @@
 		Source:    &source{permits: local},
 		Limits:    limits(s),
 		Listeners: l,
+
+		Authorizer: links,
 	})
+	targets := newTargetDialer(links, g.View)
 	// Calls for records and suspects have connections of their own: a sync
 	// that the leader holds back does not delay them.
 	caller := leader.NewCaller(s.Keepers, dial)
 	guard := suspect.NewGuard(self.Name, g.View)
 	d := &daemon{
 		gate:     g,
+		targets:  targets,
 		suspects: newSuspects(guard, caller, logger),
 		metrics:  prometheus.NewRegistry(),
 	}
@@ -118,6 +145,7 @@
 		Recorder: &recorder{timeline: events},
 		Log:      logger,
 		Metrics:  d.metrics,
+		Dial:     targets.dial,
 		Options:  proxy.Options{MaxRequestTime: s.MaxRequestTime, MaxBody: s.MaxBodyBytes},
 	})
 	services := serviceproxy.New(serviceproxy.Config{
@@ -128,6 +156,7 @@
 		Records:     &records{caller: caller},
 		Permits:     local,
 		Timeline:    &serviceRecorder{timeline: events},
+		Transport:   plaincall.New(targets.dialService),
 		Logger:      logger,
 		Registerer:  d.metrics,
 		MaxBody:     s.MaxBodyBytes,
@@ -161,7 +190,7 @@
 	work.Go(func() error { return introspect.HTTP(running, metricsAddress, d.metrics, d.gate.Ready) })
 	work.Go(func() error {
 		defer stop()
-		return d.gate.Serve(ctx, modelHandlers{d.models}, d.services)
+		return d.gate.Serve(ctx, modelHandlers{d.models, d.targets}, d.services)
 	})
 	return work.Wait()
 }
--- a/pkg/gatedaemon/model_handlers.go
+++ b/pkg/gatedaemon/model_handlers.go
@@ -15,6 +15,13 @@
 // modelHandlers serves model requests as gate.Handlers.
 type modelHandlers struct {
 	*proxy.Proxy
+	targets *targetDialer
+}
+
+// ViewChanged implements gate.Handlers.
+func (m modelHandlers) ViewChanged() {
+	m.targets.learn()
+	m.Proxy.ViewChanged()
 }
 
 // RegisterCallers implements gate.Handlers.
--- a/pkg/keeper/daemon.go
+++ b/pkg/keeper/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sesamemux/sesamemux/pkg/access"
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/introspect"
 	"github.com/sesamemux/sesamemux/pkg/logging"
@@ -48,16 +49,26 @@
 }
 
 func runDaemon(ctx context.Context, s settings.Keeper, logger *log.Logger) error {
-	recorder, err := newRecorder(s)
+	links, err := openLinks(s, logger)
 	if err != nil {
 		return err
 	}
-	defer recorder.Close()
-	listener, err := net.Listen("tcp", s.RPCListen)
+	listener, err := links.Listen(s.RPCListen)
 	if err != nil {
 		return eris.Wrap(err, "listen for RPC")
 	}
-	dial := rpc.DialTCP(nil)
+	return runOn(ctx, s, links, listener, logger)
+}
+
+// runOn runs a keeper that is reached by a listener.
+func runOn(ctx context.Context, s settings.Keeper, links *access.Links, listener net.Listener, logger *log.Logger) error {
+	defer func() { _ = listener.Close() }()
+	recorder, err := newRecorder(s)
+	if err != nil {
+		return err
+	}
+	defer recorder.Close()
+	dial := links.Dial(access.Keeper)
 	transport := NewTransport(dial)
 	defer transport.Close()
 	store := state.NewStore()
@@ -76,14 +87,25 @@
 		Events: TimelineEvents{Recorder: recorder},
 		Logger: logger,
 	})
-	server := rpc.NewServer()
+	server := rpc.NewServer(rpc.WithAuthorizer(links), rpc.WithLogger(logger))
 	k.Register(server)
 	introspect.ServeTimeline(server, processName(s), recorder)
-	logger.Info("keeper started", "rpc", listener.Addr(), "data", s.DataDir)
+	logger.Info("keeper started", "rpc", listener.Addr(), "data", s.DataDir, "protected", links.Protected())
 	recorder.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	return serve(ctx, k, node, server, listener)
 }
 
+// openLinks opens the keeper's links to other processes.
+func openLinks(s settings.Keeper, logger *log.Logger) (*access.Links, error) {
+	links, err := access.OpenLinks(s.TLS, func(err error) {
+		logger.Error("TLS files can't be read; the last good ones stay", "err", err)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return links, links.Expect(access.Keeper, s.Cluster, "")
+}
+
 func newRecorder(s settings.Keeper) (*timeline.Recorder, error) {
 	o := timeline.Options{Process: processName(s), FailureDomain: s.FailureDomain}
 	if s.TimelineDir != "" {
--- /dev/null
+++ b/pkg/keeper/links_test.go
@@ -0,0 +1,110 @@
+package keeper
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/sesamemux/sesamemux/pkg/access"
+	"github.com/sesamemux/sesamemux/pkg/access/accesstest"
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/logging"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
+	"github.com/sesamemux/sesamemux/pkg/settings"
+)
+
+// TestKeeperTakesItsOwnCertificateAlone starts keepers with files that must not
+// protect them, or don't.
+func TestKeeperTakesItsOwnCertificateAlone(t *testing.T) {
+	shops := accesstest.New(t, "shops")
+	missing := shops.Issue(access.Keeper, "k1")
+	missing.Key += ".none"
+	for name, files := range map[string]settings.TLS{
+		"a gate's":                   shops.Issue(access.Gate, "g1"),
+		"an operator's":              shops.Issue(access.Operator, "ana"),
+		"another deployment's":       accesstest.New(t, "other").Issue(access.Keeper, "k1"),
+		"one whose key is not there": missing,
+	} {
+		s := settings.Keeper{ID: 1, Cluster: "shops", RPCListen: "127.0.0.1:0", DataDir: t.TempDir(), TLS: files}
+		if err := RunDaemon(t.Context(), s, io.Discard); err == nil {
+			t.Errorf("a keeper ran with the certificate %s", name)
+		}
+	}
+}
+
+// startKeeper runs a keeper that is a quorum by itself, and returns its address.
+func startKeeper(t *testing.T, links *access.Links) string {
+	t.Helper()
+	listener, err := links.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := settings.Default[settings.Keeper]()
+	s.ID, s.Cluster, s.FailureDomain, s.MetricsListen = 1, "shops", "fd-a", ""
+	s.DataDir = t.TempDir()
+	s.RPCListen = listener.Addr().String()
+	s.Peers = []settings.Peer{{ID: 1, Address: s.RPCListen}}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- runOn(ctx, s, links, listener, logging.New(io.Discard, logging.Options{})) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return s.RPCListen
+}
+
+// Endings of a call.
+const (
+	answered  = "answered"
+	denied    = "denied"
+	unreached = "no connection"
+)
+
+func ending(err error) string {
+	var coded *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return answered
+	case !eris.As(err, &coded):
+		return unreached
+	case coded.Code == control.CodeDenied:
+		return denied
+	}
+	return coded.Message
+}
+
+// TestKeeperUnderTLS asks a keeper for its state and for a change of it.
+func TestKeeperUnderTLS(t *testing.T) {
+	shops := accesstest.New(t, "shops")
+	address := startKeeper(t, shops.Links(access.Keeper, "k1"))
+	plain := &access.Links{}
+	for _, c := range []struct {
+		name   string
+		links  *access.Links
+		method control.Method
+		want   string
+	}{
+		{"operator", shops.Links(access.Operator, "ana"), control.MethodKeeperStatus, answered},
+		{"gate as operator", shops.Links(access.Gate, "g1"), control.MethodDrain, denied},
+		{"upstream as gate", shops.Links(access.Upstream, "u1"), control.MethodGateSync, denied},
+		{"operator as keeper", shops.Links(access.Operator, "eva"), control.MethodRaft, denied},
+		{"plain", plain, control.MethodKeeperStatus, unreached},
+		{"another deployment", accesstest.New(t, "shops").Links(access.Operator, "ana"), control.MethodKeeperStatus, unreached},
+	} {
+		client := rpc.NewClient(address, c.links.Dial(access.Keeper))
+		defer client.Close()
+		err := client.Call(t.Context(), string(c.method), struct{}{}, nil)
+		for c.want != unreached && ending(err) == unreached { // a busy machine
+			err = client.Call(t.Context(), string(c.method), struct{}{}, nil)
+		}
+		if got := ending(err); got != c.want {
+			t.Errorf("%s: %s, want %s: %v", c.name, got, c.want, err)
+		}
+	}
+}
--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -96,6 +96,6 @@
 	for _, k := range g.Keepers {
 		links = append(links, endpoint{"keepers", k})
 	}
-	list := g.TLS.daemonConflicts(links)
+	list := g.TLS.conflicts(links)
 	return append(list, g.TLS.plainConflicts([]endpoint{{"http_listen", g.HTTPListen}})...)
 }
--- a/pkg/settings/keeper.go
+++ b/pkg/settings/keeper.go
@@ -59,7 +59,7 @@
 	for _, p := range k.Peers {
 		links = append(links, endpoint{"peers", p.Address})
 	}
-	list := k.TLS.daemonConflicts(links)
+	list := k.TLS.conflicts(links)
 	seen := make(map[uint64]bool)
 	for _, p := range k.Peers {
 		if seen[p.ID] {
--- a/pkg/settings/tls.go
+++ b/pkg/settings/tls.go
@@ -28,20 +28,6 @@
 	}
 }
 
-// daemonsProtect tells whether keepers and gates open their links under TLS.
-// While they don't, settings that ask for it are refused: a process must not
-// run plain where its operator believes it protected.
-const daemonsProtect = false
-
-// daemonConflicts are the conflicts of a daemon's links.
-func (t *TLS) daemonConflicts(links []endpoint) []Conflict {
-	if t.Enabled() && !daemonsProtect {
-		return []Conflict{{"tls_cert", "this version does not protect links between daemons; leave the tls keys out, " +
-			"and say allow_plain = yes if the addresses are on a network of your own"}}
-	}
-	return t.conflicts(links)
-}
-
 // endpoint is one address that the process listens on.
 type endpoint struct {
 	key, address string
