Answer operators at any gate with the address of a keeper

Cause: sesamectl with a gate as its only server got unknown method. Change: a gate answers what operators ask of keepers with CodeNotLeader and the keeper that it syncs with; sesamectl keeper status follows the hint and leaves the gate out. Ruled out: passing requests on, as the right to a change is the operator's own and a reply could get lost twice. Conclusion: any gate leads sesamectl to the leader.

--- a/pkg/access/access_test.go
+++ b/pkg/access/access_test.go
@@ -164,6 +164,9 @@
 		control.MethodDrain, control.MethodRestore, control.MethodStatus, control.MethodWait, control.MethodKeeperReplace,
 		control.MethodKeeperStatus, control.MethodQuarantineList, control.MethodQuarantineRelease, control.MethodTimeline,
 	}
+	if asked := append(control.OperatorMethods(), control.MethodTimeline); !slices.Equal(asked, forOperators) {
+		t.Errorf("gates answer operators' %v, want %v", asked, forOperators)
+	}
 	for _, m := range all {
 		if len(callers[m]) == 0 {
 			t.Errorf("nobody may call %s; add it to callers", m)
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -100,6 +100,17 @@
 	}
 }
 
+// TestKeepersAreFoundThroughAGate asks a gate, which names a keeper and is no
+// keeper itself.
+func TestKeepersAreFoundThroughAGate(t *testing.T) {
+	cl := newCluster(follower, leader)
+	cl.stubs[follower].faults = repeat(answer(control.CodeNotLeader, control.NotLeader{Leader: leader}))
+	o := play(t, cl, "keeper", "status", "--servers="+follower)
+	if o.code != ExitOK || !strings.Contains(o.out, leader) || strings.Contains(o.out, follower) {
+		t.Fatalf("exit %d\n%s%s", o.code, o.out, o.errOut)
+	}
+}
+
 // repeat makes a fault last longer than any command.
 func repeat(f fault) []fault {
 	list := make([]fault, 1000)
--- a/pkg/ctl/keeper.go
+++ b/pkg/ctl/keeper.go
@@ -47,7 +47,8 @@
 	return err
 }
 
-// askKeepers asks the known servers, and those that their answers name.
+// askKeepers asks the known servers, and those that their answers name. Gates
+// name a keeper and are left out.
 func (s *session) askKeepers() []keeperAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Timeout)
 	defer cancel()
@@ -56,21 +57,31 @@
 	for i := 0; i < len(pending); i++ {
 		a := keeperAnswer{Address: pending[i]}
 		var status control.KeeperStatus
-		if err := s.caller.ask(ctx, a.Address, control.MethodKeeperStatus, struct{}{}, &status); err != nil {
+		err := s.caller.ask(ctx, a.Address, control.MethodKeeperStatus, struct{}{}, &status)
+		if hint, isGate := leaderHint(err); isGate {
+			pending = appendNew(pending, hint)
+			continue
+		}
+		if err != nil {
 			a.Error = shortError(err)
 		} else {
 			a.Status = &status
 		}
 		answers = append(answers, a)
 		for _, m := range status.Members {
-			if !slices.Contains(pending, m.Address) {
-				pending = append(pending, m.Address)
-			}
+			pending = appendNew(pending, m.Address)
 		}
 	}
 	return answers
 }
 
+func appendNew(list []string, address string) []string {
+	if address == "" || slices.Contains(list, address) {
+		return list
+	}
+	return append(list, address)
+}
+
 func writeKeepers(w io.Writer, answers []keeperAnswer) {
 	t := newTable(w, "ADDRESS\tID\tROLE\tLEADER\tTERM\tCOMMIT\tAPPLIED")
 	for _, a := range answers {
--- a/pkg/ctl/search.go
+++ b/pkg/ctl/search.go
@@ -54,13 +54,27 @@
 // follow takes the named leader as the next server, but for answers that lead
 // round in circles.
 func (s *search) follow(from string, coded *jsonrpc2.Error) {
-	var d control.NotLeader
-	if !decodeData(coded, &d) || d.Leader == "" || d.Leader == from || s.hops >= maxHops {
+	hint, _ := leaderHint(coded)
+	if hint == "" || hint == from || s.hops >= maxHops {
 		s.hops = 0
 		return
 	}
 	s.hops++
-	s.hint = d.Leader
+	s.hint = hint
+}
+
+// leaderHint tells whether an error says that the server doesn't lead, and the
+// address that it names, "" if none.
+func leaderHint(err error) (string, bool) {
+	var coded *jsonrpc2.Error
+	if !errors.As(err, &coded) || coded.Code != control.CodeNotLeader {
+		return "", false
+	}
+	var d control.NotLeader
+	if !decodeData(coded, &d) {
+		return "", true
+	}
+	return d.Leader, true
 }
 
 func decodeData(e *jsonrpc2.Error, v any) bool {
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -65,6 +65,7 @@
 		events:   c.Events,
 		logger:   c.Logger,
 	}
+	refuseOperators(g.rpc, c.Caller.Address)
 	g.syncer.changed = g.viewChanged
 	g.syncer.view.Store(view.New())
 	g.watcher = newWatcher(c.Clock, client, g.View, g.registry)
--- a/pkg/leader/caller.go
+++ b/pkg/leader/caller.go
@@ -102,6 +102,13 @@
 	return c.order
 }
 
+// Address returns the host:port of the keeper that the next call goes to.
+func (c *Caller) Address() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
 func (c *Caller) client() *rpc.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
