--- /dev/null
+++ b/pkg/bench/control/gate.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	api "github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/edge/announce"
+	"github.com/sesamemux/sesamemux/pkg/leader"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+const (
+	syncWait    = 200 // ms, as gates ask for
+	syncTimeout = 2 * time.Second
+)
+
+// gate sends the sync messages of one gate that hears some hosts.
+type gate struct {
+	self   view.Gate
+	caller *leader.Caller
+	hosts  []view.HostName
+	bytes  *atomic.Int64
+	syncs  atomic.Int64
+
+	mu      sync.Mutex
+	view    *view.View
+	inForce map[view.Revision]time.Time
+}
+
+func newGate(c *cluster, number, hosts int, bytes *atomic.Int64) *gate {
+	g := &gate{
+		self:    view.Gate{Name: view.GateName(fmt.Sprintf("gate-%03d", number)), Incarnation: 1, FailureDomain: "fd-a"},
+		caller:  leader.NewCaller(c.addresses, countingDial(rpc.DialTCP(nil), bytes)),
+		bytes:   bytes,
+		view:    view.New(),
+		inForce: make(map[view.Revision]time.Time),
+	}
+	for i := range hosts {
+		g.hosts = append(g.hosts, view.HostName(fmt.Sprintf("host-%03d-%02d", number, i)))
+	}
+	return g
+}
+
+// run syncs until ctx ends. Every host is heard once in announce.Interval.
+func (g *gate) run(ctx context.Context) {
+	defer g.caller.Close()
+	next := 0
+	told := make(map[view.HostName]bool)
+	last := time.Now()
+	for ctx.Err() == nil {
+		now := time.Now()
+		due := min(len(g.hosts), int(float64(len(g.hosts))*now.Sub(last).Seconds()/announce.Interval.Seconds()+0.5))
+		last = now
+		req := api.SyncRequest{Gate: g.self, InForce: g.revision(), WaitMS: syncWait}
+		for range due {
+			name := g.hosts[next%len(g.hosts)]
+			next++
+			req.Heard = append(req.Heard, heard(name, told[name]))
+		}
+		var reply api.SyncReply
+		calling, cancel := context.WithTimeout(ctx, syncTimeout)
+		err := g.caller.CallOnce(calling, api.MethodGateSync, req, &reply)
+		cancel()
+		if err != nil {
+			continue
+		}
+		g.syncs.Add(1)
+		for _, h := range req.Heard {
+			told[h.Host] = !reply.Resend
+		}
+		g.install(reply.Delta)
+	}
+}
+
+func heard(name view.HostName, known bool) api.Heard {
+	h := api.Heard{Host: name, Incarnation: 1_800_000_000_000_000_000, AgeMillis: 100}
+	if known {
+		return h
+	}
+	h.Announcement = &announce.Announcement{Host: view.Host{
+		Name:          name,
+		Incarnation:   h.Incarnation,
+		Kind:          view.KindEngine,
+		Address:       "10.20.30.40:8000",
+		FailureDomain: "fd-a",
+		FabricDomain:  "fabric-1",
+		ChecksFence:   true,
+	}}
+	return h
+}
+
+func (g *gate) revision() view.Revision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view.Revision
+}
+
+func (g *gate) install(d *view.Delta) {
+	if d == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next, err := g.view.Install(d)
+	if err != nil {
+		return
+	}
+	g.view = next
+	g.inForce[next.Revision] = time.Now()
+}
+
+// since tells how long after a moment a revision was in force here; false if
+// it is not yet.
+func (g *gate) since(r view.Revision, from time.Time) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var best time.Duration
+	found := false
+	for revision, at := range g.inForce {
+		if revision < r {
+			continue
+		}
+		if d := at.Sub(from); !found || d < best {
+			best, found = d, true
+		}
+	}
+	return best, found
+}
