Confirm the leadership for many syncs by one round

Cause: each sync asked for a confirming round of its own: 200 rounds a second with 40 gates, each a message to and from both followers. Change: keeper.confirmer gathers calls for 20 ms before it begins a round. The round still begins after every call that it serves. The bench's gates hear each host once an interval (one host was never heard) and settle before the idle measure. Ruled out: longer windows (the lease's margin and the barrier's delay grow with them); confirming by the heartbeats that go out anyway (a heartbeat sent before the request proves nothing about it).

--- a/pkg/bench/control/gate.go
+++ b/pkg/bench/control/gate.go
@@ -49,12 +49,14 @@
 // run syncs until ctx ends. Every host is heard once in announce.Interval.
 func (g *gate) run(ctx context.Context) {
 	defer g.caller.Close()
-	next := 0
+	next, credit := 0, float64(len(g.hosts))
 	told := make(map[view.HostName]bool)
 	last := time.Now()
 	for ctx.Err() == nil {
 		now := time.Now()
-		due := min(len(g.hosts), int(float64(len(g.hosts))*now.Sub(last).Seconds()/announce.Interval.Seconds()+0.5))
+		credit += float64(len(g.hosts)) * now.Sub(last).Seconds() / announce.Interval.Seconds()
+		due := min(len(g.hosts), int(credit))
+		credit -= float64(due)
 		last = now
 		req := api.SyncRequest{Gate: g.self, InForce: g.revision(), WaitMS: syncWait}
 		for range due {
--- a/pkg/bench/control/measures.go
+++ b/pkg/bench/control/measures.go
@@ -23,6 +23,8 @@
 	area = "control"
 	// idleTime is measured without changes.
 	idleTime = 5 * time.Second
+	// quietTime lets what the start stirred up settle.
+	quietTime = 4 * time.Second
 	// changeCount changes are published, one in changeGap.
 	changeCount = 12
 	changeGap   = 250 * time.Millisecond
@@ -89,6 +91,7 @@
 	if err := d.awaitReady(); err != nil {
 		return nil, err
 	}
+	time.Sleep(quietTime)
 	idle := d.idle()
 	changes, err := d.changes(ctx)
 	if err != nil {
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -39,6 +39,8 @@
 	unsafe Unsafe
 	peers  *peers
 
+	confirmer *confirmer
+
 	mu   sync.Mutex
 	term *term // nil while this keeper does not lead
 }
@@ -46,15 +48,16 @@
 // New returns a keeper; Run does its duties.
 func New(c Config) *Keeper {
 	return &Keeper{
-		log:    c.Log,
-		store:  c.Store,
-		clock:  c.Clock,
-		wall:   c.Wall,
-		timing: c.Timing,
-		events: c.Events,
-		logger: c.Logger,
-		unsafe: c.Unsafe,
-		peers:  newPeers(c.Dial),
+		log:       c.Log,
+		store:     c.Store,
+		clock:     c.Clock,
+		wall:      c.Wall,
+		timing:    c.Timing,
+		events:    c.Events,
+		logger:    c.Logger,
+		unsafe:    c.Unsafe,
+		peers:     newPeers(c.Dial),
+		confirmer: newConfirmer(c.Log),
 	}
 }
 
--- a/pkg/keeper/sync.go
+++ b/pkg/keeper/sync.go
@@ -33,8 +33,7 @@
 	if k.unsafe.NoConfirm {
 		return nil
 	}
-	_, err := k.log.ReadIndex(ctx)
-	return err
+	return k.confirmer.confirm(ctx)
 }
 
 // relaySync passes a sync on to the leader, for gates that are cut off from
