--- a/pkg/bench/control/gate.go
+++ b/pkg/bench/control/gate.go
@@ -72,6 +72,9 @@
 			continue
 		}
 		g.syncs.Add(1)
+		if reply.Leader != "" {
+			g.caller.Found(reply.Leader)
+		}
 		for _, h := range req.Heard {
 			told[h.Host] = !reply.Resend
 		}
--- a/pkg/gate/syncer.go
+++ b/pkg/gate/syncer.go
@@ -101,6 +101,9 @@
 		s.courier.putBack(results)
 		return false
 	}
+	if reply.Leader != "" {
+		s.caller.Found(reply.Leader)
+	}
 	s.registry.confirm(heard, gone, sent)
 	s.registry.trim(sent.Add(-forgetAfter))
 	if reply.Resend {
--- a/pkg/leader/caller.go
+++ b/pkg/leader/caller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
@@ -16,6 +17,10 @@
 // ErrNoLeader says that no keeper took the call and nothing was changed.
 var ErrNoLeader = eris.New("no keeper leads or none can be reached")
 
+// avoidTime is how long a keeper that could not be reached is left to others to
+// pass calls on to.
+const avoidTime = 10 * time.Second
+
 // Caller holds one client for each keeper and remembers which one leads. It is
 // safe for concurrent use.
 type Caller struct {
@@ -25,6 +30,7 @@
 	order   []string // addresses to try, in turn
 	current string
 	clients map[string]*rpc.Client
+	failed  map[string]time.Time // when an address was last moved on from
 }
 
 // NewCaller returns a caller that starts with the given keepers.
@@ -34,6 +40,7 @@
 		order:   slices.Clone(addresses),
 		current: addresses[0],
 		clients: make(map[string]*rpc.Client),
+		failed:  make(map[string]time.Time),
 	}
 }
 
@@ -51,10 +58,12 @@
 		switch {
 		case moved && hint != "":
 			c.prefer(hint)
-		case moved, eris.Is(err, rpc.ErrNotSent):
+		case moved:
 			c.next(client.Address())
+		case eris.Is(err, rpc.ErrNotSent):
+			c.avoid(client.Address())
 		case eris.Is(err, rpc.ErrNoReply):
-			c.next(client.Address())
+			c.avoid(client.Address())
 			return err
 		default:
 			return err
@@ -75,11 +84,15 @@
 	if err == nil {
 		return nil
 	}
-	if hint, moved := hintOf(err); moved && hint != "" && hint != client.Address() {
+	hint, moved := hintOf(err)
+	switch {
+	case moved && hint != "" && hint != client.Address():
 		c.prefer(hint)
-		return err
+	case moved:
+		c.next(client.Address())
+	default:
+		c.avoid(client.Address())
 	}
-	c.next(client.Address())
 	return err
 }
 
@@ -130,6 +143,26 @@
 	}
 }
 
+// Found tells which keeper leads, as one that passed a call on said. It is
+// called from then on, unless it could not be reached a short time ago.
+func (c *Caller) Found(address string) {
+	c.mu.Lock()
+	failed, ok := c.failed[address]
+	c.mu.Unlock()
+	if ok && time.Since(failed) < avoidTime {
+		return
+	}
+	c.prefer(address)
+}
+
+// avoid notes that an address could not be reached, and moves on from it.
+func (c *Caller) avoid(address string) {
+	c.mu.Lock()
+	c.failed[address] = time.Now()
+	c.mu.Unlock()
+	c.next(address)
+}
+
 // next moves on from an address, unless another call already did.
 func (c *Caller) next(from string) {
 	c.mu.Lock()
