Serve a keeper's metrics and readiness, and a gate's lease and view

Cause: metrics_listen of keepers was not served, and group downtime told no cause. Change: keepers serve their replica's state, and while they lead for sure the deployment's: downtime by cause, stranded hosts, loads, leases, barrier. A keeper is ready once it knows a leader and has applied the log that it had then.

--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -92,14 +92,16 @@
 
 // KeeperStatus is one replica's consensus state.
 type KeeperStatus struct {
-	ID      uint64   `json:"id"`
-	Address string   `json:"address"`
-	Role    string   `json:"role"` // leader, follower, candidate, learner
-	Leader  uint64   `json:"leader"`
-	Term    uint64   `json:"term"`
-	Commit  uint64   `json:"commit"`
-	Applied uint64   `json:"applied"`
-	Members []Member `json:"members"`
+	ID       uint64   `json:"id"`
+	Address  string   `json:"address"`
+	Role     string   `json:"role"` // leader, follower, candidate, learner
+	Leader   uint64   `json:"leader"`
+	Term     uint64   `json:"term"`
+	Commit   uint64   `json:"commit"`
+	Applied  uint64   `json:"applied"`
+	Last     uint64   `json:"last"`     // index of the last entry in its log
+	Snapshot uint64   `json:"snapshot"` // index of the last entry in its snapshot
+	Members  []Member `json:"members"`
 }
 
 // Member is one replica of the quorum.
--- a/pkg/gatedaemon/daemon.go
+++ b/pkg/gatedaemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/sesamemux/sesamemux/pkg/introspect"
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/logging"
+	"github.com/sesamemux/sesamemux/pkg/metrics"
 	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/proxy"
 	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
@@ -132,8 +133,11 @@
 		gate:     g,
 		targets:  targets,
 		suspects: newSuspects(guard, caller, logger),
-		metrics:  prometheus.NewRegistry(),
+		metrics:  metrics.NewRegistry(),
 	}
+	// Each figure of a gate tells the failure domain that it stands in.
+	registerer := prometheus.WrapRegistererWith(prometheus.Labels{"failure_domain": s.FailureDomain}, d.metrics)
+	registerer.MustRegister(&metrics.Gate{Lease: g.Lease(), View: g.View})
 	d.models = proxy.New(proxy.Config{
 		Gate:     self,
 		View:     g.View,
@@ -144,7 +148,7 @@
 		Crash:    d.suspects.crashed,
 		Recorder: &recorder{timeline: events},
 		Log:      logger,
-		Metrics:  d.metrics,
+		Metrics:  registerer,
 		Dial:     targets.dial,
 		Options:  proxy.Options{MaxRequestTime: s.MaxRequestTime, MaxBody: s.MaxBodyBytes},
 	})
@@ -158,7 +162,7 @@
 		Timeline:    &serviceRecorder{timeline: events},
 		Transport:   plaincall.New(targets.dialService),
 		Logger:      logger,
-		Registerer:  d.metrics,
+		Registerer:  registerer,
 		MaxBody:     s.MaxBodyBytes,
 	})
 	d.services = serviceHandlers{proxy: services, callers: serviceproxy.NewHandOver(services, local.Room)}
--- a/pkg/keeper/daemon.go
+++ b/pkg/keeper/daemon.go
@@ -92,7 +92,13 @@
 	introspect.ServeTimeline(server, processName(s), recorder)
 	logger.Info("keeper started", "rpc", listener.Addr(), "data", s.DataDir, "protected", links.Protected())
 	recorder.Record(timeline.Event{Kind: timeline.ProcessStarted})
-	return serve(ctx, k, node, server, listener)
+	return serve(ctx, duties{
+		keeper:        k,
+		node:          node,
+		server:        server,
+		listener:      listener,
+		metricsListen: s.MetricsListen,
+	})
 }
 
 // openLinks opens the keeper's links to other processes.
@@ -133,17 +139,30 @@
 	return replica.Open(cfg)
 }
 
-// serve runs the duties until ctx ends or the replica ends by itself.
-func serve(ctx context.Context, k *Keeper, node *replica.Node, server *rpc.Server, l net.Listener) error {
+// duties are what a keeper's daemon runs.
+type duties struct {
+	keeper        *Keeper
+	node          *replica.Node
+	server        *rpc.Server
+	listener      net.Listener
+	metricsListen string
+}
+
+// serve runs the duties until ctx ends or one of them fails.
+func serve(ctx context.Context, d duties) error {
 	running, stop := context.WithCancel(ctx)
 	defer stop()
 	work, running := errgroup.WithContext(running)
 	work.Go(func() error {
-		k.Run(running)
+		d.keeper.Run(running)
 		return nil
 	})
 	work.Go(func() error {
-		err := server.Serve(l)
+		probe := &readiness{status: d.keeper.replicaStatus}
+		return introspect.HTTP(running, d.metricsListen, newMetrics(d.keeper), probe.ready)
+	})
+	work.Go(func() error {
+		err := d.server.Serve(d.listener)
 		if running.Err() != nil {
 			return nil
 		}
@@ -151,13 +170,13 @@
 	})
 	work.Go(func() error {
 		defer stop()
-		defer func() { _ = l.Close() }()
-		defer server.Close()
+		defer func() { _ = d.listener.Close() }()
+		defer d.server.Close()
 		select {
-		case <-node.Done():
-			return eris.Wrap(node.Err(), "replica ended")
+		case <-d.node.Done():
+			return eris.Wrap(d.node.Err(), "replica ended")
 		case <-running.Done():
-			k.handOver()
+			d.keeper.handOver()
 			return nil
 		}
 	})
--- a/pkg/metrics/deployment.go
+++ b/pkg/metrics/deployment.go
@@ -10,10 +10,6 @@
 )
 
 var (
-	groupDowntime = prometheus.NewDesc("sesame_group_downtime_seconds_total",
-		"Time that wanted groups took no work, summed over groups.", nil, nil)
-	strandedHosts = prometheus.NewDesc("sesame_stranded_hosts",
-		"Engine hosts that could work and are outside working groups.", nil, nil)
 	groups = prometheus.NewDesc("sesame_groups",
 		"Groups by model group, state and failure domain.", []string{"model_group", "state", "failure_domain"}, nil)
 	hosts = prometheus.NewDesc("sesame_hosts",
@@ -39,7 +35,7 @@
 // Describe implements prometheus.Collector.
 func (*Deployment) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		groupDowntime, strandedHosts, groups, hosts, drains, objectRevision, viewRevision, viewBarrier, leaseLeft,
+		groups, hosts, drains, objectRevision, viewRevision, viewBarrier, leaseLeft,
 	} {
 		out <- d
 	}
@@ -54,9 +50,6 @@
 	gauge := func(desc *prometheus.Desc, v float64, labels ...string) {
 		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, v, labels...)
 	}
-	downtime := time.Duration(st.DowntimeMS) * time.Millisecond
-	out <- prometheus.MustNewConstMetric(groupDowntime, prometheus.CounterValue, downtime.Seconds())
-	gauge(strandedHosts, float64(st.StrandedHosts))
 	gauge(objectRevision, float64(st.ObjectRevision))
 	gauge(viewRevision, float64(st.ViewRevision))
 	gauge(viewBarrier, float64(st.Barrier))
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/group"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -35,9 +37,15 @@
 	return got
 }
 
+// heldLease is a lease with a time left.
+type heldLease time.Duration
+
+func (l heldLease) Valid() bool         { return l > 0 }
+func (l heldLease) Left() time.Duration { return time.Duration(l) }
+
 func TestDeploymentAndReplica(t *testing.T) {
 	st := control.Status{
-		ObjectRevision: 3, ViewRevision: 9, Barrier: 8, DowntimeMS: 1500, StrandedHosts: 2,
+		ObjectRevision: 3, ViewRevision: 9, Barrier: 8,
 		Gates:  []control.GateStatus{{Gate: view.Gate{Name: "g1", FailureDomain: "fd-a"}, LeaseLeftMS: -500}},
 		Groups: []view.Group{{ModelGroup: "m", State: view.StateServing, FailureDomain: "fd-a"}, {ModelGroup: "m", State: view.StateServing, FailureDomain: "fd-a"}},
 		Hosts:  []view.Host{{Kind: view.KindEngine, FailureDomain: "fd-a", Drained: true}, {Kind: view.KindEngine, FailureDomain: "fd-a", Leaving: true, Drained: true}},
@@ -46,26 +54,48 @@
 	leads := true
 	d := &Deployment{Status: func() (control.Status, bool) { return st, leads }}
 	r := &Replica{Status: func() control.KeeperStatus {
-		return control.KeeperStatus{Role: "leader", Term: 4, Commit: 20, Applied: 19, Members: make([]control.Member, 3)}
+		return control.KeeperStatus{Role: "leader", Term: 4, Commit: 20, Applied: 19, Last: 21, Snapshot: 10, Members: make([]control.Member, 3)}
 	}}
+	stats := group.Stats{
+		Down:   []group.CauseTime{{Cause: group.CauseDomainDark, Time: 2 * time.Second}, {Cause: group.CauseDrain, Time: 1500 * time.Millisecond}},
+		Wanted: 4, Taking: 3, Stranded: 2, StrandedTime: 7 * time.Second,
+		LoadsDone: 8, LoadsWasted: 1, LoadsRunning: 5, LoadsWaiting: 6,
+	}
+	g := &Groups{Stats: func() (group.Stats, bool) { return stats, leads }}
+	v := view.New()
+	v.Revision = 9
+	gate := &Gate{Lease: heldLease(2500 * time.Millisecond), View: func() *view.View { return v }}
 	want := map[string]float64{
-		"sesame_group_downtime_seconds_total{}":   1.5,
-		"sesame_stranded_hosts{}":                 2,
-		"sesame_object_revision{}":                3,
-		"sesame_view_revision{}":                  9,
-		"sesame_view_barrier{}":                   8,
-		"sesame_gate_lease_left_seconds{fd-a,g1}": -0.5,
-		"sesame_groups{fd-a,m,serving}":           2,
-		"sesame_hosts{fd-a,engine,drained}":       1,
-		"sesame_hosts{fd-a,engine,leaving}":       1,
-		"sesame_drains{failure-domain}":           1,
-		"sesame_keeper_leads{}":                   1,
-		"sesame_keeper_term{}":                    4,
-		"sesame_keeper_commit_index{}":            20,
-		"sesame_keeper_applied_index{}":           19,
-		"sesame_keeper_members{}":                 3,
+		"sesame_group_downtime_seconds_total{drain}":       1.5,
+		"sesame_group_downtime_seconds_total{domain-dark}": 2,
+		"sesame_groups_wanted{}":                           4,
+		"sesame_groups_taking_work{}":                      3,
+		"sesame_stranded_hosts{}":                          2,
+		"sesame_stranded_host_seconds_total{}":             7,
+		"sesame_group_loads_total{done}":                   8,
+		"sesame_group_loads_total{wasted}":                 1,
+		"sesame_group_loads_running{}":                     5,
+		"sesame_group_loads_waiting{}":                     6,
+		"sesame_lease_held{}":                              1,
+		"sesame_lease_remaining_seconds{}":                 2.5,
+		"sesame_view_in_force{}":                           9,
+		"sesame_keeper_last_index{}":                       21,
+		"sesame_keeper_snapshot_index{}":                   10,
+		"sesame_object_revision{}":                         3,
+		"sesame_view_revision{}":                           9,
+		"sesame_view_barrier{}":                            8,
+		"sesame_gate_lease_left_seconds{fd-a,g1}":          -0.5,
+		"sesame_groups{fd-a,m,serving}":                    2,
+		"sesame_hosts{fd-a,engine,drained}":                1,
+		"sesame_hosts{fd-a,engine,leaving}":                1,
+		"sesame_drains{failure-domain}":                    1,
+		"sesame_keeper_leads{}":                            1,
+		"sesame_keeper_term{}":                             4,
+		"sesame_keeper_commit_index{}":                     20,
+		"sesame_keeper_applied_index{}":                    19,
+		"sesame_keeper_members{}":                          3,
 	}
-	got := gather(t, d, r)
+	got := gather(t, d, r, g, gate)
 	for name, v := range want {
 		if have, ok := got[name]; !ok || have != v {
 			t.Errorf("%s is %v, want %v", name, have, v)
@@ -75,7 +105,7 @@
 		t.Errorf("%d metrics, want %d: %v", len(got), len(want), got)
 	}
 	leads = false
-	if got := gather(t, d); len(got) != 0 {
+	if got := gather(t, d, g); len(got) != 0 {
 		t.Errorf("a keeper that does not lead gives %v", got)
 	}
 }
--- /dev/null
+++ b/pkg/metrics/process.go
@@ -0,0 +1,14 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+// NewRegistry returns a registry with the figures of the process itself: its
+// memory, processor time, files and goroutines.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
--- a/pkg/metrics/replica.go
+++ b/pkg/metrics/replica.go
@@ -18,6 +18,10 @@
 		"Index of the last entry that this keeper knows to be committed.", nil, nil)
 	replicaApplied = prometheus.NewDesc("sesame_keeper_applied_index",
 		"Index of the last entry that this keeper has applied.", nil, nil)
+	replicaLast = prometheus.NewDesc("sesame_keeper_last_index",
+		"Index of the last entry in this keeper's log.", nil, nil)
+	replicaSnapshot = prometheus.NewDesc("sesame_keeper_snapshot_index",
+		"Index of the last entry that this keeper's snapshot holds.", nil, nil)
 	replicaMembers = prometheus.NewDesc("sesame_keeper_members",
 		"Replicas of the quorum as this keeper knows them.", nil, nil)
 )
@@ -29,7 +33,7 @@
 
 // Describe implements prometheus.Collector.
 func (*Replica) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{replicaLeads, replicaTerm, replicaCommit, replicaApplied, replicaMembers} {
+	for _, d := range []*prometheus.Desc{replicaLeads, replicaTerm, replicaCommit, replicaApplied, replicaLast, replicaSnapshot, replicaMembers} {
 		out <- d
 	}
 }
@@ -48,5 +52,7 @@
 	gauge(replicaTerm, float64(st.Term))
 	gauge(replicaCommit, float64(st.Commit))
 	gauge(replicaApplied, float64(st.Applied))
+	gauge(replicaLast, float64(st.Last))
+	gauge(replicaSnapshot, float64(st.Snapshot))
 	gauge(replicaMembers, float64(len(st.Members)))
 }
