Carry clock stamps with syncs and handed-over requests

Cause: each process stamped its events by its own clock alone, so that the merged time line put causes after effects when clocks are apart. Change: gate.sync carries the sender's stamp both ways, also through a keeper that passes it on, and handed-over requests carry the Sesame-Clock header, which the port for gates reads. Ruled out: stamps on answers to handed-over requests, as the header goes out before what the peer still records; stamps on raft messages, which are many. Conclusion: keepers' and gates' events merge in the order of cause.

--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sesamemux/sesamemux/pkg/edge/announce"
 	"github.com/sesamemux/sesamemux/pkg/edge/order"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -35,6 +36,7 @@
 	Orders  []OrderResult    `json:"orders,omitempty"`
 	Settled []view.GroupID   `json:"settled,omitempty"` // draining groups without work here
 	Relayed bool             `json:"relayed,omitempty"` // passed on by a keeper that does not lead
+	Clock   timeline.HLC     `json:"clock,omitzero"`    // of the sender's time line
 }
 
 // Gone is an upstream that refused or reset connections, seen by a gate.
@@ -51,4 +53,5 @@
 	OrderTTLMS  int64         `json:"order_ttl_ms"`     // counted from the sending of the request
 	Resend      bool          `json:"resend,omitempty"` // send all announcements in full
 	Leader      string        `json:"leader,omitempty"` // set by a keeper that passed the request on
+	Clock       timeline.HLC  `json:"clock,omitzero"`   // of the sender's time line
 }
--- a/pkg/gate/config.go
+++ b/pkg/gate/config.go
@@ -10,6 +10,7 @@
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -36,6 +37,7 @@
 	Caller    *leader.Caller
 	Clock     clock.Clock
 	Events    Events
+	Stamps    *timeline.Recorder // joins the time lines of processes; nil: not joined
 	Logger    *log.Logger
 	Source    Source
 	Limits    Limits
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -63,6 +63,7 @@
 		source:   c.Source,
 		courier:  g.courier,
 		events:   c.Events,
+		stamps:   c.Stamps,
 		logger:   c.Logger,
 	}
 	refuseOperators(g.rpc, c.Caller.Address)
@@ -173,6 +174,7 @@
 		h.RegisterCallers(callers)
 		h.RegisterPeers(peers)
 	}
+	peers.Use(observeStamps(g.config.Stamps))
 	a := &announcements{self: g.config.Self.Name, registry: g.registry, events: g.config.Events, logger: g.logger}
 	a.register(upstreams)
 	g.callers = g.server(http.MaxBytesHandler(callers, g.config.Limits.MaxBodyBytes))
--- /dev/null
+++ b/pkg/gate/stamps_test.go
@@ -0,0 +1,97 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/labstack/echo/v4"
+
+	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/leader"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// noUse is a gate without work.
+type noUse struct{}
+
+func (noUse) Uses() []view.TargetUse            { return nil }
+func (noUse) Settled(*view.View) []view.GroupID { return nil }
+
+func recorderApart(t *testing.T, process string, apart time.Duration) *timeline.Recorder {
+	t.Helper()
+	now := func() time.Time { return time.Now().Add(apart) }
+	r, err := timeline.NewRecorder(timeline.Options{Process: process, Now: now})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// merged lists the kinds on the time line of two processes.
+func merged(a, b *timeline.Recorder) []timeline.Kind {
+	var kinds []timeline.Kind
+	for _, e := range timeline.Merge(a.Events(timeline.Filter{}, 0), b.Events(timeline.Filter{}, 0)) {
+		kinds = append(kinds, e.Kind)
+	}
+	return kinds
+}
+
+// TestSyncJoinsTimeLines syncs with a keeper whose clock is 5 s behind or ahead.
+func TestSyncJoinsTimeLines(t *testing.T) {
+	for _, apart := range []time.Duration{-5 * time.Second, 5 * time.Second} {
+		keeper, own := recorderApart(t, "keeper/1", apart), recorderApart(t, "gate/g1", 0)
+		s := rpc.NewServer()
+		defer s.Close()
+		rpc.Handle(s, string(control.MethodGateSync), func(_ context.Context, req control.SyncRequest) (control.SyncReply, error) {
+			keeper.Observe(req.Clock)
+			keeper.Record(timeline.Event{Kind: timeline.ViewPublished})
+			return control.SyncReply{LeaseMillis: time.Hour.Milliseconds(), Clock: keeper.Stamp()}, nil
+		})
+		near, far := net.Pipe()
+		s.ServeConn(far)
+		caller := leader.NewCaller([]string{"k"}, func(context.Context, string) (net.Conn, error) { return near, nil })
+		defer caller.Close()
+		g := New(Config{
+			Self: view.Gate{Name: "g1"}, Caller: caller, Clock: clock.NewGo(), Source: noUse{},
+			Events: NewTimelineEvents(own), Stamps: own, Logger: log.New(io.Discard),
+		})
+		own.Record(timeline.Event{Kind: timeline.ProcessStarted})
+		if !g.syncer.sync(t.Context()) {
+			t.Fatal("no lease")
+		}
+		want := []timeline.Kind{timeline.ProcessStarted, timeline.ViewPublished, timeline.LeaseGranted}
+		if got := merged(own, keeper); !slices.Equal(got, want) {
+			t.Errorf("keeper %v apart: %v, want %v", apart, got, want)
+		}
+	}
+}
+
+// TestHandOverJoinsTimeLines hands a request over to a gate whose clock is 5 s
+// behind.
+func TestHandOverJoinsTimeLines(t *testing.T) {
+	first, second := recorderApart(t, "gate/g1", 0), recorderApart(t, "gate/g2", -5*time.Second)
+	e := echo.New()
+	e.Use(observeStamps(second))
+	e.POST("/", func(echo.Context) error {
+		second.Record(timeline.Event{Kind: timeline.RequestSent})
+		return nil
+	})
+	first.Record(timeline.Event{Kind: timeline.RequestHandedOver})
+	req := httptest.NewRequest(http.MethodPost, "/", nil)
+	req.Header.Set(timeline.Header, first.Stamp().String())
+	e.ServeHTTP(httptest.NewRecorder(), req)
+	want := []timeline.Kind{timeline.RequestHandedOver, timeline.RequestSent}
+	if got := merged(first, second); !slices.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
--- a/pkg/gate/syncer.go
+++ b/pkg/gate/syncer.go
@@ -12,6 +12,7 @@
 	"github.com/sesamemux/sesamemux/pkg/edge/order"
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/membership"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -49,6 +50,7 @@
 	source   Source
 	courier  *courier
 	events   Events
+	stamps   *timeline.Recorder
 	logger   *log.Logger
 	changed  func() // brings the stored view into force before it is acknowledged
 
@@ -88,6 +90,7 @@
 		Uses:    s.source.Uses(),
 		Orders:  results,
 		Settled: s.source.Settled(v),
+		Clock:   s.stamps.Stamp(),
 	}
 	if s.full {
 		req.InForce = 0
@@ -101,6 +104,7 @@
 		s.courier.putBack(results)
 		return false
 	}
+	s.stamps.Observe(reply.Clock)
 	s.registry.confirm(heard, gone, sent)
 	s.registry.trim(sent.Add(-forgetAfter))
 	if reply.Resend {
@@ -154,7 +158,7 @@
 // signOff tells the leader that this gate has given its lease up.
 func (s *syncer) signOff(ctx context.Context) {
 	s.lease.Release()
-	req := control.SyncRequest{Gate: s.self, InForce: s.current().Revision, Leaving: true}
+	req := control.SyncRequest{Gate: s.self, InForce: s.current().Revision, Leaving: true, Clock: s.stamps.Stamp()}
 	var reply control.SyncReply
 	if err := s.caller.Call(ctx, control.MethodGateSync, req, &reply); err != nil {
 		s.logger.Warn("sign-off was not heard; the lease runs out", "err", err)
--- a/pkg/gatedaemon/daemon.go
+++ b/pkg/gatedaemon/daemon.go
@@ -117,6 +117,7 @@
 		Caller:    leader.NewCaller(s.Keepers, dial),
 		Clock:     clock.Boot{},
 		Events:    gate.NewTimelineEvents(events),
+		Stamps:    events,
 		Logger:    logger,
 		Source:    &source{permits: local},
 		Limits:    limits(s),
@@ -135,6 +136,7 @@
 		suspects: newSuspects(guard, caller, logger),
 		metrics:  metrics.NewRegistry(),
 	}
+	stamp := func() string { return events.Stamp().String() }
 	// Each figure of a gate tells the failure domain that it stands in.
 	registerer := prometheus.WrapRegistererWith(prometheus.Labels{"failure_domain": s.FailureDomain}, d.metrics)
 	registerer.MustRegister(&metrics.Gate{Lease: g.Lease(), View: g.View})
@@ -147,6 +149,7 @@
 		Suspects: guard,
 		Crash:    d.suspects.crashed,
 		Recorder: &recorder{timeline: events},
+		Stamp:    stamp,
 		Log:      logger,
 		Metrics:  registerer,
 		Dial:     targets.dial,
@@ -160,6 +163,7 @@
 		Records:     &records{caller: caller},
 		Permits:     local,
 		Timeline:    &serviceRecorder{timeline: events},
+		Stamp:       stamp,
 		Transport:   plaincall.New(targets.dialService),
 		Logger:      logger,
 		Registerer:  registerer,
--- a/pkg/keeper/daemon.go
+++ b/pkg/keeper/daemon.go
@@ -53,22 +53,28 @@
 	if err != nil {
 		return err
 	}
+	recorder, err := newRecorder(s)
+	if err != nil {
+		return err
+	}
+	defer recorder.Close()
 	listener, err := links.Listen(s.RPCListen)
 	if err != nil {
 		return eris.Wrap(err, "listen for RPC")
 	}
-	return runOn(ctx, s, links, listener, logger)
+	return runOn(ctx, s, reach{links, listener}, recorder, logger)
 }
 
-// runOn runs a keeper that is reached by a listener.
-func runOn(ctx context.Context, s settings.Keeper, links *access.Links, listener net.Listener, logger *log.Logger) error {
-	defer func() { _ = listener.Close() }()
-	recorder, err := newRecorder(s)
-	if err != nil {
-		return err
-	}
-	defer recorder.Close()
-	dial := links.Dial(access.Keeper)
+// reach is how a keeper reaches others and is reached.
+type reach struct {
+	links    *access.Links
+	listener net.Listener
+}
+
+// runOn runs a keeper with an open port.
+func runOn(ctx context.Context, s settings.Keeper, r reach, recorder *timeline.Recorder, logger *log.Logger) error {
+	defer func() { _ = r.listener.Close() }()
+	dial := r.links.Dial(access.Keeper)
 	transport := NewTransport(dial)
 	defer transport.Close()
 	store := state.NewStore()
@@ -85,18 +91,19 @@
 		Dial:   dial,
 		Timing: DefaultTiming(),
 		Events: TimelineEvents{Recorder: recorder},
+		Stamps: recorder,
 		Logger: logger,
 	})
-	server := rpc.NewServer(rpc.WithAuthorizer(links), rpc.WithLogger(logger))
+	server := rpc.NewServer(rpc.WithAuthorizer(r.links), rpc.WithLogger(logger))
 	k.Register(server)
 	introspect.ServeTimeline(server, processName(s), recorder)
-	logger.Info("keeper started", "rpc", listener.Addr(), "data", s.DataDir, "protected", links.Protected())
+	logger.Info("keeper started", "rpc", r.listener.Addr(), "data", s.DataDir, "protected", r.links.Protected())
 	recorder.Record(timeline.Event{Kind: timeline.ProcessStarted})
 	return serve(ctx, duties{
 		keeper:        k,
 		node:          node,
 		server:        server,
-		listener:      listener,
+		listener:      r.listener,
 		metricsListen: s.MetricsListen,
 	})
 }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/sesamemux/sesamemux/pkg/replica"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
 	"github.com/sesamemux/sesamemux/pkg/state"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -23,6 +24,7 @@
 	Dial   rpc.DialFunc
 	Timing Timing
 	Events Events
+	Stamps *timeline.Recorder // joins the time lines of processes; nil: not joined
 	Logger *log.Logger
 	Unsafe Unsafe
 }
@@ -35,6 +37,7 @@
 	wall   func() time.Time
 	timing Timing
 	events Events
+	stamps *timeline.Recorder
 	logger *log.Logger
 	unsafe Unsafe
 	peers  *peers
@@ -52,6 +55,7 @@
 		wall:   c.Wall,
 		timing: c.Timing,
 		events: c.Events,
+		stamps: c.Stamps,
 		logger: c.Logger,
 		unsafe: c.Unsafe,
 		peers:  newPeers(c.Dial),
--- a/pkg/keeper/links_test.go
+++ b/pkg/keeper/links_test.go
@@ -14,6 +14,7 @@
 	"github.com/sesamemux/sesamemux/pkg/logging"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
 	"github.com/sesamemux/sesamemux/pkg/settings"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
 )
 
 // TestKeeperTakesItsOwnCertificateAlone starts keepers with files that must not
@@ -36,7 +37,7 @@
 }
 
 // startKeeper runs a keeper that is a quorum by itself, and returns its address.
-func startKeeper(t *testing.T, links *access.Links) string {
+func startKeeper(t *testing.T, links *access.Links, r *timeline.Recorder) string {
 	t.Helper()
 	listener, err := links.Listen("127.0.0.1:0")
 	if err != nil {
@@ -49,7 +50,9 @@
 	s.Peers = []settings.Peer{{ID: 1, Address: s.RPCListen}}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- runOn(ctx, s, links, listener, logging.New(io.Discard, logging.Options{})) }()
+	go func() {
+		ended <- runOn(ctx, s, reach{links, listener}, r, logging.New(io.Discard, logging.Options{}))
+	}()
 	t.Cleanup(func() {
 		stop()
 		if err := <-ended; err != nil {
@@ -82,7 +85,7 @@
 // TestKeeperUnderTLS asks a keeper for its state and for a change of it.
 func TestKeeperUnderTLS(t *testing.T) {
 	shops := accesstest.New(t, "shops")
-	address := startKeeper(t, shops.Links(access.Keeper, "k1"))
+	address := startKeeper(t, shops.Links(access.Keeper, "k1"), nil)
 	plain := &access.Links{}
 	for _, c := range []struct {
 		name   string
--- a/pkg/keeper/sync.go
+++ b/pkg/keeper/sync.go
@@ -13,10 +13,20 @@
 // maxSyncWait bounds how long a sync may wait for a newer view.
 const maxSyncWait = time.Second
 
-// sync renews a gate's lease and brings its view up to date. A keeper that
+// sync answers a gate and joins the two time lines: what the gate recorded
+// before comes before what is recorded here, and that before what the gate
+// records once it has the reply.
+func (k *Keeper) sync(ctx context.Context, req control.SyncRequest) (control.SyncReply, error) {
+	k.stamps.Observe(req.Clock)
+	reply, err := k.renew(ctx, req)
+	reply.Clock = k.stamps.Stamp()
+	return reply, err
+}
+
+// renew renews a gate's lease and brings its view up to date. A keeper that
 // does not lead passes the request on: the gate counts its lease from when it
 // sent the request, however long the way is.
-func (k *Keeper) sync(ctx context.Context, req control.SyncRequest) (control.SyncReply, error) {
+func (k *Keeper) renew(ctx context.Context, req control.SyncRequest) (control.SyncReply, error) {
 	t, ok := k.leading()
 	if !ok {
 		return k.relaySync(ctx, req)
@@ -49,8 +59,10 @@
 		return control.SyncReply{}, notLeader(address)
 	}
 	req.Relayed = true
+	req.Clock = k.stamps.Stamp()
 	var reply control.SyncReply
 	err := p.client.Call(ctx, string(control.MethodGateSync), req, &reply)
+	k.stamps.Observe(reply.Clock)
 	reply.Leader = address
 	return reply, err
 }
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/stream"
 	"github.com/sesamemux/sesamemux/pkg/suspect"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
@@ -139,6 +140,9 @@
 		Body:    body,
 	}
 	req.Header.Set(infer.HeaderHop, string(p.config.Gate.Name))
+	if p.config.Stamp != nil {
+		req.Header.Set(timeline.Header, p.config.Stamp())
+	}
 	req.Header.Set(infer.HeaderOrganisation, c.organisation.Name)
 	if c.version != "" {
 		req.Header.Set(infer.HeaderVersion, c.version)
--- a/pkg/proxy/config.go
+++ b/pkg/proxy/config.go
@@ -19,6 +19,7 @@
 	Suspects Suspects              // nil: no request is suspected
 	Crash    func(CrashReport)     // nil: not told
 	Recorder Recorder              // nil: no time line
+	Stamp    func() string         // stamp of the time line for peers; nil: none is sent
 	Dial     upstream.DialFunc     // nil: TCP
 	Log      *log.Logger           // nil: none
 	Metrics  prometheus.Registerer // nil: not exported
--- a/pkg/serviceproxy/config.go
+++ b/pkg/serviceproxy/config.go
@@ -28,6 +28,7 @@
 	Records     Records
 	Permits     Permits
 	Timeline    Timeline              // nil: none
+	Stamp       func() string         // stamp of the time line for peers; nil: none is sent
 	Transport   *plaincall.Transport  // nil: over TCP
 	Logger      *log.Logger           // nil: none
 	Registerer  prometheus.Registerer // nil: metrics are kept but not registered
--- a/pkg/serviceproxy/handover.go
+++ b/pkg/serviceproxy/handover.go
@@ -12,6 +12,7 @@
 
 	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
 	"github.com/sesamemux/sesamemux/pkg/outcome"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -153,6 +154,9 @@
 }
 
 func (h *HandOver) request(r *http.Request, peer view.Gate, header http.Header, body []byte) *plaincall.Request {
+	if h.proxy.config.Stamp != nil {
+		header.Set(timeline.Header, h.proxy.config.Stamp())
+	}
 	return &plaincall.Request{
 		Address:  peer.PeerAddress,
 		Method:   r.Method,
--- /dev/null
+++ b/pkg/serviceproxy/stamp_test.go
@@ -0,0 +1,22 @@
+package serviceproxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/sesamemux/sesamemux/pkg/timeline"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// TestHandedOverCallCarriesStamp sets the gate's own stamp in the place of a
+// caller's.
+func TestHandedOverCallCarriesStamp(t *testing.T) {
+	p := New(Config{Gate: "g1", Stamp: func() string { return "7.1" }})
+	h := NewHandOver(p, nil)
+	in := httptest.NewRequest(http.MethodPost, "http://gate/svc/records/stamp", nil)
+	out := h.request(in, view.Gate{PeerAddress: "g2:1"}, http.Header{timeline.Header: {"9.9"}}, nil)
+	if got := out.Header.Values(timeline.Header); len(got) != 1 || got[0] != "7.1" {
+		t.Fatalf("stamps are %q", got)
+	}
+}
