--- a/pkg/keeper/links_test.go
+++ b/pkg/keeper/links_test.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"context"
 	"io"
 	"testing"
 
@@ -11,10 +10,8 @@
 	"github.com/sesamemux/sesamemux/pkg/access"
 	"github.com/sesamemux/sesamemux/pkg/access/accesstest"
 	"github.com/sesamemux/sesamemux/pkg/control"
-	"github.com/sesamemux/sesamemux/pkg/logging"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
 	"github.com/sesamemux/sesamemux/pkg/settings"
-	"github.com/sesamemux/sesamemux/pkg/timeline"
 )
 
 // TestKeeperTakesItsOwnCertificateAlone starts keepers with files that must not
@@ -36,32 +33,6 @@
 	}
 }
 
-// startKeeper runs a keeper that is a quorum by itself, and returns its address.
-func startKeeper(t *testing.T, links *access.Links, r *timeline.Recorder) string {
-	t.Helper()
-	listener, err := links.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := settings.Default[settings.Keeper]()
-	s.ID, s.Cluster, s.FailureDomain, s.MetricsListen = 1, "shops", "fd-a", ""
-	s.DataDir = t.TempDir()
-	s.RPCListen = listener.Addr().String()
-	s.Peers = []settings.Peer{{ID: 1, Address: s.RPCListen}}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() {
-		ended <- runOn(ctx, s, reach{links, listener}, r, logging.New(io.Discard, logging.Options{}))
-	}()
-	t.Cleanup(func() {
-		stop()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
-	return s.RPCListen
-}
-
 // Endings of a call.
 const (
 	answered  = "answered"
@@ -85,7 +56,7 @@
 // TestKeeperUnderTLS asks a keeper for its state and for a change of it.
 func TestKeeperUnderTLS(t *testing.T) {
 	shops := accesstest.New(t, "shops")
-	address := startKeeper(t, shops.Links(access.Keeper, "k1"), nil)
+	address := startQuorum(t, quorum{links: shops.Links(access.Keeper, "k1"), size: 1})[0].address
 	plain := &access.Links{}
 	for _, c := range []struct {
 		name   string
--- a/pkg/keeper/stamps_test.go
+++ b/pkg/keeper/stamps_test.go
@@ -29,7 +29,9 @@
 	for _, apart := range []time.Duration{-5 * time.Second, 5 * time.Second} {
 		keeper := recorderApart(t, "keeper/1", apart)
 		gate := recorderApart(t, "gate/g1", 0)
-		client := rpc.NewClient(startKeeper(t, &access.Links{}, keeper), (&access.Links{}).Dial())
+		plain := &access.Links{}
+		address := startQuorum(t, quorum{links: plain, size: 1, recorder: keeper})[0].address
+		client := rpc.NewClient(address, plain.Dial())
 		defer client.Close()
 
 		gate.Record(timeline.Event{Kind: timeline.ProcessStarted})
