Stamp a handed-over request last of all

Cause: what a gate records between the stamp and the sending would come after the peer's events. Change: the stamp is set right before the request leaves; the number of an attempt goes to its own field of the time line. Conclusion: the hand-over stands before what the peer records.

--- a/pkg/gatedaemon/recorder.go
+++ b/pkg/gatedaemon/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
@@ -27,6 +28,8 @@
 			e.Group = value
 		case "host":
 			e.Host = value
+		case "attempt":
+			e.Attempt, _ = strconv.Atoi(value)
 		default:
 			rest = append(rest, key+"="+value)
 		}
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -140,15 +140,13 @@
 		Body:    body,
 	}
 	req.Header.Set(infer.HeaderHop, string(p.config.Gate.Name))
-	if p.config.Stamp != nil {
-		req.Header.Set(timeline.Header, p.config.Stamp())
-	}
 	req.Header.Set(infer.HeaderOrganisation, c.organisation.Name)
 	if c.version != "" {
 		req.Header.Set(infer.HeaderVersion, c.version)
 	}
 	p.metrics.handedOver()
 	before := c.tracker.Offset()
+	p.stamp(req.Header)
 	err := p.exchange(ctx, p.peers, req, c, s)
 	if err == nil {
 		return result{whole: true, outcome: outcome.Ran}
@@ -166,6 +164,13 @@
 	return res
 }
 
+// stamp puts what this gate recorded so far before what the peer will record.
+func (p *Proxy) stamp(h http.Header) {
+	if p.config.Stamp != nil {
+		h.Set(timeline.Header, p.config.Stamp())
+	}
+}
+
 // exchange sends a request and forwards its stream to the end marker.
 func (p *Proxy) exchange(ctx context.Context, pool *upstream.Pool, req *upstream.Request, c *call, s sink) error {
 	res, err := pool.Do(ctx, req)
