Look API keys up in one place

Cause: the two proxies and pkg/access each had a look-up of API keys of their own, and nothing used that of pkg/access; plain services compared a caller's digest with each organisation's in turn. Change: access.Keys looks up by digest, is made once for each view, and serves both proxies. Ruled out: comparing with every digest in constant time, which takes time by organisation for each request: the look-up is by the digest, whose time tells nothing of the key. Conclusion: one look-up, whose cost does not grow with organisations.

--- a/pkg/access/access_test.go
+++ b/pkg/access/access_test.go
@@ -20,6 +20,7 @@
 	"github.com/sesamemux/sesamemux/pkg/object"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
 	"github.com/sesamemux/sesamemux/pkg/settings"
+	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
 var loopback = net.IPv4(127, 0, 0, 1)
@@ -207,9 +208,15 @@
 }
 
 func TestAPIKeys(t *testing.T) {
-	k := NewKeys([]object.Organisation{
+	v := view.New()
+	for _, o := range []object.Organisation{
 		{Name: "a", KeySHA256: Digest("key of a")}, {Name: "open"}, {Name: "b", KeySHA256: Digest("key of b")}, {Name: "bad", KeySHA256: "zz"},
-	})
+		{Name: "long", KeySHA256: Digest("key of c") + "00"},
+	} {
+		v.Organisations.Put(o.Name, o, 1)
+	}
+	var kept ViewKeys
+	k := kept.Of(v)
 	for key, want := range map[string]string{"key of a": "a", "key of b": "b", "": "", "key of c": "", Digest("key of a"): ""} {
 		got, ok := k.Organisation(key)
 		if got != want || ok != (want != "") {
@@ -218,6 +225,22 @@
 	}
 }
 
+// TestKeysFollowTheView changes a key from one view to the next.
+func TestKeysFollowTheView(t *testing.T) {
+	var kept ViewKeys
+	for _, key := range []string{"first", "second"} {
+		v := view.New()
+		v.Organisations.Put("a", object.Organisation{Name: "a", KeySHA256: Digest(key)}, 1)
+		for range 2 {
+			for _, tried := range []string{"first", "second"} {
+				if _, ok := kept.Of(v).Organisation(tried); ok != (tried == key) {
+					t.Errorf("with key %q, %q: %v", key, tried, ok)
+				}
+			}
+		}
+	}
+}
+
 func TestKeysAreNotOverwritten(t *testing.T) {
 	dir := t.TempDir()
 	p, err := newAuthority(t, "shops").Pair()
--- a/pkg/access/keys.go
+++ b/pkg/access/keys.go
@@ -2,52 +2,46 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
+	"iter"
 
 	"github.com/sesamemux/sesamemux/pkg/object"
 )
 
-// Keys knows the API keys of organisations by their digests.
+// Keys knows the API keys of organisations by their digests. A look-up is by
+// the digest of what was sent, so that its time tells nothing of a key.
 type Keys struct {
-	entries []keyEntry
+	byDigest map[keyDigest]string
 }
 
-// keyEntry is the digest of one organisation's key.
-type keyEntry struct {
-	organisation string
-	digest       [sha256.Size]byte
-}
+// keyDigest is the SHA-256 digest of one organisation's key.
+type keyDigest [sha256.Size]byte
 
 // NewKeys takes the digests of a set's organisations. Those without a key are
 // left out.
-func NewKeys(organisations []object.Organisation) *Keys {
-	k := &Keys{}
-	for _, o := range organisations {
-		var e keyEntry
-		n, err := hex.Decode(e.digest[:], []byte(o.KeySHA256[:min(len(o.KeySHA256), 2*sha256.Size)]))
-		if err != nil || n != sha256.Size {
-			continue
+func NewKeys(organisations iter.Seq[object.Organisation]) *Keys {
+	k := &Keys{byDigest: make(map[keyDigest]string)}
+	for o := range organisations {
+		if d, ok := parseDigest(o.KeySHA256); ok {
+			k.byDigest[d] = o.Name
 		}
-		e.organisation = o.Name
-		k.entries = append(k.entries, e)
 	}
 	return k
 }
 
-// Organisation returns the organisation of an API key. It compares with every
-// digest, in a time that doesn't tell how far a wrong key was right.
-func (k *Keys) Organisation(key string) (string, bool) {
-	digest := sha256.Sum256([]byte(key))
-	found := -1
-	for i, e := range k.entries {
-		equal := subtle.ConstantTimeCompare(digest[:], e.digest[:])
-		found = subtle.ConstantTimeSelect(equal, i, found)
-	}
-	if found < 0 {
-		return "", false
+func parseDigest(text string) (keyDigest, bool) {
+	var d keyDigest
+	if hex.DecodedLen(len(text)) != len(d) {
+		return d, false
 	}
-	return k.entries[found].organisation, true
+	n, err := hex.Decode(d[:], []byte(text))
+	return d, err == nil && n == len(d)
+}
+
+// Organisation returns the organisation of an API key.
+func (k *Keys) Organisation(key string) (string, bool) {
+	name, ok := k.byDigest[sha256.Sum256([]byte(key))]
+	return name, ok
 }
 
 // Digest returns the digest of an API key as objects hold it.
--- /dev/null
+++ b/pkg/access/view_keys.go
@@ -0,0 +1,43 @@
+package access
+
+import (
+	"iter"
+	"sync/atomic"
+
+	"github.com/sesamemux/sesamemux/pkg/object"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// KeysOf returns the API keys of a view's organisations.
+func KeysOf(v *view.View) *Keys { return NewKeys(organisations(v)) }
+
+func organisations(v *view.View) iter.Seq[object.Organisation] {
+	return func(yield func(object.Organisation) bool) {
+		for _, e := range v.Organisations.Entries {
+			if !yield(e.Value) {
+				return
+			}
+		}
+	}
+}
+
+// ViewKeys keeps the API keys of the view that was asked for last. It is safe
+// for concurrent use.
+type ViewKeys struct {
+	last atomic.Pointer[viewKeys]
+}
+
+type viewKeys struct {
+	view *view.View
+	keys *Keys
+}
+
+// Of returns the API keys of a view, which must not change any more.
+func (c *ViewKeys) Of(v *view.View) *Keys {
+	if held := c.last.Load(); held != nil && held.view == v {
+		return held.keys
+	}
+	k := KeysOf(v)
+	c.last.Store(&viewKeys{view: v, keys: k})
+	return k
+}
--- a/pkg/proxy/index.go
+++ b/pkg/proxy/index.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"github.com/sesamemux/sesamemux/pkg/access"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -10,7 +11,7 @@
 	models map[string][]place   // by model group
 	byID   map[view.GroupID]int // epoch check; index into all
 	all    []place
-	keys   map[string]string // organisation by key digest
+	keys   *access.Keys
 }
 
 // place is one group of a model group.
@@ -29,7 +30,7 @@
 		view:   v,
 		models: make(map[string][]place),
 		byID:   make(map[view.GroupID]int),
-		keys:   make(map[string]string),
+		keys:   access.KeysOf(v),
 	}
 	for _, id := range v.Groups.Keys() {
 		g, _ := v.Groups.Get(id)
@@ -41,12 +42,6 @@
 		x.all = append(x.all, p)
 		x.models[g.ModelGroup] = append(x.models[g.ModelGroup], p)
 	}
-	for _, name := range v.Organisations.Keys() {
-		o, _ := v.Organisations.Get(name)
-		if o.KeySHA256 != "" {
-			x.keys[o.KeySHA256] = name
-		}
-	}
 	return x
 }
 
--- a/pkg/proxy/parse.go
+++ b/pkg/proxy/parse.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -100,8 +98,7 @@
 // none or a peer has checked it.
 func organisationOf(x *index, h http.Header, peer bool) (object.Organisation, bool) {
 	if key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer "); ok && !peer {
-		sum := sha256.Sum256([]byte(key))
-		if name, ok := x.keys[hex.EncodeToString(sum[:])]; ok {
+		if name, ok := x.keys.Organisation(key); ok {
 			return x.view.Organisations.Get(name)
 		}
 	}
--- a/pkg/serviceproxy/organisation.go
+++ b/pkg/serviceproxy/organisation.go
@@ -1,14 +1,11 @@
 package serviceproxy
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 
 	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
 	"github.com/sesamemux/sesamemux/pkg/outcome"
-	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
 const (
@@ -21,7 +18,7 @@
 func (p *Proxy) identify(r *http.Request, c *call) *refusal {
 	v := p.config.View()
 	if token, ok := strings.CutPrefix(r.Header.Get(headerAuthorization), bearer); ok {
-		c.organisation, ok = byKey(v, token)
+		c.organisation, ok = p.keys.Of(v).Organisation(token)
 		if ok {
 			return nil
 		}
@@ -36,18 +33,6 @@
 	return nil
 }
 
-// byKey finds the organisation of an API key.
-func byKey(v *view.View, token string) (string, bool) {
-	sum := sha256.Sum256([]byte(token))
-	digest := hex.EncodeToString(sum[:])
-	for name, e := range v.Organisations.Entries {
-		if strings.EqualFold(e.Value.KeySHA256, digest) {
-			return name, true
-		}
-	}
-	return "", false
-}
-
 // forwarded returns the headers for the service: its own connection's apart,
 // without the API key, and with the organisation that the gate found.
 func forwarded(h http.Header, c *call) http.Header {
--- a/pkg/serviceproxy/proxy.go
+++ b/pkg/serviceproxy/proxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/sesamemux/sesamemux/pkg/access"
 	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
 )
 
@@ -19,6 +20,7 @@
 	log       *log.Logger
 	timeline  Timeline
 	transport *plaincall.Transport
+	keys      access.ViewKeys
 	metrics   *metrics
 	next      atomic.Uint64 // request IDs
 	load      *load
