Test the request path's decisions; cut allocations per token

Cause: each token cost an allocation for its identifier and two timer moves. Change: Reader keeps the identifier's prefix; deadlines move only when an eighth or a quarter of their time has passed.

--- a/pkg/admission/share.go
+++ b/pkg/admission/share.go
@@ -25,7 +25,7 @@
 // mustYield tells whether a queue's organisation is over its share while the
 // room left is kept for the others.
 func (f *Flow) mustYield(now time.Duration, q *queue) bool {
-	if f.options.Unguarded.NoFairness || float64(f.room.Used) < f.options.Comfort*float64(f.room.Total) {
+	if f.options.Unguarded.NoFairness || f.room.Total == 0 || float64(f.room.Used) < f.options.Comfort*float64(f.room.Total) {
 		return false
 	}
 	total := 0
--- a/pkg/proxy/stream_sink.go
+++ b/pkg/proxy/stream_sink.go
@@ -17,7 +17,8 @@
 	stall   time.Duration
 	begun   bool
 	buffer  []byte
-	pending int // events that were written but not flushed
+	pending int       // events that were written but not flushed
+	limited time.Time // when the write deadline was last moved
 }
 
 func newStreamSink(w http.ResponseWriter, c *call, stall time.Duration) *streamSink {
@@ -51,9 +52,7 @@
 	b = append(b, data...)
 	b = append(b, "\n\n"...)
 	s.buffer = b
-	if s.pending == 0 {
-		_ = s.control.SetWriteDeadline(time.Now().Add(s.stall))
-	}
+	s.limit()
 	if _, err := s.writer.Write(b); err != nil {
 		return errCallerGone
 	}
@@ -68,6 +67,16 @@
 	return nil
 }
 
+// limit moves the write deadline, not for every event.
+func (s *streamSink) limit() {
+	now := time.Now()
+	if now.Sub(s.limited) < s.stall/4 {
+		return
+	}
+	s.limited = now
+	_ = s.control.SetWriteDeadline(now.Add(s.stall))
+}
+
 // maxPending bounds the events that one flush carries.
 const maxPending = 64
 
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,51 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+func TestDecide(t *testing.T) {
+	base := Failure{Harmless: true, Attempts: 1, Left: time.Second}
+	with := func(change func(*Failure)) Failure {
+		f := base
+		change(&f)
+		return f
+	}
+	for _, c := range []struct {
+		name string
+		f    Failure
+		want Verdict
+	}{
+		{"harmless", base, Again},
+		{"may have run", with(func(f *Failure) { f.Harmless = false }), MayHaveRun},
+		{"known not run", with(func(f *Failure) { f.Harmless, f.NotRun = false, true }), Again},
+		{"two crashes", with(func(f *Failure) { f.Crashes = 2 }), TwoCrashes},
+		{"many attempts", with(func(f *Failure) { f.Attempts = MaxAttempts }), TooMany},
+		{"deadline", with(func(f *Failure) { f.Left = 0 }), PastLimit},
+	} {
+		b := NewBudget(0.1, 1)
+		b.Begin()
+		if got := Decide(c.f, b); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+func TestBudgetIsAShareOfLiveRequests(t *testing.T) {
+	b := NewBudget(0.1, 2)
+	for range 50 {
+		b.Begin()
+	}
+	taken := 0
+	for b.Take(false) {
+		taken++
+	}
+	if taken != 5 {
+		t.Fatalf("%d retries for 50 live requests, want 5", taken)
+	}
+	b.End(1)
+	if !b.Take(true) || !b.Take(true) {
+		t.Error("retries of what did not run are bounded like others")
+	}
+}
--- a/pkg/stream/reader.go
+++ b/pkg/stream/reader.go
@@ -22,8 +22,10 @@
 
 // Reader reads server-sent events.
 type Reader struct {
-	r    *bufio.Reader
-	data []byte
+	r      *bufio.Reader
+	data   []byte
+	prefix []byte // "request.attempt/" of the last identifier
+	last   infer.EventID
 }
 
 // NewReader reads events from a body.
@@ -102,11 +104,10 @@
 	value = bytes.TrimPrefix(value, []byte{' '})
 	switch string(name) {
 	case "id":
-		id, ok := infer.ParseEventID(string(value))
-		if !ok {
+		if !r.identify(value) {
 			return eris.Wrapf(ErrMalformed, "event id %q", value)
 		}
-		ev.ID, ev.HasID = id, true
+		ev.ID, ev.HasID = r.last, true
 	case "data":
 		r.data = append(r.data, value...)
 		r.data = append(r.data, '\n')
@@ -132,3 +133,31 @@
 	}
 	return err
 }
+
+// identify reads an identifier. As a rule only its offset differs from that of
+// the last one, so that nothing is allocated.
+func (r *Reader) identify(value []byte) bool {
+	if len(r.prefix) > 0 && bytes.HasPrefix(value, r.prefix) {
+		n, ok := parseOffset(value[len(r.prefix):])
+		r.last.Offset = n
+		return ok
+	}
+	id, ok := infer.ParseEventID(string(value))
+	r.last = id
+	r.prefix = append(r.prefix[:0], value[:bytes.IndexByte(value, '/')+1]...)
+	return ok
+}
+
+// maxOffset bounds the tokens of an answer.
+const maxOffset = 1 << 30
+
+func parseOffset(b []byte) (int, bool) {
+	n := 0
+	for _, c := range b {
+		if c < '0' || c > '9' || n > maxOffset {
+			return 0, false
+		}
+		n = 10*n + int(c-'0')
+	}
+	return n, len(b) > 0
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -21,7 +21,8 @@
 	key    key
 	since  time.Time     // idle since then
 	limit  time.Duration // between two bytes
-	reused bool
+
+	deadline time.Time // for reading
 }
 
 const readBuffer = 16 << 10
@@ -34,10 +35,21 @@
 
 // Read fails when no byte comes within the limit.
 func (c *conn) Read(b []byte) (int, error) {
-	if err := c.raw.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
+	if err := c.moveDeadline(); err != nil {
 		return 0, err
 	}
 	return c.raw.Read(b)
 }
 
+// moveDeadline lets the limit begin now. A deadline that is at most an eighth
+// of the limit too early stays.
+func (c *conn) moveDeadline() error {
+	next := time.Now().Add(c.limit)
+	if !c.deadline.IsZero() && next.Sub(c.deadline) >= 0 && next.Sub(c.deadline) < c.limit/8 {
+		return nil
+	}
+	c.deadline = next
+	return c.raw.SetReadDeadline(next)
+}
+
 func (c *conn) close() { _ = c.raw.Close() }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -78,7 +78,6 @@
 	}
 	c := list[len(list)-1]
 	p.idle[k] = list[:len(list)-1]
-	c.reused = true
 	return c
 }
 
