Record requests on the time line; notice a cold return under the old incarnation

Cause: the time line showed refusals alone; a target that went cold without a new incarnation kept its full bound. Change: proxy events for sent, broken, finished and handed-over requests, with one name over all gates; a report whose count of finished requests went back makes the target suspect. A row for it. HTTP/2 without TLS as a variant of the overhead measure. Rows on leaving upstreams trouble the gate that holds its permits. Ruled out: a fallen share of the cache in use as a sign; it falls when an engine has no work.

--- a/pkg/bench/gates/overhead.go
+++ b/pkg/bench/gates/overhead.go
@@ -41,6 +41,21 @@
 	stop    context.CancelFunc
 }
 
+func bothProtocols() *http.Protocols {
+	p := &http.Protocols{}
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+func http1() *http.Transport { return &http.Transport{MaxIdleConnsPerHost: overheadCallers} }
+
+func http2() *http.Transport {
+	p := &http.Protocols{}
+	p.SetUnencryptedHTTP2(true)
+	return &http.Transport{Protocols: p}
+}
+
 type alwaysValid struct{}
 
 func (alwaysValid) Valid() bool { return true }
@@ -92,7 +107,7 @@
 	if err != nil {
 		return "", err
 	}
-	s := &http.Server{Handler: h}
+	s := &http.Server{Handler: h, Protocols: bothProtocols()}
 	r.servers = append(r.servers, s)
 	go func() { _ = s.Serve(l) }()
 	return l.Addr().String(), nil
@@ -118,9 +133,8 @@
 var errBench = eris.New("answer is not whole")
 
 // drive sends requests of a length through an address from many callers.
-func (r *rig) drive(address string, tokens, requests int, pace time.Duration) (sample, error) {
+func (r *rig) drive(t *http.Transport, address string, tokens, requests int, pace time.Duration) (sample, error) {
 	r.blaster.tokens, r.blaster.pace = tokens, pace
-	t := &http.Transport{MaxIdleConnsPerHost: overheadCallers}
 	defer t.CloseIdleConnections()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
@@ -190,15 +204,15 @@
 }
 
 // measure gets the costs by way of an address from short and long answers.
-func (r *rig) measure(address string, requests int, pace time.Duration) (cost, error) {
-	if _, err := r.drive(address, fewTokens, overheadCallers, 0); err != nil {
+func (r *rig) measure(t *http.Transport, address string, requests int, pace time.Duration) (cost, error) {
+	if _, err := r.drive(t, address, fewTokens, overheadCallers, 0); err != nil {
 		return cost{}, err
 	}
-	short, err := r.drive(address, fewTokens, requests, 0)
+	short, err := r.drive(t, address, fewTokens, requests, 0)
 	if err != nil {
 		return cost{}, err
 	}
-	long, err := r.drive(address, manyTokens, requests/10, pace)
+	long, err := r.drive(t, address, manyTokens, requests/10, pace)
 	if err != nil {
 		return cost{}, err
 	}
@@ -245,16 +259,21 @@
 			return nil, err
 		}
 		defer r.close()
-		direct, err := r.measure(r.direct, requests, pace)
+		direct, err := r.measure(http1(), r.direct, requests, pace)
+		if err != nil {
+			return nil, err
+		}
+		multiplexed, err := r.measure(http2(), r.direct, requests, pace)
 		if err != nil {
 			return nil, err
 		}
-		gate, err := r.measure(r.gate, requests, pace)
+		gate, err := r.measure(http1(), r.gate, requests, pace)
 		if err != nil {
 			return nil, err
 		}
 		return []bench.Variant{
 			{Name: "direct", Baseline: true, Figures: direct.figures()},
+			{Name: "direct by HTTP/2 without TLS", Figures: multiplexed.figures()},
 			{Name: "through a gate", Figures: gate.figures()},
 			{Name: "added by the gate", Figures: gate.minus(direct)},
 		}, nil
@@ -283,11 +302,11 @@
 
 func (r *rig) withCores(n, requests int) (bench.Variant, error) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(n))
-	short, err := r.drive(r.gate, fewTokens, requests, 0)
+	short, err := r.drive(http1(), r.gate, fewTokens, requests, 0)
 	if err != nil {
 		return bench.Variant{}, err
 	}
-	long, err := r.drive(r.gate, manyTokens, requests/10, 0)
+	long, err := r.drive(http1(), r.gate, manyTokens, requests/10, 0)
 	if err != nil {
 		return bench.Variant{}, err
 	}
--- a/pkg/edge/infer/header.go
+++ b/pkg/edge/infer/header.go
@@ -12,4 +12,5 @@
 	HeaderVersion      = "Sesame-Version" // version that began the answer
 	HeaderGate         = "Sesame-Gate"    // gate that served or refused
 	HeaderHop          = "Sesame-Hop"     // handed over by this gate
+	HeaderTrace        = "Sesame-Trace"   // names a request on the time line over all gates
 )
--- a/pkg/fake/engine/engine.go
+++ b/pkg/fake/engine/engine.go
@@ -126,6 +126,14 @@
 	return len(e.streams)
 }
 
+// Chill makes the member cold again without a word: its cache, its counters
+// and its warmth are gone, its incarnation stays.
+func (e *Engine) Chill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.Restart(e.now())
+}
+
 // Peak returns the most requests that were in the member at once.
 func (e *Engine) Peak() int {
 	e.mu.Lock()
--- a/pkg/fake/engine/model.go
+++ b/pkg/fake/engine/model.go
@@ -36,11 +36,12 @@
 	return &Model{options: o, cache: NewCache(o.CacheBlocks), started: started}
 }
 
-// Restart makes the engine cold and its cache empty.
+// Restart makes the engine cold, its cache empty and its counters 0.
 func (m *Model) Restart(now time.Duration) {
 	m.started = now
 	m.cache = NewCache(m.options.CacheBlocks)
 	m.collapsed = false
+	m.finished = 0
 }
 
 // Add queues a sequence.
--- a/pkg/prove/gates/cold.go
+++ b/pkg/prove/gates/cold.go
@@ -213,3 +213,49 @@
 		return checkPeak(h, w.limits.ColdInFlight)
 	}
 }
+
+// chilled lets a proven target go cold under its old incarnation.
+func chilled(unreported bool) prove.Scenario {
+	return func(seed uint64) error {
+		w := newWorld(permit.Options{})
+		defer w.close()
+		w.unreported = unreported
+		w.limits.RampTime = time.Second
+		w.startGates(3, proxy.Options{})
+		h := w.startHost("h1", warmModel())
+		if err := w.publishGroup(h, "assistant-1", "a"); err != nil {
+			return err
+		}
+		r, l := random(seed), w.newLoad()
+		for i := range 600 {
+			l.ask(time.Duration(i)*20*time.Millisecond+upTo(r, 20*time.Millisecond), w.gates[r.IntN(3)], question{organisation: "boia", tokens: 30, streaming: i%2 == 0, deadline: 5 * time.Second})
+		}
+		time.Sleep(6 * time.Second)
+		if w.keeper.share("assistant-1").Bound <= w.limits.ColdInFlight {
+			return eris.New("the target was never proven")
+		}
+		w.limits.RampTime = longAge
+		w.keeper.event(permit.TargetUp{
+			Target: "group/assistant-1", Incarnation: h.engine.Incarnation(),
+			Max: w.limits.MaxInFlight, Cold: w.limits.ColdInFlight, RampTime: longAge,
+		})
+		h.engine.Chill()
+		time.Sleep(chillLimit)
+		highest := 0
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			highest = max(highest, h.engine.Running())
+		}
+		if err := l.wait(); err != nil {
+			return err
+		}
+		if highest > w.limits.ColdInFlight {
+			return eris.Wrapf(errOverBound, "%d requests at once, bound %d", highest, w.limits.ColdInFlight)
+		}
+		return nil
+	}
+}
+
+// chillLimit is when work on a target that went cold must be down to its bound:
+// after a report and the end of what runs.
+const chillLimit = 1500 * time.Millisecond
--- a/pkg/prove/gates/drain.go
+++ b/pkg/prove/gates/drain.go
@@ -56,7 +56,7 @@
 			l.ask(time.Duration(i)*100*time.Millisecond+upTo(r, 100*time.Millisecond), w.gates[i%3], question{organisation: "boia", tokens: 20, streaming: i%2 == 0, deadline: 20 * time.Second})
 		}
 		time.Sleep(4 * time.Second)
-		befalls(w.gates[r.IntN(3)])
+		befalls(w.holder(out[0]))
 		command := time.Now()
 		w.keeper.drain(true, out...)
 		if err := l.wait(); err != nil {
--- a/pkg/prove/gates/gate.go
+++ b/pkg/prove/gates/gate.go
@@ -31,7 +31,7 @@
 	ignore  atomic.Bool  // leaves its lease out of account, for unguarded runs
 	paused  atomic.Int64 // until when the process stands still, in nanoseconds since the epoch
 	crashes atomic.Int64 // reported
-	dead    bool
+	dead    atomic.Bool
 	stop    context.CancelFunc
 	servers []*http.Server
 }
@@ -73,7 +73,9 @@
 	g.proxy.Register(callers)
 	g.proxy.RegisterPeer(peers)
 	g.servers = []*http.Server{w.serve(g.address, callers), w.serve(g.self.PeerAddress, peers)}
+	w.mu.Lock()
 	w.gates = append(w.gates, g)
+	w.mu.Unlock()
 	return g
 }
 
@@ -131,10 +133,9 @@
 
 // kill ends the gate's process.
 func (g *gate) kill() {
-	if g.dead {
+	if g.dead.Swap(true) {
 		return
 	}
-	g.dead = true
 	g.cut.Store(true)
 	g.stop()
 	g.world.network.kill(g.address)
--- a/pkg/prove/gates/host.go
+++ b/pkg/prove/gates/host.go
@@ -40,7 +40,9 @@
 	h.stop = cancel
 	w.goes(func() { _ = h.engine.Run(ctx) })
 	h.server = w.serve(h.address, h.engine.Handler())
+	w.mu.Lock()
 	w.hosts = append(w.hosts, h)
+	w.mu.Unlock()
 	return h
 }
 
--- a/pkg/prove/gates/rows.go
+++ b/pkg/prove/gates/rows.go
@@ -32,6 +32,7 @@
 			nineGates(permit.Options{}), nineGates(allocator(permit.Unguarded{IgnoreAge: true}))),
 		row(prove.ColdStartBound, "unannounced cold return", "under load",
 			coldReturn(plain), coldReturn(gateWith(proxy.Unguarded{NoConfirmation: true}))),
+		row(prove.ColdStartBound, "cold return under the old incarnation", "under load", chilled(false), chilled(true)),
 		row(prove.ColdStartBound, "gate lost", "holding permits with work running",
 			lostGate(permit.Options{}), lostGate(allocator(permit.Unguarded{ForgetOrphans: true}))),
 		row(prove.ColdStartBound, "gate paused", "before the first byte",
--- a/pkg/prove/gates/world.go
+++ b/pkg/prove/gates/world.go
@@ -19,8 +19,11 @@
 
 // world is everything of one scenario.
 type world struct {
-	network      *network
-	keeper       *keeper
+	network    *network
+	keeper     *keeper
+	unreported bool // gates get no reports of engines
+
+	mu           sync.Mutex // for the lists below, against the report loop
 	gates        []*gate
 	hosts        []*host
 	incarnations uint64
@@ -65,6 +68,23 @@
 			return
 		case <-t.C:
 			w.keeper.tick()
+			w.report()
+		}
+	}
+}
+
+// report lets gates learn what the engines say of themselves.
+func (w *world) report() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.unreported {
+		return
+	}
+	for _, h := range w.hosts {
+		for _, g := range w.gates {
+			if !h.dead.Load() && !g.dead.Load() {
+				g.proxy.Reported(h.engine.Report(0))
+			}
 		}
 	}
 }
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -66,6 +66,7 @@
 	req.Header.Set(infer.HeaderGroup, string(g.place.group.ID))
 	req.Header.Set(infer.HeaderEpoch, strconv.FormatUint(uint64(g.place.group.Epoch), 10))
 	before := c.tracker.Offset()
+	p.recordAttempt(eventSent, c, &g, "offset", before)
 	err := p.exchange(ctx, p.engines, req, c, s)
 	if c.isolated {
 		p.targets.trial(g.place.target, -1)
@@ -76,6 +77,7 @@
 		q.giveBack(g.permit, permit.EndFinished)
 		return result{whole: true, outcome: outcome.Ran}
 	}
+	p.recordAttempt(eventBroken, c, &g, "err", err)
 	res := p.failedEngine(ctx, q, c, g, err)
 	if c.tracker.Offset() > before {
 		res.outcome = outcome.Ran
@@ -88,6 +90,11 @@
 	return res
 }
 
+func (p *Proxy) recordAttempt(event string, c *call, g *grant, key string, value any) {
+	p.config.Recorder.Record(event, "request", c.trace, "group", g.place.group.ID, "host", g.place.head.Host,
+		"attempt", c.attempt, key, value)
+}
+
 func endRun(r *suspect.Run, how suspect.End) {
 	if r != nil {
 		r.End(time.Now(), how)
@@ -143,7 +150,9 @@
 	if c.version != "" {
 		req.Header.Set(infer.HeaderVersion, c.version)
 	}
+	req.Header.Set(infer.HeaderTrace, c.trace)
 	p.metrics.handedOver()
+	p.config.Recorder.Record(eventHandedOver, "request", c.trace, "gate", peer.Name)
 	before := c.tracker.Offset()
 	err := p.exchange(ctx, p.peers, req, c, s)
 	if err == nil {
--- a/pkg/proxy/call.go
+++ b/pkg/proxy/call.go
@@ -15,6 +15,7 @@
 type call struct {
 	id           string // unique over all gates
 	callerID     string // the caller's own, or the peer's
+	trace        string // names it on the time line
 	hop          string // gate that handed it over, "" for a caller
 	hopAttempt   int    // that gate's attempt
 	organisation object.Organisation
--- a/pkg/proxy/handler.go
+++ b/pkg/proxy/handler.go
@@ -47,15 +47,16 @@
 func (p *Proxy) end(s sink, c *call, r *refusal) error {
 	if r == nil {
 		p.metrics.ended("whole", time.Since(c.arrived))
+		p.config.Recorder.Record(eventFinished, "request", c.trace, "tokens", c.tracker.Offset(), "attempts", c.attempt)
 		return nil
 	}
 	p.metrics.refused(string(r.Reason), string(r.Outcome))
 	id := ""
 	if c != nil {
-		id = c.callerID
+		id = c.trace
 	}
 	p.log.Info("request refused", "request", id, "reason", r.Reason, "outcome", r.Outcome, "message", r.Message)
-	p.config.Recorder.Record("request-refused", "request", id, "reason", r.Reason, "outcome", r.Outcome)
+	p.config.Recorder.Record(eventRefused, "request", id, "reason", r.Reason, "outcome", r.Outcome)
 	if r.Reason == outcome.ReasonCallerGone {
 		return nil
 	}
--- a/pkg/proxy/parse.go
+++ b/pkg/proxy/parse.go
@@ -61,6 +61,7 @@
 	if c.callerID == "" {
 		c.callerID = c.id
 	}
+	c.trace = c.callerID
 	c.tracker = stream.NewTracker(c.id, 0)
 	p.readHeader(c, r.Header)
 	if peer {
@@ -90,6 +91,7 @@
 // readHop takes what another gate says of the request.
 func (c *call) readHop(h http.Header, offset int) {
 	c.hop = h.Get(infer.HeaderHop)
+	c.trace = h.Get(infer.HeaderTrace)
 	c.hopAttempt, _ = strconv.Atoi(h.Get(infer.HeaderAttempt))
 	c.version = h.Get(infer.HeaderVersion)
 	c.tracker = stream.NewTracker(c.id, max(0, offset))
--- a/pkg/proxy/serve.go
+++ b/pkg/proxy/serve.go
@@ -60,7 +60,7 @@
 		Left:     time.Until(c.deadline),
 	}, p.budget)
 	p.metrics.retried(string(v))
-	p.log.Info("attempt failed", "request", c.callerID, "attempt", c.attempt, "offset", c.tracker.Offset(), "verdict", v, "err", res.err)
+	p.log.Info("attempt failed", "request", c.trace, "attempt", c.attempt, "offset", c.tracker.Offset(), "verdict", v, "err", res.err)
 	if v == retry.Again {
 		c.retries++
 		c.ticket = p.counter.Add(1)
--- a/pkg/proxy/settle.go
+++ b/pkg/proxy/settle.go
@@ -118,6 +118,6 @@
 		return
 	}
 	p.log.Warn("upstream is gone", "host", at.head.Host, "incarnation", at.head.Incarnation, "group", at.group.ID)
-	p.config.Recorder.Record("upstream-gone", "host", at.head.Host, "incarnation", at.head.Incarnation, "group", at.group.ID)
+	p.config.Recorder.Record(eventGone, "host", at.head.Host, "incarnation", at.head.Incarnation, "group", at.group.ID)
 	p.config.Crash(CrashReport{Host: at.head.Host, Incarnation: at.head.Incarnation, Group: at.group.ID})
 }
--- a/pkg/proxy/targets.go
+++ b/pkg/proxy/targets.go
@@ -45,14 +45,21 @@
 	return h
 }
 
-// reported takes in a host's report.
-func (t *targets) reported(r report.Report) {
+// reported takes in a host's report. It tells whether the host behaves as if
+// freshly started under its old incarnation: its count of finished requests
+// went back.
+func (t *targets) reported(r report.Report) (fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	inc := r.Status.Incarnation
 	h := t.host(r.Host, inc)
+	fresh = r.Load.FinishedAll < h.load.FinishedAll
 	h.load, h.sent = r.Load, 0
+	if fresh {
+		t.hints.Forget(r.Host)
+	}
 	t.hints.Observe(r.Host, inc, r.Events)
+	return fresh
 }
 
 // sent notes a request that goes to a host.
@@ -106,7 +113,19 @@
 }
 
 // Reported takes in a host's report: its load and its cache events.
-func (p *Proxy) Reported(r report.Report) { p.targets.reported(r) }
+func (p *Proxy) Reported(r report.Report) {
+	if !p.targets.reported(r) {
+		return
+	}
+	x := p.index.Load()
+	for i := range x.all {
+		at := &x.all[i]
+		if at.head.Host == r.Host && at.head.Incarnation == r.Status.Incarnation {
+			p.log.Warn("upstream behaves as if freshly started", "host", r.Host, "group", at.group.ID)
+			p.config.Permits.Suspect(at.target, at.head.Incarnation)
+		}
+	}
+}
 
 // CacheSequence returns the last cache event seen of a host, to ask for later
 // ones.
