Wait for the attempt in progress before telling a resend so

Cause: a resend that met its key in progress was sent away for a second, though most calls take milliseconds.

--- a/pkg/serviceproxy/once_call.go
+++ b/pkg/serviceproxy/once_call.go
@@ -143,7 +143,7 @@
 	case once.Unknown:
 		return p.settle(ctx, c, i, d)
 	case once.InProgress:
-		return result{refused: refuseWith(http.StatusConflict, outcome.Unknown, outcome.ReasonInProgress, "another attempt of this key is in progress").after(d.RetryAfter)}
+		return p.await(ctx, c, i)
 	case once.KeyReused:
 		return result{refused: notRun(http.StatusUnprocessableEntity, outcome.ReasonKeyReused, "the key was used for another request")}
 	case once.Full, once.OpaqueFull:
