Ask a service for an attempt, not for a key

Cause: a service that barred a key which had not run answered the caller's resend with 409, so that the action could only be had under another key (TestBarredCallRunsOnResend). Change: calls and questions name the attempt in Sesame-Request; a service bars that attempt alone, and the resend runs.

--- a/pkg/edge/ask/reply.go
+++ b/pkg/edge/ask/reply.go
@@ -7,14 +7,18 @@
 	"github.com/sesamemux/sesamemux/pkg/outcome"
 )
 
-// HeaderOrganisation names the organisation of a request, to the service.
-const HeaderOrganisation = "Sesame-Organisation"
+// Headers towards the service, of once-only calls and of questions about them.
+const (
+	HeaderOrganisation = "Sesame-Organisation"
+	HeaderAttempt      = "Sesame-Request" // unlike for any other attempt of any key
+)
 
 // Reply is what a service knows of a key.
 type Reply struct {
 	Outcome outcome.Outcome `json:"outcome"`
-	// Final goes with NotRun: the service will refuse the key from now on,
-	// should the request still arrive. Without it NotRun settles nothing.
+	// Final goes with NotRun: the service will refuse the attempt that it was
+	// asked for, should it still arrive. Other attempts of the key are not
+	// concerned. Without it NotRun settles nothing.
 	Final       bool   `json:"final,omitempty"`
 	Status      int    `json:"status,omitempty"` // of the answer, for Ran
 	ContentType string `json:"content_type,omitempty"`
--- a/pkg/fake/service/config.go
+++ b/pkg/fake/service/config.go
@@ -17,7 +17,7 @@
 	Gates    []string     // host:port of gates to announce to
 	Client   *http.Client // for announcements; nil for a plain one
 	Record   *Record      // shared with other hosts; nil for its own
-	Bars     bool         // it bars a key that is asked for before it ran
+	Bars     bool         // it bars an attempt that is asked for before it ran
 	Logger   *log.Logger  // nil for none
 }
 
--- a/pkg/fake/service/handler.go
+++ b/pkg/fake/service/handler.go
@@ -65,7 +65,7 @@
 		Body:         string(body),
 		Request:      r.Header.Get(RequestHeader),
 		Host:         string(s.config.Host.Name),
-	})
+	}, r.Header.Get(ask.HeaderAttempt))
 	if !ok {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -123,8 +123,8 @@
 }
 
 func (s *Service) outcome(w http.ResponseWriter, r *http.Request) {
-	e, o := s.record.ask(r.Header.Get(ask.HeaderOrganisation), r.PathValue("key"), s.config.Bars)
-	reply := ask.Reply{Outcome: o, Final: o == outcome.NotRun && s.config.Bars}
+	e, o, final := s.record.ask(r.Header.Get(ask.HeaderOrganisation), r.PathValue("key"), r.Header.Get(ask.HeaderAttempt))
+	reply := ask.Reply{Outcome: o, Final: final}
 	if o == outcome.Ran {
 		reply.Status = http.StatusOK
 		reply.ContentType = "application/json"
--- a/pkg/fake/service/record.go
+++ b/pkg/fake/service/record.go
@@ -17,45 +17,53 @@
 type Record struct {
 	mu         sync.Mutex
 	executions []Execution
-	last       map[callID]int // index of the last execution
-	barred     map[callID]bool
+	last       map[callID]int  // index of the last execution
+	barred     map[string]bool // attempts that may not run
+	bars       bool
 }
 
 // NewRecord returns an empty record.
 func NewRecord() *Record {
 	return &Record{
 		last:   make(map[callID]int),
-		barred: make(map[callID]bool),
+		barred: make(map[string]bool),
 	}
 }
 
-// execute adds an execution, unless its key is barred.
-func (r *Record) execute(e Execution) (Execution, bool) {
+// Bar lets the record keep an attempt that is asked for before it ran from
+// running later.
+func (r *Record) Bar() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bars = true
+}
+
+// execute adds an execution, unless its attempt is barred.
+func (r *Record) execute(e Execution, attempt string) (Execution, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id := callID{e.Organisation, e.Key}
-	if r.barred[id] {
+	if attempt != "" && r.barred[attempt] {
 		return Execution{}, false
 	}
 	e.Serial = len(r.executions) + 1
-	r.last[id] = len(r.executions)
+	r.last[callID{e.Organisation, e.Key}] = len(r.executions)
 	r.executions = append(r.executions, e)
 	return e, true
 }
 
-// ask tells whether a key ran. With bar it keeps a key that did not from
-// running later.
-func (r *Record) ask(organisation, key string, bar bool) (Execution, outcome.Outcome) {
+// ask tells whether a key ran. If it did not, and the record bars, the attempt
+// that is asked for never will; final tells so.
+func (r *Record) ask(organisation, key, attempt string) (e Execution, o outcome.Outcome, final bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id := callID{organisation, key}
-	if n, ok := r.last[id]; ok {
-		return r.executions[n], outcome.Ran
+	if n, ok := r.last[callID{organisation, key}]; ok {
+		return r.executions[n], outcome.Ran, true
 	}
-	if bar {
-		r.barred[id] = true
+	if r.bars && attempt != "" {
+		r.barred[attempt] = true
+		return Execution{}, outcome.NotRun, true
 	}
-	return Execution{}, outcome.NotRun
+	return Execution{}, outcome.NotRun, false
 }
 
 // Executions returns all executions in order.
--- a/pkg/fake/service/service.go
+++ b/pkg/fake/service/service.go
@@ -34,6 +34,9 @@
 	if s.record == nil {
 		s.record = NewRecord()
 	}
+	if c.Bars {
+		s.record.Bar()
+	}
 	if s.log == nil {
 		s.log = log.New(io.Discard)
 	}
--- a/pkg/fake/service/service_test.go
+++ b/pkg/fake/service/service_test.go
@@ -21,6 +21,7 @@
 	req, _ := http.NewRequest(http.MethodPost, base+"/stamp", strings.NewReader("vest 7"))
 	req.Header.Set(KeyHeader, key)
 	req.Header.Set(ask.HeaderOrganisation, "boia")
+	req.Header.Set(ask.HeaderAttempt, "attempt-"+key)
 	resp, err := (&http.Transport{}).RoundTrip(req)
 	if err != nil {
 		return 0, err
@@ -65,12 +66,13 @@
 	}
 }
 
-func TestAskingBarsAKey(t *testing.T) {
+func TestAskingBarsAnAttempt(t *testing.T) {
 	s := New(Config{Listener: dummyListener{}, Bars: true})
 	server := httptest.NewServer(s.Handler())
 	defer server.Close()
 	req, _ := http.NewRequest(http.MethodGet, server.URL+OutcomePath+"/k", nil)
 	req.Header.Set(ask.HeaderOrganisation, "boia")
+	req.Header.Set(ask.HeaderAttempt, "attempt-k")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
@@ -81,10 +83,10 @@
 		t.Fatalf("reply %+v, %v", reply, err)
 	}
 	if status, err := post(t, server.URL, "k"); status != http.StatusConflict || err != nil {
-		t.Fatalf("a barred key: %d, %v", status, err)
+		t.Fatalf("a barred attempt: %d, %v", status, err)
 	}
 	if n := len(s.Record().Executions()); n != 0 {
-		t.Fatalf("a barred key ran %d times", n)
+		t.Fatalf("a barred attempt ran %d times", n)
 	}
 }
 
--- a/pkg/serviceproxy/ask.go
+++ b/pkg/serviceproxy/ask.go
@@ -25,7 +25,7 @@
 // askOwn asks how this gate's own attempt ended, and settles it if the
 // service knows.
 func (p *Proxy) askOwn(ctx context.Context, c *call, i once.Intent) (result, bool) {
-	reply, ok := p.ask(ctx, c, i.Key, i.Host)
+	reply, ok := p.ask(ctx, c, i)
 	if !ok {
 		return result{}, false
 	}
@@ -44,11 +44,11 @@
 // replies with what is known.
 func (p *Proxy) settle(ctx context.Context, c *call, i once.Intent, d once.Decision) result {
 	unknown := result{refused: refuseWith(http.StatusConflict, outcome.Unknown, outcome.ReasonNotRepeated, "it may have run; it is not repeated")}
-	reply, ok := p.ask(ctx, c, i.Key, d.Host)
+	i.Attempt, i.Host = d.Attempt, d.Host
+	reply, ok := p.ask(ctx, c, i)
 	if !ok {
 		return unknown
 	}
-	i.Attempt = d.Attempt
 	told := conclusion(i, reply.Outcome, nil)
 	told.Asked = true
 	if reply.Outcome == outcome.NotRun {
@@ -61,10 +61,10 @@
 	return r
 }
 
-// ask asks a service for the outcome of a key, if it can be asked. Only the
-// host that the call went to can say that it did not run, and only if it will
-// not run it later either; any host may say that it ran.
-func (p *Proxy) ask(ctx context.Context, c *call, key string, host view.HostName) (ask.Reply, bool) {
+// ask asks a service how the attempt of an intent ended, if it can be asked.
+// Only the host that the call went to can say that it did not run, and only if
+// it will not run it later either; any host may say that it ran.
+func (p *Proxy) ask(ctx context.Context, c *call, i once.Intent) (ask.Reply, bool) {
 	if c.service.OutcomePath == "" {
 		return ask.Reply{}, false
 	}
@@ -72,15 +72,15 @@
 		if try > 0 {
 			p.pause(ctx, askPause)
 		}
-		for _, h := range p.askable(c.name, host) {
-			reply, err := p.askHost(ctx, c, key, h)
+		for _, h := range p.askable(c.name, i.Host) {
+			reply, err := p.askHost(ctx, c, i, h)
 			if err != nil {
 				p.log.Debug("outcome not told", "request", c.id, "host", h.Name, "err", err)
 				continue
 			}
 			p.event(EventAsk, c, h.Name, reply.Outcome)
 			p.metrics.asked.WithLabelValues(c.service.Name, string(reply.Outcome)).Inc()
-			if reply.Outcome == outcome.Ran || reply.Outcome == outcome.NotRun && reply.Final && h.Name == host {
+			if reply.Outcome == outcome.Ran || reply.Outcome == outcome.NotRun && reply.Final && h.Name == i.Host {
 				return reply, true
 			}
 		}
@@ -103,16 +103,19 @@
 	return hosts
 }
 
-func (p *Proxy) askHost(ctx context.Context, c *call, key string, h view.Host) (ask.Reply, error) {
+func (p *Proxy) askHost(ctx context.Context, c *call, i once.Intent, h view.Host) (ask.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	path, raw := ask.Path(c.service.OutcomePath, key)
+	path, raw := ask.Path(c.service.OutcomePath, i.Key)
 	resp, err := p.transport.Do(ctx, &plaincall.Request{
 		Address: h.Address,
 		Method:  http.MethodGet,
 		Path:    path,
 		RawPath: raw,
-		Header:  http.Header{ask.HeaderOrganisation: {c.organisation}},
+		Header: http.Header{
+			ask.HeaderOrganisation: {c.organisation},
+			ask.HeaderAttempt:      {i.Attempt},
+		},
 	}, func() error { return nil })
 	if err != nil {
 		return ask.Reply{}, err
--- a/pkg/serviceproxy/proxy_test.go
+++ b/pkg/serviceproxy/proxy_test.go
@@ -316,3 +316,20 @@
 	}
 	at.release(permit.EndNotProven)
 }
+
+// TestBarredCallRunsOnResend loses a call before it runs. The service bars
+// that attempt when it is asked; the caller's resend is another one.
+func TestBarredCallRunsOnResend(t *testing.T) {
+	b := newBench(t, true, true)
+	b.record.Bar()
+	b.order(service.Fault{Kind: service.FaultCutBefore, Count: 1})
+	_, refused := b.send("POST", "/svc/records/stamp", "vest 7", service.KeyHeader, "k1")
+	if refused.Outcome != outcome.NotRun {
+		t.Fatalf("first: %+v", refused)
+	}
+	b.order(service.Fault{})
+	again, _ := b.send("POST", "/svc/records/stamp", "vest 7", service.KeyHeader, "k1")
+	if again.Code != 200 || len(b.record.Executions()) != 1 {
+		t.Fatalf("resend: %d %s, %d executions", again.Code, again.Body, len(b.record.Executions()))
+	}
+}
--- a/pkg/serviceproxy/send.go
+++ b/pkg/serviceproxy/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/sesamemux/sesamemux/pkg/edge/ask"
 	"github.com/sesamemux/sesamemux/pkg/edge/plaincall"
 	"github.com/sesamemux/sesamemux/pkg/once"
 	"github.com/sesamemux/sesamemux/pkg/outcome"
@@ -14,7 +15,7 @@
 	p.event(EventSend, c, at.host.Name, "")
 	limited, cancel := context.WithTimeout(ctx, c.timeout())
 	defer cancel()
-	answer, err := p.transport.Once(limited, c.request(at.host), p.lastCheck(at), p.config.MaxAnswer)
+	answer, err := p.transport.Once(limited, c.attemptRequest(i, at), p.lastCheck(at), p.config.MaxAnswer)
 	at.release(p.permitEnd(at.host, err))
 	o := p.ended(answer, err)
 	p.event(EventEnd, c, at.host.Name, o)
@@ -31,6 +32,15 @@
 	return p.unknown(ctx, c, i, answer, limited), false
 }
 
+// attemptRequest returns the call with the name of its attempt, by which the
+// service can be asked for it.
+func (c *call) attemptRequest(i once.Intent, at place) *plaincall.Request {
+	r := c.request(at.host)
+	r.Header = c.header.Clone()
+	r.Header.Set(ask.HeaderAttempt, i.Attempt)
+	return r
+}
+
 // ended tells how a call ended.
 func (p *Proxy) ended(a *plaincall.Answer, err error) outcome.Outcome {
 	if err != nil {
