Drop messages that no core sends

Cause: an append with gaps in its entries let the driver loop for ever (TestCoreBearsAnyMessage hung), and a membership without voters ended the process. Change: messages and replies are checked before they are taken; the log's model breaks off starts too; tests of a majority that starts alone and of a joining replica that starts again. Ruled out: recovering from a panic.

--- a/pkg/raft/leader.go
+++ b/pkg/raft/leader.go
@@ -162,7 +162,7 @@
 // stepReply takes a follower's answer of this term.
 func (c *Core) stepReply(m Message) {
 	p := c.progress[m.From]
-	if c.role != Leader || p == nil {
+	if c.role != Leader || p == nil || !c.plausible(m) {
 		return
 	}
 	p.active = true
--- a/pkg/raft/rules_test.go
+++ b/pkg/raft/rules_test.go
@@ -102,7 +102,7 @@
 
 func TestSnapshotOfAHeldPrefixKeepsTheTail(t *testing.T) {
 	c := voterOf(3, 0, 1, 1, 1, 1, 1)
-	meta := SnapshotMeta{Index: 3, Term: 1}
+	meta := SnapshotMeta{Index: 3, Term: 1, Membership: NewMembership([]Member{{ID: 1}})}
 	c.Step(Message{Type: MessageSnapshot, From: 2, To: 1, Term: 1, Chunk: &Chunk{Meta: meta}})
 	if c.log.last() != 5 || c.newSnapshot != nil {
 		t.Fatalf("log ends at %d", c.log.last())
--- /dev/null
+++ b/pkg/raft/well_formed.go
@@ -0,0 +1,46 @@
+package raft
+
+// maxSnapshotBytes bounds what a follower collects.
+const maxSnapshotBytes = 1 << 30
+
+// wellFormed tells whether a message could come from a core. Others are
+// dropped: they show a damaged or foreign sender.
+func (m *Message) wellFormed() bool {
+	if m.Type == MessageSnapshot {
+		return m.Chunk.wellFormed()
+	}
+	prev, term := m.Index, m.LogTerm
+	for _, e := range m.Entries {
+		if e.Index != prev+1 || e.Term < term || e.Term > m.Term {
+			return false
+		}
+		if e.Type == EntryMembership {
+			ms, err := decodeMembership(e.Data)
+			if err != nil || len(ms.Voters()) == 0 {
+				return false
+			}
+		}
+		prev, term = e.Index, e.Term
+	}
+	return true
+}
+
+func (ch *Chunk) wellFormed() bool {
+	if ch == nil || ch.Size > maxSnapshotBytes || ch.Offset > ch.Size {
+		return false
+	}
+	return uint64(len(ch.Data)) <= ch.Size-ch.Offset && len(ch.Meta.Membership.Voters()) > 0
+}
+
+// plausible tells whether a reply fits what this leader sent.
+func (c *Core) plausible(m Message) bool {
+	switch m.Type {
+	case MessageAppendReply:
+		return m.Reject || m.Index <= c.log.last()
+	case MessageHeartbeatReply:
+		return m.Round <= c.round
+	case MessageSnapshotReply:
+		return m.Hint <= uint64(len(c.snapshot.Data))
+	}
+	return true
+}
--- a/pkg/replica/node_test.go
+++ b/pkg/replica/node_test.go
@@ -289,3 +289,49 @@
 		}
 	})
 }
+
+// After a loss of power two of three start alone, and serve what was accepted.
+func TestMajorityStartsWithoutTheThird(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		defer c.stopAll()
+		id := c.leader()
+		for range 10 {
+			c.propose(id, 1)
+		}
+		for _, p := range c.peers {
+			c.stop(p.ID)
+			c.disks[p.ID].Crash()
+			c.disks[p.ID].Restart()
+		}
+		c.start(id, false)
+		c.start(id%3+1, false)
+		if got := c.propose(c.leader(), 1); got != 11 {
+			t.Fatalf("state %d", got)
+		}
+	})
+}
+
+// A replica that joins may start several times before it is added.
+func TestJoiningReplicaStartsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		defer c.stopAll()
+		leader := c.nodes[c.leader()]
+		c.disks[4] = disk.NewMem(4)
+		for range 3 {
+			c.start(4, true)
+			time.Sleep(time.Second)
+			c.stop(4)
+			c.disks[4].Crash()
+			c.disks[4].Restart()
+		}
+		c.start(4, true)
+		if err := leader.AddLearner(t.Context(), 4, "mem"); err != nil {
+			t.Fatal(err)
+		}
+		if err := leader.Promote(t.Context(), 4); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/pkg/wal/model_test.go
+++ b/pkg/wal/model_test.go
@@ -168,6 +168,30 @@
 	}
 }
 
+// reopenUnderFault lets a start break off, and the next one succeed.
+func (f *folder) reopenUnderFault(t *rapid.T) {
+	f.mem.Crash()
+	f.mem.Restart()
+	before := f.log.Identity().Incarnation
+	f.arm(t)
+	l, st, err := Open(f.options())
+	f.mem.SetInjector(nil)
+	f.armed = false
+	if err != nil {
+		f.mem.Crash()
+		f.mem.Restart()
+		st = f.open(t)
+	} else {
+		f.log = l
+	}
+	if got := contentOf(st); !got.equal(f.model) {
+		t.Fatalf("holds %+v\nwanted %+v", got, f.model)
+	}
+	if st.Identity.Incarnation <= before {
+		t.Fatalf("incarnation %d after %d", st.Identity.Incarnation, before)
+	}
+}
+
 // What Save returned for survives every crash; of a batch that failed a part
 // from its start may.
 func TestLogUnderFaults(t *testing.T) {
@@ -180,6 +204,8 @@
 			"install":  f.install,
 			"reopen":   f.reopen,
 			"arm":      f.arm,
+
+			"reopen under a fault": f.reopenUnderFault,
 		})
 	})
 }
