--- a/pkg/prove/once/gate.go
+++ b/pkg/prove/once/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	leaseTime   = 3 * time.Second
 	freezeTime  = 10 * time.Second
 	restartTime = 6 * time.Second
+	keeperTime  = 5 * time.Second // that a keeper is away
 )
 
 // gate is one process of a gate.
@@ -25,6 +27,9 @@
 	inc   view.Incarnation
 	proxy *serviceproxy.Proxy
 
+	callers http.Handler // what callers reach
+	peers   *http.Server // what other gates reach
+
 	mu        sync.Mutex
 	view      *view.View
 	lease     time.Time // end of it
@@ -58,9 +63,33 @@
 		Transport:   plaincall.New(g.dial),
 		Unsafe:      w.plan.proxy,
 	})
+	g.callers = g.proxy
+	if w.plan.handOver {
+		g.servePeers(permits)
+	}
 	return g
 }
 
+// servePeers hands calls over to other gates and takes theirs.
+func (g *gate) servePeers(permits *permit.Local) {
+	g.callers = serviceproxy.NewHandOver(g.proxy, permits.Room)
+	g.peers = &http.Server{Handler: http.HandlerFunc(g.servePeer)}
+	l := g.world.network.listen(peerAddress(g.name))
+	g.world.spawn(func() { _ = g.peers.Serve(l) })
+}
+
+// servePeer answers another gate, unless this one dies before.
+func (g *gate) servePeer(w http.ResponseWriter, r *http.Request) {
+	kept := newReply()
+	kept.serve(g.proxy, r)
+	if g.isDead() || kept.broken {
+		panic(http.ErrAbortHandler)
+	}
+	kept.copyTo(w)
+}
+
+func peerAddress(n view.GateName) string { return string(n) + ":1" }
+
 func (g *gate) inForce() *view.View {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -131,6 +160,11 @@
 		g.mu.Unlock()
 	case leave:
 		g.hostsLeave()
+	case killLeader:
+		g.world.killLeader()
+	case cutLeader:
+		g.world.quorum.CutLeader()
+		g.world.later(keeperTime, g.world.quorum.Heal)
 	}
 }
 
@@ -148,6 +182,9 @@
 	for c := range g.conns {
 		_ = c.Conn.Close()
 	}
+	if g.peers != nil {
+		_ = g.peers.Close()
+	}
 }
 
 // hostsLeave brings a view into force in which every host leaves, for a while.
