Prove graceful shutdown with whole gates behind a balancer

Cause: promise 9 had one row, at the proxy alone. Change: three rows in prove/control: gates shut down in turn while 12 callers hold answers of up to 4 s, with the leader killed, and with a balancer that looks every 800 ms. Ruled out: a notice of zero (the row of the late balancer fails without it). Not covered: a shutdown that lasts longer than the longest request time, where what still runs is cut off and logged.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
 GO ?= go
 BIN ?= bin
 SEED ?= 1
-PROGRAMS := sesame-keeper sesame-gate sesamectl sesame-fake sesame-load
+PROGRAMS := sesame-keeper sesame-gate sesamectl sesame-fake sesame-load sesame-bench
 LINT := $(GO) tool -modfile=tools/go.mod staticcheck
 
-.PHONY: build test race lint format-check vet demo prove bench check-cgo check-examples
+.PHONY: build test race lint format-check vet demo prove bench check-cgo
 
 build:
 	CGO_ENABLED=1 $(GO) build -o $(BIN)/ ./cmd/...
@@ -36,5 +36,5 @@
 	$(GO) test -c -o $(BIN)/prove.test ./pkg/prove/matrix
 	$(BIN)/prove.test -matrix -seed $(SEED) -test.timeout 20m
 
-bench:
-	bash scripts/bench.sh
+bench: build
+	BIN=$(BIN) bash scripts/bench.sh
--- a/pkg/prove/control/bed.go
+++ b/pkg/prove/control/bed.go
@@ -35,7 +35,10 @@
 	gates       int
 	engines     int
 	keepers     keeper.Unsafe
-	ignoreLease bool // gates take work without a lease
+	ignoreLease bool          // gates take work without a lease
+	notice      time.Duration // that gates give of a shutdown
+	abrupt      bool          // a shutdown ends connections at once
+	look        time.Duration // between two looks of the balancer; 0: checkInterval
 }
 
 // bed is a small deployment in memory.
--- a/pkg/prove/control/gate_process.go
+++ b/pkg/prove/control/gate_process.go
@@ -24,6 +24,7 @@
 	name view.GateName
 	gate *gate.Gate
 	stop func()
+	end  func() // a graceful shutdown; returns when the process has ended
 
 	mu      sync.Mutex
 	highest view.Revision // in force in the running process
@@ -50,7 +51,7 @@
 		Events: noEvents{},
 		Logger: log.New(io.Discard),
 		Source: noWork{},
-		Limits: gate.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 1 << 16, HeaderTimeout: time.Second, RequestTime: time.Second},
+		Limits: gate.Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 1 << 16, HeaderTimeout: time.Second, RequestTime: time.Minute, ShutdownNotice: p.bed.options.notice},
 		Listeners: gate.Listeners{
 			Callers:   p.bed.net.Listen(host, host+":80"),
 			Peers:     p.bed.net.Listen(host, host+":81"),
@@ -72,6 +73,13 @@
 		cancel()
 		<-done
 	}
+	p.end = func() {
+		cancel()
+		if p.bed.options.abrupt {
+			p.bed.net.Kill(host)
+		}
+		<-done
+	}
 }
 
 // kill ends the process at once.
@@ -108,8 +116,8 @@
 	p.highest = r
 }
 
-// RegisterCallers implements gate.Handlers.
-func (p *gateProcess) RegisterCallers(*echo.Echo) {}
+// RegisterCallers implements gate.Handlers: answers that take their time.
+func (p *gateProcess) RegisterCallers(e *echo.Echo) { e.GET(slowPath, slowAnswer) }
 
 // RegisterPeers implements gate.Handlers.
 func (p *gateProcess) RegisterPeers(*echo.Echo) {}
--- a/pkg/prove/control/rows.go
+++ b/pkg/prove/control/rows.go
@@ -14,6 +14,10 @@
 	three := options{gates: 3}
 	lawless := options{gates: 3, ignoreLease: true}
 	hasty := options{gates: 3, keepers: keeper.Unsafe{NoTakeover: true}}
+	polite := options{gates: 3, notice: time.Second}
+	abrupt := options{gates: 3, notice: time.Second, abrupt: true}
+	late := options{gates: 3, notice: time.Second, look: 800 * time.Millisecond}
+	deaf := options{gates: 3, look: 800 * time.Millisecond}
 	blind := options{gates: 3, keepers: keeper.Unsafe{NoBarrier: true}}
 	calm := allGates(3)
 	return []prove.Row{
@@ -39,6 +43,9 @@
 		leaving("none", "while groups serve", withGroups(three, leaveUnder(quiet)), nil),
 		leaving("leader killed", "when the upstream announces it", withGroups(three, leaveUnder(killLeader)), nil),
 		leaving("gate cut off", "when the upstream announces it", withGroups(three, leaveUnder(cutGateLong)), withGroups(lawless, leaveUnder(cutGateLong))),
+		shutdown("none", "gates shut down in turn, answers under way", shutdowns(polite, quiet), shutdowns(abrupt, quiet)),
+		shutdown("leader killed", "gates shut down in turn, answers under way", shutdowns(polite, killLeader), nil),
+		shutdown("none", "the balancer looks late", shutdowns(late, quiet), shutdowns(deaf, quiet)),
 		oneGroup("hosts restarted", "while groups are repaired", withGroups(three, restartEngines(quiet)), nil),
 		oneGroup("hosts restarted, leader killed", "while groups are repaired", withGroups(three, restartEngines(killLeader)), nil),
 		oneGroup("hosts restarted, gate cut off", "while groups are repaired", withGroups(three, restartEngines(cutGate)), withGroups(lawless, restartEngines(cutGateLong))),
@@ -53,6 +60,10 @@
 	return prove.Row{Promise: prove.LeavingUpstream, Area: area, Fault: fault, Step: step, Run: run, Unguarded: unguarded}
 }
 
+func shutdown(fault, step string, run, unguarded prove.Scenario) prove.Row {
+	return prove.Row{Promise: prove.GracefulShutdown, Area: area, Fault: fault, Step: step, Run: run, Unguarded: unguarded}
+}
+
 func oneGroup(fault, step string, run, unguarded prove.Scenario) prove.Row {
 	return prove.Row{Promise: prove.OneGroupPerHost, Area: area, Fault: fault, Step: step, Run: run, Unguarded: unguarded}
 }
