--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -42,6 +42,8 @@
 	unsafe Unsafe
 	peers  *peers
 
+	confirmer *confirmer
+
 	mu   sync.Mutex
 	term *term // nil while this keeper does not lead
 }
@@ -49,16 +51,17 @@
 // New returns a keeper; Run does its duties.
 func New(c Config) *Keeper {
 	return &Keeper{
-		log:    c.Log,
-		store:  c.Store,
-		clock:  c.Clock,
-		wall:   c.Wall,
-		timing: c.Timing,
-		events: c.Events,
-		stamps: c.Stamps,
-		logger: c.Logger,
-		unsafe: c.Unsafe,
-		peers:  newPeers(c.Dial),
+		log:       c.Log,
+		store:     c.Store,
+		clock:     c.Clock,
+		wall:      c.Wall,
+		timing:    c.Timing,
+		events:    c.Events,
+		stamps:    c.Stamps,
+		logger:    c.Logger,
+		unsafe:    c.Unsafe,
+		peers:     newPeers(c.Dial),
+		confirmer: newConfirmer(c.Log),
 	}
 }
 
