Hold gates and operators to the name in their certificates

Cause: under TLS a gate could renew the lease of another, and an operator could put any name into the history. Change: handlers learn the connection of a request; a sync must come from the gate that it renews or be passed on by a keeper, and a change is kept under the name in the operator's certificate. Figures: go test ./pkg/keeper -run 'TLS|Operators': a gate as another gate and a keeper that passes nothing on are denied; a made-up name is not in the history. Conclusion: who did what on the time line and in the history is authenticated under TLS.

--- a/pkg/keeper/links_test.go
+++ b/pkg/keeper/links_test.go
@@ -66,6 +66,8 @@
 	}{
 		{"operator", shops.Links(access.Operator, "ana"), control.MethodKeeperStatus, answered},
 		{"gate as operator", shops.Links(access.Gate, "g1"), control.MethodDrain, denied},
+		{"gate as another gate", shops.Links(access.Gate, "g2"), control.MethodGateSync, denied},
+		{"keeper as a gate", shops.Links(access.Keeper, "k2"), control.MethodGateSync, denied},
 		{"upstream as gate", shops.Links(access.Upstream, "u1"), control.MethodGateSync, denied},
 		{"operator as keeper", shops.Links(access.Operator, "eva"), control.MethodRaft, denied},
 		{"plain", plain, control.MethodKeeperStatus, unreached},
--- a/pkg/keeper/operate_test.go
+++ b/pkg/keeper/operate_test.go
@@ -115,7 +115,7 @@
 	first, second := objects(t, firstSet), objects(t, secondSet)
 
 	ana.run(ctl.ExitRefused, "weight", "apply", objects(t, wrongSet))
-	ana.run(ctl.ExitOK, "object revision 1", "apply", "--wait", "--change-id=c-1", first)
+	ana.run(ctl.ExitOK, "object revision 1", "apply", "--wait", "--change-id=c-1", "--set=operator=eve", first)
 	ana.run(ctl.ExitOK, "accepted earlier; this is the first answer", "apply", "--change-id=c-1", first)
 	ana.run(ctl.ExitRefused, "", "apply", "--change-id=c-1", second)
 	ana.run(ctl.ExitConflict, "started from object revision 0", "apply", "--base=0", second)
@@ -131,6 +131,9 @@
 	ana.run(ctl.ExitOK, "accepted earlier", "drain", "--change-id=c-4", "failure-domain", "fd-a")
 	ana.run(ctl.ExitOK, "in force everywhere", "restore", "--wait", "--change-id=c-5", "failure-domain", "fd-a")
 
+	if got := ana.run(ctl.ExitOK, `"operator": "ana"`, "history", "--output=json"); strings.Contains(got, "eve") {
+		t.Errorf("a change is kept under a name that its sender made up:\n%s", got)
+	}
 	want := []string{"c-5", "c-4", "c-3", "c-2", "c-1"}
 	checkHistory(t, ana, want)
 	for _, role := range []access.Role{access.Gate, access.Keeper, access.Upstream} {
--- a/pkg/keeper/operator.go
+++ b/pkg/keeper/operator.go
@@ -32,7 +32,7 @@
 	return k.change(ctx, "apply", req.ChangeID, req.BaseRevision, state.Command{Publish: &state.Publish{
 		ChangeID:     req.ChangeID,
 		BaseRevision: req.BaseRevision,
-		Operator:     req.Operator,
+		Operator:     operatorName(ctx, req.Operator),
 		Set:          set,
 		Digest:       digest("apply", object.Format(set)),
 	}})
@@ -47,7 +47,7 @@
 		ChangeID:     req.ChangeID,
 		BaseRevision: req.BaseRevision,
 		To:           req.To,
-		Operator:     req.Operator,
+		Operator:     operatorName(ctx, req.Operator),
 		Digest:       digest("rollback", strconv.FormatUint(req.To, 10)),
 	}})
 }
@@ -75,7 +75,7 @@
 		Kind:     req.Kind,
 		Name:     req.Name,
 		Restore:  restore,
-		Operator: req.Operator,
+		Operator: operatorName(ctx, req.Operator),
 		Digest:   digest(kind, string(req.Kind)+"/"+req.Name),
 	}})
 }
@@ -198,7 +198,7 @@
 	if err != nil {
 		return control.ChangeResult{}, k.translate(err)
 	}
-	k.logger.Info("quarantine released", "fingerprint", req.Fingerprint, "operator", req.Operator)
+	k.logger.Info("quarantine released", "fingerprint", req.Fingerprint, "operator", operatorName(ctx, req.Operator))
 	return control.ChangeResult{ViewRevision: r.Revision}, nil
 }
 
--- a/pkg/keeper/sync.go
+++ b/pkg/keeper/sync.go
@@ -17,6 +17,9 @@
 // before comes before what is recorded here, and that before what the gate
 // records once it has the reply.
 func (k *Keeper) sync(ctx context.Context, req control.SyncRequest) (control.SyncReply, error) {
+	if err := mayRenew(ctx, &req); err != nil {
+		return control.SyncReply{}, err
+	}
 	k.stamps.Observe(req.Clock)
 	reply, err := k.renew(ctx, req)
 	reply.Clock = k.stamps.Stamp()
