Bound the time until a request's body is whole

Cause: a sender that gives its body byte by byte held a connection and its buffers without end; only headers were bounded. Change: body_timeout of a gate, 30 s by default, at all its HTTP ports. It ends with the body, so that long answers are not cut. Ruled out: http.Server.ReadTimeout, which also ends requests whose answer takes longer. Conclusion: slow senders are bounded.

--- a/pkg/gate/config.go
+++ b/pkg/gate/config.go
@@ -52,6 +52,7 @@
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
 	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration // until a request's body is whole; 0: no bound
 	RequestTime    time.Duration // one request with its answer, at most
 	ShutdownNotice time.Duration // from health off to the last accepted request
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -191,7 +191,7 @@
 
 func (g *Gate) server(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           h,
+		Handler:           limitBodyTime(h, g.config.Limits.BodyTimeout),
 		ReadHeaderTimeout: g.config.Limits.HeaderTimeout,
 		MaxHeaderBytes:    g.config.Limits.MaxHeaderBytes,
 		ErrorLog:          g.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
--- a/pkg/gatedaemon/daemon.go
+++ b/pkg/gatedaemon/daemon.go
@@ -179,6 +179,7 @@
 		MaxBodyBytes:   s.MaxBodyBytes,
 		MaxHeaderBytes: int(s.MaxHeaderBytes),
 		HeaderTimeout:  s.HeaderTimeout,
+		BodyTimeout:    s.BodyTimeout,
 		RequestTime:    s.MaxRequestTime,
 		ShutdownNotice: s.ShutdownNotice,
 	}
--- a/pkg/settings/gate.go
+++ b/pkg/settings/gate.go
@@ -22,6 +22,7 @@
 	MaxBodyBytes   int64
 	MaxHeaderBytes int64
 	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration
 	MaxConnections int
 	MaxRequestTime time.Duration
 	ShutdownNotice time.Duration
@@ -58,6 +59,7 @@
 	g.MaxBodyBytes = 8 * mib
 	g.MaxHeaderBytes = 32 * kib
 	g.HeaderTimeout = 5 * time.Second
+	g.BodyTimeout = 30 * time.Second
 	g.MaxConnections = 10_000
 	g.MaxRequestTime = maxRequest
 	g.ShutdownNotice = 5 * time.Second
@@ -80,6 +82,7 @@
 		inifile.Bytes("max_body_bytes", &g.MaxBodyBytes, 1, maxBody, "Longest body of a request."),
 		inifile.Bytes("max_header_bytes", &g.MaxHeaderBytes, kib, maxHeader, "Longest header of a request."),
 		inifile.Duration("header_timeout", &g.HeaderTimeout, 100*time.Millisecond, time.Minute, "Longest time until a request's header is whole."),
+		inifile.Duration("body_timeout", &g.BodyTimeout, time.Second, maxRequest, "Longest time until a request's body is whole."),
 		inifile.Int("max_connections", &g.MaxConnections, 1, maxConnections, "Open connections of callers."),
 		inifile.Duration("max_request_time", &g.MaxRequestTime, time.Second, maxRequest, "Longest time of one request with its answer."),
 		inifile.Duration("shutdown_notice", &g.ShutdownNotice, 0, 10*time.Minute, "How long requests are still taken after the balancer was told of a shutdown."),
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -141,6 +141,7 @@
 		{"size that overflows", gate, goodGate + "max_body_bytes = 99999999999TiB\n", 5, "max_body_bytes", "not a size"},
 		{"duration without a unit", gate, goodGate + "header_timeout = 5\n", 5, "header_timeout", "not a duration"},
 		{"duration out of range", gate, goodGate + "header_timeout = 0s\n", 5, "header_timeout", "out of range; allowed: 100ms to 1m"},
+		{"slow bodies without end", gate, goodGate + "body_timeout = 0s\n", 5, "body_timeout", "out of range; allowed: 1s to 1m30s"},
 		{"request that outlives its permits", gate, goodGate + "max_request_time = 10m\n", 5, "max_request_time", "out of range; allowed: 1s to 1m30s"},
 		{"connections", gate, goodGate + "max_connections = 0\n", 5, "max_connections", "out of range"},
 		{"callers plain off loopback", gate, goodGate + "http_listen = 0.0.0.0:80\n", 5, "http_listen", "say allow_plain = yes"},
