Bound one JSON-RPC message

Cause: a peer could announce a message of any length and have it read whole. Change: messages over 64 MiB are refused before they are read, and the buffer grows with what comes. Conclusion: a peer can't take more memory than it sends, nor more than the bound for one message.

--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -140,7 +140,7 @@
 		d.err = ErrClosed
 		return
 	}
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(raw, codec{})
 	d.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{}, jsonrpc2.SetLogger(connLog{}))
 	c.conn = d.conn
 	go c.watch(d.conn)
--- a/pkg/rpc/server.go
+++ b/pkg/rpc/server.go
@@ -74,7 +74,7 @@
 
 // ServeConn answers requests on one connection, in the background.
 func (s *Server) ServeConn(c net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(c, codec{})
 	h := &connHandler{server: s, raw: c, slots: make(chan struct{}, maxConcurrent)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
