Measure the messages of upstreams

Cause: CAPACITY needs what announcements and reports cost a gate. Change: bench/control measures both exchanges, bytes and processor. Ruled out: counting with the whole gate (its other messages hide them).

--- a/pkg/bench/control/measures.go
+++ b/pkg/bench/control/measures.go
@@ -50,7 +50,10 @@
 
 // Measures returns the measures of the control plane.
 func Measures() []bench.Measure {
-	return []bench.Measure{{Area: area, Name: "control by size", Run: bySize}}
+	return []bench.Measure{
+		{Area: area, Name: "control by size", Run: bySize},
+		{Area: area, Name: "upstream messages", Run: upstreamMessages},
+	}
 }
 
 // bySize measures each size; today's is the baseline.
