Share unchanged tables between views, and deltas between gates

Cause: each view change copied every table on every gate, and on the leader walked every entry and encoded the delta for every gate. Change: installing a delta copies only tables that it changes; the store keeps the deltas to its present revision by their starting revision, and a delta is encoded once.

--- a/pkg/keeper/sync.go
+++ b/pkg/keeper/sync.go
@@ -89,11 +89,9 @@
 		Resend:      resend,
 		Orders:      t.take(s),
 	}
-	t.keeper.store.Read(func(st *state.State) {
-		if st.Revision() > req.InForce {
-			reply.Delta = st.Delta(req.InForce)
-		}
-	})
+	if t.keeper.revision() > req.InForce {
+		reply.Delta = t.keeper.store.Delta(req.InForce)
+	}
 	if reply.Delta == nil && offered > req.InForce {
 		// The replica was restored between the grant and the reply.
 		return control.SyncReply{Resend: resend}, nil
--- a/pkg/state/store.go
+++ b/pkg/state/store.go
@@ -5,6 +5,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
 // Store is a State that one goroutine changes and others read. It implements
@@ -13,6 +15,10 @@
 	mu      sync.RWMutex
 	state   *State
 	changed chan struct{} // closed and replaced at each new revision
+
+	deltaMu  sync.Mutex
+	deltasAt view.Revision                 // revision that the deltas lead to
+	deltas   map[view.Revision]*view.Delta // by the revision that they start from
 }
 
 // NewStore returns a store with the state before the first command.
@@ -77,6 +83,26 @@
 	f(s.state)
 }
 
+// Delta returns what brings a gate from a revision to the one in force. Gates
+// that are at the same revision share one delta and its encoded form; nobody
+// changes it.
+func (s *Store) Delta(from view.Revision) *view.Delta {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	s.deltaMu.Lock()
+	defer s.deltaMu.Unlock()
+	if at := s.state.Revision(); s.deltas == nil || s.deltasAt != at {
+		s.deltasAt = at
+		s.deltas = make(map[view.Revision]*view.Delta)
+	}
+	d, ok := s.deltas[from]
+	if !ok {
+		d = s.state.Delta(from)
+		s.deltas[from] = d
+	}
+	return d
+}
+
 // Changed returns a channel that is closed at the next new revision.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.RLock()
--- a/pkg/view/delta.go
+++ b/pkg/view/delta.go
@@ -1,6 +1,11 @@
 package view
 
-import "github.com/sesamemux/sesamemux/pkg/object"
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/sesamemux/sesamemux/pkg/object"
+)
 
 // Delta brings a view from one revision to a later one. From 0 means that it
 // holds the whole view.
@@ -16,4 +21,18 @@
 	Drains        TableDelta[string, Drain]               `json:"drains,omitzero"`
 	Quarantines   TableDelta[Fingerprint, Quarantine]     `json:"quarantines,omitzero"`
 	Gates         TableDelta[GateName, Gate]              `json:"gates,omitzero"`
+
+	once    sync.Once
+	encoded []byte
+	err     error
+}
+
+// plainDelta is a Delta in its field by field form.
+type plainDelta Delta
+
+// MarshalJSON implements json.Marshaler. A delta is encoded once, however many
+// gates it goes to; it must not be changed after that.
+func (d *Delta) MarshalJSON() ([]byte, error) {
+	d.once.Do(func() { d.encoded, d.err = json.Marshal((*plainDelta)(d)) })
+	return d.encoded, d.err
 }
--- a/pkg/view/table.go
+++ b/pkg/view/table.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// with returns a table with the changes of a delta, and leaves this one as it
+// is. Without changes it returns this one.
+func (t *Table[K, V]) with(d TableDelta[K, V]) *Table[K, V] {
+	if d.Empty() {
+		return t
+	}
+	n := t.Clone()
+	n.Install(d)
+	return n
+}
+
 // Clone returns a copy that shares values and has no tombstones.
 func (t *Table[K, V]) Clone() *Table[K, V] {
 	c := NewTable[K, V]()
--- a/pkg/view/view.go
+++ b/pkg/view/view.go
@@ -71,34 +71,20 @@
 	if d.From != 0 && d.From != v.Revision {
 		return nil, &GapError{InForce: v.Revision, From: d.From}
 	}
-	n := New()
-	if d.From != 0 {
-		n = v.clone()
+	old := v
+	if d.From == 0 {
+		old = New()
 	}
-	n.Revision = d.To
-	n.ModelGroups.Install(d.ModelGroups)
-	n.Services.Install(d.Services)
-	n.Organisations.Install(d.Organisations)
-	n.Hosts.Install(d.Hosts)
-	n.Groups.Install(d.Groups)
-	n.Shares.Install(d.Shares)
-	n.Drains.Install(d.Drains)
-	n.Quarantines.Install(d.Quarantines)
-	n.Gates.Install(d.Gates)
-	return n, nil
-}
-
-func (v *View) clone() *View {
 	return &View{
-		Revision:      v.Revision,
-		ModelGroups:   v.ModelGroups.Clone(),
-		Services:      v.Services.Clone(),
-		Organisations: v.Organisations.Clone(),
-		Hosts:         v.Hosts.Clone(),
-		Groups:        v.Groups.Clone(),
-		Shares:        v.Shares.Clone(),
-		Drains:        v.Drains.Clone(),
-		Quarantines:   v.Quarantines.Clone(),
-		Gates:         v.Gates.Clone(),
-	}
+		Revision:      d.To,
+		ModelGroups:   old.ModelGroups.with(d.ModelGroups),
+		Services:      old.Services.with(d.Services),
+		Organisations: old.Organisations.with(d.Organisations),
+		Hosts:         old.Hosts.with(d.Hosts),
+		Groups:        old.Groups.with(d.Groups),
+		Shares:        old.Shares.with(d.Shares),
+		Drains:        old.Drains.with(d.Drains),
+		Quarantines:   old.Quarantines.with(d.Quarantines),
+		Gates:         old.Gates.with(d.Gates),
+	}, nil
 }
--- a/pkg/view/view_test.go
+++ b/pkg/view/view_test.go
@@ -1,6 +1,8 @@
 package view
 
 import (
+	"encoding/json"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -12,6 +14,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		published := New()
 		reader := New()
+		var held []HostName // by the reader before it installs
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			published.Revision++
 			name := HostName(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "host"))
@@ -27,7 +30,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if reader.Revision != next.Revision {
+				checkUntouched(t, reader, held)
+			}
 			reader = next
+			held = next.Hosts.Keys()
 			checkSameHosts(t, published, reader)
 		}
 	})
@@ -56,3 +63,33 @@
 		t.Fatal("a delta from revision 3 was installed over revision 5")
 	}
 }
+
+// checkUntouched fails if installing a delta changed the view before it.
+func checkUntouched(t *rapid.T, before *View, held []HostName) {
+	if !slices.Equal(before.Hosts.Keys(), held) {
+		t.Fatalf("the view before holds %v, held %v", before.Hosts.Keys(), held)
+	}
+}
+
+func TestDeltaIsEncodedFieldByField(t *testing.T) {
+	v := New()
+	v.Revision = 3
+	v.Hosts.Put("h1", Host{Name: "h1", Incarnation: 7}, 3)
+	for range 2 {
+		data, err := json.Marshal(v.Since(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var d Delta
+		if err := json.Unmarshal(data, &d); err != nil {
+			t.Fatal(err)
+		}
+		got, err := New().Install(&d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if h, _ := got.Hosts.Get("h1"); h.Incarnation != 7 || got.Revision != 3 {
+			t.Fatalf("decoded %+v at revision %d", h, got.Revision)
+		}
+	}
+}
