--- a/pkg/admission/share.go
+++ b/pkg/admission/share.go
@@ -46,7 +46,7 @@
 const (
 	// tolerance is how many times its share an organisation may run before it
 	// has to yield; among equal organisations chance alone brings some over it.
-	tolerance = 2
+	tolerance = 1.5
 	// leastRunning is what an organisation may always run.
 	leastRunning = 2
 )
--- a/pkg/bench/gates/run.go
+++ b/pkg/bench/gates/run.go
@@ -17,7 +17,8 @@
 	scenario scenario
 	policy   policy
 	clock    clock
-	random   *rand.Rand
+	random   *rand.Rand // of the gates' choices
+	arrivals *rand.Rand // of what callers do, the same for each policy
 	alloc    *permit.Allocator
 	view     *view.View
 	gates    []*simGate
@@ -34,7 +35,8 @@
 	r := &run{
 		scenario: s,
 		policy:   p,
-		random:   rand.New(rand.NewPCG(s.seed, s.seed)),
+		random:   rand.New(rand.NewPCG(s.seed, 1)),
+		arrivals: rand.New(rand.NewPCG(s.seed, 2)),
 		alloc:    permit.NewAllocator(p.permits),
 		view:     view.New(),
 		stats:    newStats(s.until() - s.from),
@@ -196,11 +198,11 @@
 }
 
 func (r *run) gap() time.Duration {
-	return time.Duration(r.random.ExpFloat64() / r.scenario.rate(r.clock.now) * float64(time.Second))
+	return time.Duration(r.arrivals.ExpFloat64() / r.scenario.rate(r.clock.now) * float64(time.Second))
 }
 
 func (r *run) largeGap() time.Duration {
-	return time.Duration(r.random.ExpFloat64() / r.scenario.largeRate() * float64(time.Second))
+	return time.Duration(r.arrivals.ExpFloat64() / r.scenario.largeRate() * float64(time.Second))
 }
 
 // largeArrival is one request of the large organisation, whose figures don't
@@ -221,7 +223,7 @@
 		return
 	}
 	r.clock.after(r.gap(), r.arrival)
-	q := r.newRequest("o" + string(rune('0'+r.random.IntN(organisations))))
+	q := r.newRequest("o" + string(rune('0'+r.arrivals.IntN(organisations))))
 	if q.counted {
 		r.stats.offered++
 	}
@@ -238,8 +240,8 @@
 		id:       r.ids,
 		org:      org,
 		arrived:  r.clock.now,
-		blocks:   prefix.Blocks("v1", r.prompts[int(float64(len(r.prompts))*r.random.Float64()*r.random.Float64())]+tail),
-		tokens:   r.scenario.tokens/2 + r.random.IntN(r.scenario.tokens),
+		blocks:   prefix.Blocks("v1", r.prompts[int(float64(len(r.prompts))*r.arrivals.Float64()*r.arrivals.Float64())]+tail),
+		tokens:   r.scenario.tokens/2 + r.arrivals.IntN(r.scenario.tokens),
 		deadline: r.clock.now + r.scenario.deadline,
 		counted:  r.counts(r.clock.now),
 	}
@@ -253,10 +255,10 @@
 
 // entry is the gate that the balancer chooses.
 func (r *run) entry() *simGate {
-	if r.random.Float64() < r.scenario.hot {
+	if r.arrivals.Float64() < r.scenario.hot {
 		return r.gates[0]
 	}
-	return r.gates[r.random.IntN(len(r.gates))]
+	return r.gates[r.arrivals.IntN(len(r.gates))]
 }
 
 func (r *run) counts(at time.Duration) bool { return at >= r.scenario.from && at <= r.scenario.until() }
