--- a/pkg/keeper/links_test.go
+++ b/pkg/keeper/links_test.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"context"
 	"io"
 	"testing"
 
@@ -11,7 +10,6 @@
 	"github.com/sesamemux/sesamemux/pkg/access"
 	"github.com/sesamemux/sesamemux/pkg/access/accesstest"
 	"github.com/sesamemux/sesamemux/pkg/control"
-	"github.com/sesamemux/sesamemux/pkg/logging"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
 	"github.com/sesamemux/sesamemux/pkg/settings"
 )
@@ -35,30 +33,6 @@
 	}
 }
 
-// startKeeper runs a keeper that is a quorum by itself, and returns its address.
-func startKeeper(t *testing.T, links *access.Links) string {
-	t.Helper()
-	listener, err := links.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := settings.Default[settings.Keeper]()
-	s.ID, s.Cluster, s.FailureDomain, s.MetricsListen = 1, "shops", "fd-a", ""
-	s.DataDir = t.TempDir()
-	s.RPCListen = listener.Addr().String()
-	s.Peers = []settings.Peer{{ID: 1, Address: s.RPCListen}}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- runOn(ctx, s, links, listener, logging.New(io.Discard, logging.Options{})) }()
-	t.Cleanup(func() {
-		stop()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
-	return s.RPCListen
-}
-
 // Endings of a call.
 const (
 	answered  = "answered"
@@ -82,7 +56,7 @@
 // TestKeeperUnderTLS asks a keeper for its state and for a change of it.
 func TestKeeperUnderTLS(t *testing.T) {
 	shops := accesstest.New(t, "shops")
-	address := startKeeper(t, shops.Links(access.Keeper, "k1"))
+	address := startQuorum(t, quorum{links: shops.Links(access.Keeper, "k1"), size: 1})[0].address
 	plain := &access.Links{}
 	for _, c := range []struct {
 		name   string
@@ -92,6 +66,8 @@
 	}{
 		{"operator", shops.Links(access.Operator, "ana"), control.MethodKeeperStatus, answered},
 		{"gate as operator", shops.Links(access.Gate, "g1"), control.MethodDrain, denied},
+		{"gate as another gate", shops.Links(access.Gate, "g2"), control.MethodGateSync, denied},
+		{"keeper as a gate", shops.Links(access.Keeper, "k2"), control.MethodGateSync, denied},
 		{"upstream as gate", shops.Links(access.Upstream, "u1"), control.MethodGateSync, denied},
 		{"operator as keeper", shops.Links(access.Operator, "eva"), control.MethodRaft, denied},
 		{"plain", plain, control.MethodKeeperStatus, unreached},
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/stream"
 	"github.com/sesamemux/sesamemux/pkg/suspect"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
@@ -154,6 +155,7 @@
 	p.metrics.handedOver()
 	p.config.Recorder.Record(eventHandedOver, "request", c.trace, "gate", peer.Name)
 	before := c.tracker.Offset()
+	p.stamp(req.Header)
 	err := p.exchange(ctx, p.peers, req, c, s)
 	if err == nil {
 		return result{whole: true, outcome: outcome.Ran}
@@ -171,6 +173,13 @@
 	return res
 }
 
+// stamp puts what this gate recorded so far before what the peer will record.
+func (p *Proxy) stamp(h http.Header) {
+	if p.config.Stamp != nil {
+		h.Set(timeline.Header, p.config.Stamp())
+	}
+}
+
 // exchange sends a request and forwards its stream to the end marker.
 func (p *Proxy) exchange(ctx context.Context, pool *upstream.Pool, req *upstream.Request, c *call, s sink) error {
 	res, err := pool.Do(ctx, req)
