Count attempts by the upstream's failure domain

Cause: quality of service could be told by the gate's domain alone. Change: the gate counts attempts sent and broken by the upstream's failure domain, from the events that both proxies record. Ruled out: the label on the proxies' own histograms, whose requests may run in several domains. Conclusion: a domain that breaks requests shows in one expression.

--- a/pkg/gatedaemon/daemon.go
+++ b/pkg/gatedaemon/daemon.go
@@ -140,6 +140,7 @@
 	// Each figure of a gate tells the failure domain that it stands in.
 	registerer := prometheus.WrapRegistererWith(prometheus.Labels{"failure_domain": s.FailureDomain}, d.metrics)
 	registerer.MustRegister(&metrics.Gate{Lease: g.Lease(), View: g.View})
+	tried := newAttempts(registerer, g.View)
 	d.models = proxy.New(proxy.Config{
 		Gate:     self,
 		View:     g.View,
@@ -148,7 +149,7 @@
 		Health:   g.Health(),
 		Suspects: guard,
 		Crash:    d.suspects.crashed,
-		Recorder: &recorder{timeline: events},
+		Recorder: &recorder{timeline: events, attempts: tried},
 		Stamp:    stamp,
 		Log:      logger,
 		Metrics:  registerer,
@@ -162,7 +163,7 @@
 		Lease:       g.Lease(),
 		Records:     &records{caller: caller},
 		Permits:     local,
-		Timeline:    &serviceRecorder{timeline: events},
+		Timeline:    &serviceRecorder{timeline: events, attempts: tried},
 		Stamp:       stamp,
 		Transport:   plaincall.New(targets.dialService),
 		Logger:      logger,
--- a/pkg/gatedaemon/recorder.go
+++ b/pkg/gatedaemon/recorder.go
@@ -5,13 +5,16 @@
 	"strconv"
 	"strings"
 
+	"github.com/sesamemux/sesamemux/pkg/outcome"
 	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
 	"github.com/sesamemux/sesamemux/pkg/timeline"
+	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
-// recorder puts the proxies' events on the time line.
+// recorder puts the proxies' events on the time line and counts attempts.
 type recorder struct {
 	timeline *timeline.Recorder
+	attempts *attempts
 }
 
 // Record implements proxy.Recorder. The proxy's events are named as the kinds
@@ -36,11 +39,19 @@
 	}
 	e.Text = strings.Join(rest, " ")
 	r.timeline.Record(e)
+	switch e.Kind {
+	case timeline.RequestSent:
+		r.attempts.began(view.HostName(e.Host))
+	case timeline.RequestBroken:
+		r.attempts.broke(view.HostName(e.Host))
+	}
 }
 
-// serviceRecorder puts the service proxy's events on the time line.
+// serviceRecorder puts the service proxy's events on the time line and counts
+// attempts.
 type serviceRecorder struct {
 	timeline *timeline.Recorder
+	attempts *attempts
 }
 
 // serviceKinds maps the service proxy's events to kinds of the time line.
@@ -62,4 +73,10 @@
 		Host:    string(e.Host),
 		Text:    strings.TrimSpace(fmt.Sprintf("service=%s organisation=%s %s", e.Service, e.Organisation, e.Outcome)),
 	})
+	switch {
+	case e.Kind == serviceproxy.EventSend:
+		r.attempts.began(e.Host)
+	case e.Kind == serviceproxy.EventEnd && e.Outcome != outcome.Ran:
+		r.attempts.broke(e.Host)
+	}
 }
