--- a/cmd/sesame-keeper/main.go
+++ b/cmd/sesame-keeper/main.go
@@ -2,36 +2,11 @@
 package main
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/alecthomas/kong"
-
 	"github.com/sesamemux/sesamemux/pkg/keeper"
+	"github.com/sesamemux/sesamemux/pkg/program"
 	"github.com/sesamemux/sesamemux/pkg/settings"
 )
 
-// cli holds the flags.
-type cli struct {
-	settings.Flags
-}
-
 func main() {
-	var c cli
-	kong.Parse(&c,
-		kong.Name("sesame-keeper"),
-		kong.Description("Holds one replica of the system's state. Settings come from an INI file, the environment and --set."),
-		kong.UsageOnError(),
-	)
-	s, run, exit := settings.Prepare[settings.Keeper](c.Flags, os.Environ(), os.Stdout, os.Stderr)
-	if !run {
-		os.Exit(exit)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := keeper.RunDaemon(ctx, s, os.Stderr); err != nil {
-		os.Exit(1)
-	}
+	program.Daemon[settings.Keeper]("sesame-keeper", "Holds one replica of the system's state.", keeper.RunDaemon)
 }
--- /dev/null
+++ b/pkg/program/doc.go
@@ -0,0 +1,3 @@
+// Package program holds what the daemons' main functions share: flags, checked
+// settings, and an end on SIGINT or SIGTERM.
+package program
