--- a/pkg/gatedaemon/daemon.go
+++ b/pkg/gatedaemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/sesamemux/sesamemux/pkg/introspect"
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/logging"
+	"github.com/sesamemux/sesamemux/pkg/metrics"
 	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/proxy"
 	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
@@ -116,6 +117,7 @@
 		Caller:    leader.NewCaller(s.Keepers, dial),
 		Clock:     clock.Boot{},
 		Events:    gate.NewTimelineEvents(events),
+		Stamps:    events,
 		Logger:    logger,
 		Source:    &source{permits: local},
 		Limits:    limits(s),
@@ -132,8 +134,13 @@
 		gate:     g,
 		targets:  targets,
 		suspects: newSuspects(guard, caller, logger),
-		metrics:  prometheus.NewRegistry(),
+		metrics:  metrics.NewRegistry(),
 	}
+	stamp := func() string { return events.Stamp().String() }
+	// Each figure of a gate tells the failure domain that it stands in.
+	registerer := prometheus.WrapRegistererWith(prometheus.Labels{"failure_domain": s.FailureDomain}, d.metrics)
+	registerer.MustRegister(&metrics.Gate{Lease: g.Lease(), View: g.View})
+	tried := newAttempts(registerer, g.View)
 	d.models = proxy.New(proxy.Config{
 		Gate:     self,
 		View:     g.View,
@@ -142,9 +149,10 @@
 		Health:   g.Health(),
 		Suspects: guard,
 		Crash:    d.suspects.crashed,
-		Recorder: &recorder{timeline: events},
+		Recorder: &recorder{timeline: events, attempts: tried},
+		Stamp:    stamp,
 		Log:      logger,
-		Metrics:  d.metrics,
+		Metrics:  registerer,
 		Dial:     targets.dial,
 		Options:  proxy.Options{MaxRequestTime: s.MaxRequestTime, MaxBody: s.MaxBodyBytes},
 	})
@@ -155,10 +163,11 @@
 		Lease:       g.Lease(),
 		Records:     &records{caller: caller},
 		Permits:     local,
-		Timeline:    &serviceRecorder{timeline: events},
+		Timeline:    &serviceRecorder{timeline: events, attempts: tried},
+		Stamp:       stamp,
 		Transport:   plaincall.New(targets.dialService),
 		Logger:      logger,
-		Registerer:  d.metrics,
+		Registerer:  registerer,
 		MaxBody:     s.MaxBodyBytes,
 	})
 	d.services = serviceHandlers{proxy: services, callers: serviceproxy.NewHandOver(services, local.Room)}
@@ -171,6 +180,7 @@
 		MaxBodyBytes:   s.MaxBodyBytes,
 		MaxHeaderBytes: int(s.MaxHeaderBytes),
 		HeaderTimeout:  s.HeaderTimeout,
+		BodyTimeout:    s.BodyTimeout,
 		RequestTime:    s.MaxRequestTime,
 		ShutdownNotice: s.ShutdownNotice,
 	}
--- a/pkg/keeper/daemon.go
+++ b/pkg/keeper/daemon.go
@@ -53,22 +53,28 @@
 	if err != nil {
 		return err
 	}
+	recorder, err := newRecorder(s)
+	if err != nil {
+		return err
+	}
+	defer recorder.Close()
 	listener, err := links.Listen(s.RPCListen)
 	if err != nil {
 		return eris.Wrap(err, "listen for RPC")
 	}
-	return runOn(ctx, s, links, listener, logger)
+	return runOn(ctx, s, reach{links, listener}, recorder, logger)
 }
 
-// runOn runs a keeper that is reached by a listener.
-func runOn(ctx context.Context, s settings.Keeper, links *access.Links, listener net.Listener, logger *log.Logger) error {
-	defer func() { _ = listener.Close() }()
-	recorder, err := newRecorder(s)
-	if err != nil {
-		return err
-	}
-	defer recorder.Close()
-	dial := links.Dial(access.Keeper)
+// reach is how a keeper reaches others and is reached.
+type reach struct {
+	links    *access.Links
+	listener net.Listener
+}
+
+// runOn runs a keeper with an open port.
+func runOn(ctx context.Context, s settings.Keeper, r reach, recorder *timeline.Recorder, logger *log.Logger) error {
+	defer func() { _ = r.listener.Close() }()
+	dial := r.links.Dial(access.Keeper)
 	transport := NewTransport(dial)
 	defer transport.Close()
 	store := state.NewStore()
@@ -85,14 +91,21 @@
 		Dial:   dial,
 		Timing: DefaultTiming(),
 		Events: TimelineEvents{Recorder: recorder},
+		Stamps: recorder,
 		Logger: logger,
 	})
-	server := rpc.NewServer(rpc.WithAuthorizer(links), rpc.WithLogger(logger))
+	server := rpc.NewServer(rpc.WithAuthorizer(r.links), rpc.WithLogger(logger))
 	k.Register(server)
 	introspect.ServeTimeline(server, processName(s), recorder)
-	logger.Info("keeper started", "rpc", listener.Addr(), "data", s.DataDir, "protected", links.Protected())
+	logger.Info("keeper started", "rpc", r.listener.Addr(), "data", s.DataDir, "protected", r.links.Protected())
 	recorder.Record(timeline.Event{Kind: timeline.ProcessStarted})
-	return serve(ctx, k, node, server, listener)
+	return serve(ctx, duties{
+		keeper:        k,
+		node:          node,
+		server:        server,
+		listener:      r.listener,
+		metricsListen: s.MetricsListen,
+	})
 }
 
 // openLinks opens the keeper's links to other processes.
@@ -133,17 +146,30 @@
 	return replica.Open(cfg)
 }
 
-// serve runs the duties until ctx ends or the replica ends by itself.
-func serve(ctx context.Context, k *Keeper, node *replica.Node, server *rpc.Server, l net.Listener) error {
+// duties are what a keeper's daemon runs.
+type duties struct {
+	keeper        *Keeper
+	node          *replica.Node
+	server        *rpc.Server
+	listener      net.Listener
+	metricsListen string
+}
+
+// serve runs the duties until ctx ends or one of them fails.
+func serve(ctx context.Context, d duties) error {
 	running, stop := context.WithCancel(ctx)
 	defer stop()
 	work, running := errgroup.WithContext(running)
 	work.Go(func() error {
-		k.Run(running)
+		d.keeper.Run(running)
 		return nil
 	})
 	work.Go(func() error {
-		err := server.Serve(l)
+		probe := &readiness{status: d.keeper.replicaStatus}
+		return introspect.HTTP(running, d.metricsListen, newMetrics(d.keeper), probe.ready)
+	})
+	work.Go(func() error {
+		err := d.server.Serve(d.listener)
 		if running.Err() != nil {
 			return nil
 		}
@@ -151,13 +177,13 @@
 	})
 	work.Go(func() error {
 		defer stop()
-		defer func() { _ = l.Close() }()
-		defer server.Close()
+		defer func() { _ = d.listener.Close() }()
+		defer d.server.Close()
 		select {
-		case <-node.Done():
-			return eris.Wrap(node.Err(), "replica ended")
+		case <-d.node.Done():
+			return eris.Wrap(d.node.Err(), "replica ended")
 		case <-running.Done():
-			k.handOver()
+			d.keeper.handOver()
 			return nil
 		}
 	})
--- a/pkg/proxy/attempt.go
+++ b/pkg/proxy/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/stream"
 	"github.com/sesamemux/sesamemux/pkg/suspect"
+	"github.com/sesamemux/sesamemux/pkg/timeline"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
@@ -66,16 +67,18 @@
 	req.Header.Set(infer.HeaderGroup, string(g.place.group.ID))
 	req.Header.Set(infer.HeaderEpoch, strconv.FormatUint(uint64(g.place.group.Epoch), 10))
 	before := c.tracker.Offset()
+	p.recordAttempt(eventSent, c, &g, "offset", before)
 	err := p.exchange(ctx, p.engines, req, c, s)
 	if c.isolated {
 		p.targets.trial(g.place.target, -1)
 	}
 	if err == nil {
 		endRun(run, suspect.EndedWell)
-		q.finished(time.Since(sentAt))
+		q.finished(c, time.Since(sentAt))
 		q.giveBack(g.permit, permit.EndFinished)
 		return result{whole: true, outcome: outcome.Ran}
 	}
+	p.recordAttempt(eventBroken, c, &g, "err", err)
 	res := p.failedEngine(ctx, q, c, g, err)
 	if c.tracker.Offset() > before {
 		res.outcome = outcome.Ran
@@ -88,6 +91,11 @@
 	return res
 }
 
+func (p *Proxy) recordAttempt(event string, c *call, g *grant, key string, value any) {
+	p.config.Recorder.Record(event, "request", c.trace, "group", g.place.group.ID, "host", g.place.head.Host,
+		"attempt", c.attempt, key, value)
+}
+
 func endRun(r *suspect.Run, how suspect.End) {
 	if r != nil {
 		r.End(time.Now(), how)
@@ -143,8 +151,11 @@
 	if c.version != "" {
 		req.Header.Set(infer.HeaderVersion, c.version)
 	}
+	req.Header.Set(infer.HeaderTrace, c.trace)
 	p.metrics.handedOver()
+	p.config.Recorder.Record(eventHandedOver, "request", c.trace, "gate", peer.Name)
 	before := c.tracker.Offset()
+	p.stamp(req.Header)
 	err := p.exchange(ctx, p.peers, req, c, s)
 	if err == nil {
 		return result{whole: true, outcome: outcome.Ran}
@@ -162,6 +173,13 @@
 	return res
 }
 
+// stamp puts what this gate recorded so far before what the peer will record.
+func (p *Proxy) stamp(h http.Header) {
+	if p.config.Stamp != nil {
+		h.Set(timeline.Header, p.config.Stamp())
+	}
+}
+
 // exchange sends a request and forwards its stream to the end marker.
 func (p *Proxy) exchange(ctx context.Context, pool *upstream.Pool, req *upstream.Request, c *call, s sink) error {
 	res, err := pool.Do(ctx, req)
