--- a/pkg/wal/doc.go
+++ b/pkg/wal/doc.go
@@ -34,9 +34,10 @@
 // A bad record with no valid record behind it is a torn tail and is cut. That
 // a synced record was damaged there, or that the folder is an older image, or
 // that an empty folder replaces a lost one under the same replica ID, can't be
-// seen in the folder. For these the store ID and the incarnation go to the
-// other replicas: see package raft, which refuses a replica that holds less
-// than others saw it promise.
+// seen in the folder. For these each start tells the other replicas its store
+// ID, term and last index: see package raft, which refuses a replica that
+// holds less than others saw it promise. The incarnation counts starts; only
+// the first one on a folder may join without asking.
 //
 // Not detected: an older image, while every replica that saw the later promise
 // is gone or has itself lost its marks; and an image so recent that it lacks
