Leave callers that went out of broken attempts

Cause: an attempt that a caller cancelled counted as broken by the upstream. Conclusion: the figure tells of upstreams alone.

--- a/pkg/gatedaemon/attempts.go
+++ b/pkg/gatedaemon/attempts.go
@@ -28,7 +28,7 @@
 		}, []string{domainLabel}),
 		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_upstream_attempts_broken_total",
-			Help: "Attempts that ended without a whole answer, by the upstream's failure domain.",
+			Help: "Attempts that an upstream ended without a whole answer, by its failure domain.",
 		}, []string{domainLabel}),
 	}
 	r.MustRegister(a.sent, a.broken)
--- a/pkg/gatedaemon/recorder.go
+++ b/pkg/gatedaemon/recorder.go
@@ -1,10 +1,13 @@
 package gatedaemon
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/sesamemux/sesamemux/pkg/outcome"
 	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
 	"github.com/sesamemux/sesamemux/pkg/timeline"
@@ -22,8 +25,12 @@
 func (r *recorder) Record(event string, pairs ...any) {
 	e := timeline.Event{Kind: timeline.Kind(event)}
 	var rest []string
+	var gaveUp bool // the caller went, the upstream did nothing wrong
 	for i := 0; i+1 < len(pairs); i += 2 {
 		key, value := fmt.Sprint(pairs[i]), fmt.Sprint(pairs[i+1])
+		if err, ok := pairs[i+1].(error); ok {
+			gaveUp = eris.Is(err, context.Canceled)
+		}
 		switch key {
 		case "request":
 			e.Request = value
@@ -39,10 +46,10 @@
 	}
 	e.Text = strings.Join(rest, " ")
 	r.timeline.Record(e)
-	switch e.Kind {
-	case timeline.RequestSent:
+	switch {
+	case e.Kind == timeline.RequestSent:
 		r.attempts.began(view.HostName(e.Host))
-	case timeline.RequestBroken:
+	case e.Kind == timeline.RequestBroken && !gaveUp:
 		r.attempts.broke(view.HostName(e.Host))
 	}
 }
--- a/pkg/gatedaemon/recorder_test.go
+++ b/pkg/gatedaemon/recorder_test.go
@@ -1,6 +1,9 @@
 package gatedaemon
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"maps"
 	"testing"
 
@@ -26,7 +29,8 @@
 	models, services := &recorder{line, tried}, &serviceRecorder{line, tried}
 
 	models.Record("request-sent", "request", "q1", "group", "assistant-1", "host", view.HostName("e1"), "attempt", 2, "offset", 0)
-	models.Record("request-broken", "request", "q1", "host", view.HostName("e1"))
+	models.Record("request-broken", "request", "q1", "host", view.HostName("e1"), "err", io.ErrUnexpectedEOF)
+	models.Record("request-broken", "request", "q1", "host", view.HostName("e1"), "err", fmt.Errorf("read: %w", context.Canceled))
 	models.Record("request-sent", "request", "q1", "host", view.HostName("gone"))
 	services.Record(serviceproxy.Event{Kind: serviceproxy.EventSend, Host: "r1"})
 	services.Record(serviceproxy.Event{Kind: serviceproxy.EventEnd, Host: "r1", Outcome: outcome.Ran})
