--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -131,6 +131,7 @@
     --run bookings --organisation north-quay=1 --check
 }
 
+echo "data    $DATA"
 echo "keepers $KEEPERS"
 echo "gates   $CALLERS"
 step "a leader answers" retry 10 $CTL status
@@ -162,6 +163,7 @@
   $CTL status
   kill \$(cat $DATA/gate2.pid)      # any of $DATA/*.pid; restart with the same command
 TEXT
+  echo "ready"
   read -r _ || sleep infinity
 fi
 
