--- a/pkg/permit/allocator.go
+++ b/pkg/permit/allocator.go
@@ -241,16 +241,21 @@
 	if !t.Up {
 		return nil
 	}
+	free, due := t.free() > 0, now-t.LookedAt >= view.Time(a.options.RebalanceInterval)
+	if !free && !due {
+		return nil
+	}
 	desired := a.desired(t)
-	if t.free() > 0 {
-		if a.raiseTo(t, desired) {
-			return []Change{PutShare{Share: t.share()}}
-		}
+	if free && a.raiseTo(t, desired) {
+		return []Change{PutShare{Share: t.share()}}
+	}
+	if !due {
+		return nil
 	}
-	if now-t.MovedAt < view.Time(a.options.RebalanceInterval) || !t.worthMoving(desired) {
+	t.LookedAt = now
+	if !t.worthMoving(desired) {
 		return nil
 	}
-	t.MovedAt = now
 	return a.publish(t, desired, rev)
 }
 
@@ -259,7 +264,7 @@
 	if !t.Up {
 		return nil
 	}
-	t.MovedAt = now
+	t.LookedAt = now
 	a.publish(t, a.desired(t), rev)
 	return []Change{PutShare{Share: t.share()}}
 }
--- a/pkg/permit/target.go
+++ b/pkg/permit/target.go
@@ -21,7 +21,7 @@
 	FellAt      view.Revision // revision of the last fall, or of the start
 	StepSince   view.Time     // when the bound reached its value
 	StepProof   int           // requests finished well since then
-	MovedAt     view.Time     // when permits last moved for demand
+	LookedAt    view.Time     // when the division was last looked at
 	Holdings    []holding     // sorted by gate
 	Orphans     []orphan
 }
--- a/pkg/prove/gates/cold.go
+++ b/pkg/prove/gates/cold.go
@@ -201,11 +201,9 @@
 			return err
 		}
 		r, l := random(seed), w.newLoad()
-		for round := range 6 {
-			g := w.gates[round%3]
-			for range 30 {
-				l.ask(time.Duration(round)*3*time.Second+upTo(r, 2*time.Second), g, question{organisation: "boia", tokens: 60 + r.IntN(100), deadline: 60 * time.Second})
-			}
+		for i := range 120 {
+			hot := w.gates[i/20%3]
+			l.ask(time.Duration(i)*150*time.Millisecond, hot, question{organisation: "boia", tokens: 60 + r.IntN(60), deadline: 90 * time.Second})
 		}
 		if err := l.wait(); err != nil {
 			return err
--- a/pkg/proxy/choose.go
+++ b/pkg/proxy/choose.go
@@ -96,7 +96,6 @@
 		Version:       c.version,
 		FailureDomain: p.config.Gate.FailureDomain,
 		Blocks:        len(c.blocks),
-		Isolated:      c.isolated,
 		Excluded:      c.excludedTargets(),
 	}
 	ch.hint(c)
--- a/pkg/routing/candidate.go
+++ b/pkg/routing/candidate.go
@@ -16,6 +16,6 @@
 	SentSince   int         // this gate's requests sent since Load was taken
 	Bound       int         // of work in flight over all gates
 	Unhealthy   bool        // a member does not report the group as it is in force
-	SuspectRuns bool        // an isolated request runs there
+	SuspectRuns bool        // a suspect is on trial there
 	PrefixHits  int         // leading blocks of the prompt that are hinted to be cached
 }
--- a/pkg/routing/filter_not_suspected.go
+++ b/pkg/routing/filter_not_suspected.go
@@ -1,16 +1,11 @@
 package routing
 
-// NotSuspected keeps isolated requests alone: they go only where this gate
-// runs nothing, and nothing joins them.
+// NotSuspected drops targets on which a suspect is on trial: no other suspect
+// and no innocent request joins it.
 type NotSuspected struct{}
 
 // Name returns the plugin's name.
 func (NotSuspected) Name() string { return "suspected" }
 
 // Keep tells whether the request may share the target.
-func (NotSuspected) Keep(r *Request, c *Candidate) bool {
-	if c.SuspectRuns {
-		return false
-	}
-	return !r.Isolated || c.InFlight == 0
-}
+func (NotSuspected) Keep(_ *Request, c *Candidate) bool { return !c.SuspectRuns }
--- a/pkg/routing/request.go
+++ b/pkg/routing/request.go
@@ -8,6 +8,5 @@
 	Version       string // "" for any; set when an answer goes on
 	FailureDomain string // of the gate
 	Blocks        int    // prefix blocks of the prompt
-	Isolated      bool   // must run alone
 	Excluded      []view.TargetID
 }
