--- a/pkg/gatedaemon/recorder.go
+++ b/pkg/gatedaemon/recorder.go
@@ -1,17 +1,23 @@
 package gatedaemon
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/outcome"
 	"github.com/sesamemux/sesamemux/pkg/serviceproxy"
 	"github.com/sesamemux/sesamemux/pkg/timeline"
+	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
-// recorder puts the proxies' events on the time line.
+// recorder puts the proxies' events on the time line and counts attempts.
 type recorder struct {
 	timeline *timeline.Recorder
+	attempts *attempts
 }
 
 // Record implements proxy.Recorder. The proxy's events are named as the kinds
@@ -19,8 +25,12 @@
 func (r *recorder) Record(event string, pairs ...any) {
 	e := timeline.Event{Kind: timeline.Kind(event)}
 	var rest []string
+	var gaveUp bool // the caller went, the upstream did nothing wrong
 	for i := 0; i+1 < len(pairs); i += 2 {
 		key, value := fmt.Sprint(pairs[i]), fmt.Sprint(pairs[i+1])
+		if err, ok := pairs[i+1].(error); ok {
+			gaveUp = eris.Is(err, context.Canceled)
+		}
 		switch key {
 		case "request":
 			e.Request = value
@@ -36,11 +46,19 @@
 	}
 	e.Text = strings.Join(rest, " ")
 	r.timeline.Record(e)
+	switch {
+	case e.Kind == timeline.RequestSent:
+		r.attempts.began(view.HostName(e.Host))
+	case e.Kind == timeline.RequestBroken && !gaveUp:
+		r.attempts.broke(view.HostName(e.Host))
+	}
 }
 
-// serviceRecorder puts the service proxy's events on the time line.
+// serviceRecorder puts the service proxy's events on the time line and counts
+// attempts.
 type serviceRecorder struct {
 	timeline *timeline.Recorder
+	attempts *attempts
 }
 
 // serviceKinds maps the service proxy's events to kinds of the time line.
@@ -62,4 +80,10 @@
 		Host:    string(e.Host),
 		Text:    strings.TrimSpace(fmt.Sprintf("service=%s organisation=%s %s", e.Service, e.Organisation, e.Outcome)),
 	})
+	switch {
+	case e.Kind == serviceproxy.EventSend:
+		r.attempts.began(e.Host)
+	case e.Kind == serviceproxy.EventEnd && e.Outcome != outcome.Ran:
+		r.attempts.broke(e.Host)
+	}
 }
