Let free hosts hold the weights of one rank each

Change: free hosts fetch the weights of ranks that no other spare of the fabric domain holds, with at most a quarter of the store's slots and after all groups; a freed host keeps what it has loaded. Failure domain counts are kept with the model. A prepared host that makes no headway begins anew: before, one step dropped and chose it without end; a step's rounds are bounded as well. TestSpareTakesOver now plays cold spares, as its count of loads is about them; the one of warm spares stands beside it. The proofs' world forgets running work of a group that lost a member, as none is left. Ruled out: a spare for each rank always: it takes as many spares as ranks.

--- /dev/null
+++ b/pkg/bench/groups/cost.go
@@ -0,0 +1,74 @@
+package groups
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/bench"
+	"github.com/sesamemux/sesamemux/pkg/group"
+	"github.com/sesamemux/sesamemux/pkg/groupday"
+)
+
+// cost measures what decisions cost at the target and at a tenth of it.
+func cost(context.Context) ([]bench.Variant, error) {
+	target, err := costOf("12,000 hosts", groupday.Target(targetSpares), groupday.TargetTrouble())
+	if err != nil {
+		return nil, err
+	}
+	tenth, err := costOf("1,200 hosts", groupday.Tenth(targetSpares), groupday.TenthTrouble())
+	if err != nil {
+		return nil, err
+	}
+	tenth.Baseline = true
+	return []bench.Variant{target, tenth}, nil
+}
+
+func costOf(name string, f groupday.Fleet, t groupday.Trouble) (bench.Variant, error) {
+	v := bench.Variant{Name: name}
+	d := groupday.NewDay(f, group.Options{}, 1, stopwatch())
+	if _, err := d.Form(); err != nil {
+		return v, err
+	}
+	r := d.Play(t, 1)
+	begun := time.Now()
+	snapshot, err := d.Machine().Snapshot()
+	if err != nil {
+		return v, err
+	}
+	snapshotTime := time.Since(begun)
+	heap, restoreTime, err := restored(snapshot)
+	if err != nil {
+		return v, err
+	}
+	v.Figures = []bench.Figure{
+		{Name: "event, mean", Value: float64(r.Cost.PerEvent().Nanoseconds()), Unit: "ns/op"},
+		{Name: "tick, mean", Value: float64(r.Cost.PerTick().Nanoseconds()), Unit: "ns/op"},
+		{Name: "step, longest", Value: r.Cost.Longest.Seconds() * 1e3, Unit: "ms"},
+		{Name: "events a day", Value: float64(r.Cost.Events), Unit: ""},
+		{Name: "snapshot", Value: float64(len(snapshot)), Unit: "B"},
+		{Name: "snapshot taken in", Value: snapshotTime.Seconds() * 1e3, Unit: "ms"},
+		{Name: "restored in", Value: restoreTime.Seconds() * 1e3, Unit: "ms"},
+		{Name: "memory", Value: float64(heap), Unit: "B"},
+	}
+	return v, nil
+}
+
+// restored gives the memory that a machine takes, and the time to restore it.
+func restored(snapshot []byte) (uint64, time.Duration, error) {
+	before := heapInUse()
+	m := group.NewMachine(group.Options{})
+	begun := time.Now()
+	err := m.Restore(snapshot)
+	taken := time.Since(begun)
+	after := heapInUse()
+	runtime.KeepAlive(m)
+	return after - min(before, after), taken, err
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- /dev/null
+++ b/pkg/bench/groups/rollout.go
@@ -0,0 +1,61 @@
+package groups
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/bench"
+	"github.com/sesamemux/sesamemux/pkg/group"
+	"github.com/sesamemux/sesamemux/pkg/groupday"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// rollout changes the version of today's fleet, as many groups at a time as
+// the store feeds, and all at once.
+func rollout(context.Context) ([]bench.Variant, error) {
+	batches, err := roll("as many at a time as the store feeds", group.Options{})
+	if err != nil {
+		return nil, err
+	}
+	once, err := roll("all at once", group.Options{Unguarded: group.Unguarded{Minimum: true}})
+	if err != nil {
+		return nil, err
+	}
+	once.Baseline = true
+	return []bench.Variant{batches, once}, nil
+}
+
+func roll(name string, o group.Options) (bench.Variant, error) {
+	v := bench.Variant{Name: name}
+	d := groupday.NewDay(groupday.Today(), o, 1, nil)
+	if _, err := d.Form(); err != nil {
+		return v, err
+	}
+	d.RunFor(10 * time.Minute)
+	before := d.Machine().Stats()
+	least := before.Taking
+	d.Publish("v2")
+	var passed time.Duration
+	for passed < moveBound && !rolled(d, "v2") {
+		d.RunFor(pollChange)
+		passed += pollChange
+		least = min(least, d.Machine().Stats().Taking)
+	}
+	after := d.Machine().Stats()
+	v.Figures = []bench.Figure{
+		{Name: "fewest groups that work", Value: float64(least), Unit: ""},
+		{Name: "done after", Value: passed.Seconds(), Unit: "s"},
+		{Name: "group downtime", Value: (after.DownTotal - before.DownTotal).Seconds(), Unit: "s"},
+	}
+	return v, nil
+}
+
+// rolled tells whether all groups work with a version.
+func rolled(d *groupday.Day, version string) bool {
+	for _, g := range d.Machine().Groups() {
+		if g.Version != version || g.State != view.StateServing || g.Draining {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/bench/groups/variant.go
@@ -0,0 +1,77 @@
+package groups
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/bench"
+	"github.com/sesamemux/sesamemux/pkg/group"
+	"github.com/sesamemux/sesamemux/pkg/groupday"
+)
+
+// variant is one way of repair on one fleet.
+type variant struct {
+	name     string
+	baseline bool
+	fleet    groupday.Fleet
+	options  group.Options
+}
+
+// days plays variants through the same days.
+func days(trouble groupday.Trouble, seeds int, variants []variant) func(context.Context) ([]bench.Variant, error) {
+	return func(ctx context.Context) ([]bench.Variant, error) {
+		var all []bench.Variant
+		for _, v := range variants {
+			r, err := v.play(ctx, trouble, seeds)
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, bench.Variant{
+				Name:     v.name,
+				Baseline: v.baseline,
+				Figures:  figures(r, v.fleet, seeds),
+			})
+		}
+		return all, nil
+	}
+}
+
+// play sums days up.
+func (v variant) play(ctx context.Context, trouble groupday.Trouble, seeds int) (groupday.Result, error) {
+	var sum groupday.Result
+	for seed := uint64(1); seed <= uint64(seeds); seed++ {
+		if err := ctx.Err(); err != nil {
+			return sum, err
+		}
+		d := groupday.NewDay(v.fleet, v.options, seed, stopwatch())
+		if _, err := d.Form(); err != nil {
+			return sum, err
+		}
+		sum = sum.Add(d.Play(trouble, seed))
+	}
+	return sum, nil
+}
+
+// figures gives a day's mean figures.
+func figures(r groupday.Result, f groupday.Fleet, seeds int) []bench.Figure {
+	n := float64(seeds)
+	all := []bench.Figure{
+		{Name: "group downtime a day", Value: r.Down.Seconds() / n, Unit: "s"},
+		{Name: "downtime of a group a day", Value: r.Down.Seconds() / n / float64(f.Copies), Unit: "s"},
+	}
+	for _, c := range r.ByCause {
+		if c.Time > 0 {
+			all = append(all, bench.Figure{Name: "downtime, " + c.Cause.String(), Value: c.Time.Seconds() / n, Unit: "s"})
+		}
+	}
+	return append(all,
+		bench.Figure{Name: "accelerators stranded", Value: r.Stranded.Seconds() / n, Unit: "s"},
+		bench.Figure{Name: "loads done", Value: float64(r.LoadsDone) / n, Unit: ""},
+		bench.Figure{Name: "loads wasted", Value: float64(r.LoadsWasted) / n, Unit: ""},
+	)
+}
+
+func stopwatch() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
+}
--- a/pkg/group/account.go
+++ b/pkg/group/account.go
@@ -61,6 +61,7 @@
 	LoadsWasted     uint64        // loads begun that served nothing
 	LoadsRunning    int           // members that may fetch now
 	LoadsWaiting    int           // members held back now
+	Spares          int           // free hosts that have weights in memory now
 	OrdersDue       int
 	Epoch           view.Epoch    // highest fencing number given
 	RolloutsBlocked []string      // model groups that can't go on without going under their minimum
@@ -82,6 +83,11 @@
 		s.Down = append(s.Down, CauseTime{Cause: Cause(c), Time: time.Duration(down)})
 		s.DownTotal += time.Duration(down)
 	}
+	for _, h := range m.spares {
+		if h.ready() {
+			s.Spares++
+		}
+	}
 	for _, n := range m.waiting {
 		s.LoadsWaiting += n
 	}
--- a/pkg/group/candidate.go
+++ b/pkg/group/candidate.go
@@ -38,14 +38,29 @@
 		(m.seated(g, rank).Slow || h.Faults.current(m.now) < worst)
 }
 
+// warmth ranks hosts by what they hold: the weights of a role, part of them,
+// nothing, others.
+func warmth(h *host, r role) int {
+	switch {
+	case r.loadedBy(h.Status):
+		return 3
+	case h.Role.sameWeights(r):
+		return 2
+	case h.cold():
+		return 1
+	default:
+		return 0
+	}
+}
+
 // better tells whether host a is better for a role than b: not damped, with
 // the weights already loaded, with fewer faults, first by name.
 func (m *Machine) better(a, b *host, r role) bool {
 	if da, db := a.Faults.damped(m.now), b.Faults.damped(m.now); da != db {
 		return db
 	}
-	if wa, wb := r.loadedBy(a.Status), r.loadedBy(b.Status); wa != wb {
-		return wa
+	if c := cmp.Compare(warmth(a, r), warmth(b, r)); c != 0 {
+		return c > 0
 	}
 	c := cmp.Compare(a.Faults.current(m.now), b.Faults.current(m.now))
 	if c != 0 {
--- a/pkg/group/dissolve.go
+++ b/pkg/group/dissolve.go
@@ -9,6 +9,7 @@
 		return
 	}
 	serving := g.State == view.StateServing
+	m.models[g.Model].inDomain[g.FailureDomain]--
 	m.stopWork(g, c)
 	m.setState(g, view.StateDissolving)
 	if !serving {
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -47,7 +47,14 @@
 
 // role is what the member of a rank should run at an epoch.
 func (g *group) role(rank int, epoch view.Epoch) role {
-	return role{Group: g.ID, Epoch: epoch, Version: g.Version, Adapters: g.Adapters, Rank: rank}
+	return role{
+		Group:    g.ID,
+		Epoch:    epoch,
+		Version:  g.Version,
+		Adapters: g.Adapters,
+		Rank:     rank,
+		Weights:  g.Weights,
+	}
 }
 
 // published is the group as gates see it.
--- a/pkg/group/host.go
+++ b/pkg/group/host.go
@@ -24,8 +24,11 @@
 	VerifiedAt  view.Epoch // epoch of the last role that it reported ready
 }
 
-// free tells whether the host has no role.
-func (h *host) free() bool { return h.Role.Group == "" }
+// free tells whether the host belongs to no group.
+func (h *host) free() bool { return h.Role.Group == "" || h.Role.Spare != "" }
+
+// cold tells whether the host is free and should hold no weights.
+func (h *host) cold() bool { return h.Role.Group == "" }
 
 // carriesRole tells whether the last report is of the host's role, in any
 // phase.
@@ -48,7 +51,7 @@
 	if !h.Present {
 		return true
 	}
-	if h.free() {
+	if h.cold() {
 		return !h.Reported || h.Status.Group == ""
 	}
 	if !h.carriesRole() {
--- a/pkg/group/host_events.go
+++ b/pkg/group/host_events.go
@@ -55,15 +55,16 @@
 	} else {
 		m.returns.Lost()
 	}
-	g := m.groups[h.Role.Group]
-	if g != nil {
+	h.Reported = false
+	h.Status = report.Status{}
+	if g := m.groups[h.Role.Group]; g != nil {
 		m.unseat(g, h, CauseMemberRestarted)
+	} else if h.Role.Spare != "" {
+		m.release(h, 0)
 	}
 	m.leaveDomain(h)
 	h.Info = v
 	h.Present = true
-	h.Reported = false
-	h.Status = report.Status{}
 	h.Slow = false
 	m.enterDomain(h)
 	m.countHost(h, 1)
@@ -101,6 +102,7 @@
 	s.Adapters = sortedAdapters(s.Adapters)
 	h.Status = s
 	h.Reported = true
+	m.keepWarm(h)
 	m.refreshHost(h)
 	m.touchID(h.Role.Group)
 }
--- a/pkg/group/hosts.go
+++ b/pkg/group/hosts.go
@@ -74,12 +74,13 @@
 		h.NotBefore = max(h.NotBefore, h.OrdersEnded+view.Time(m.opts.OrderQuiet))
 	}
 	m.dropLoad(h, r)
+	m.leaveQueue(h)
 	h.Role = r
 	h.DueSince = m.now
 	if r.Group != "" && h.Load.Phase == loadNone && !(h.Reported && r.loadedBy(h.Status)) {
 		h.Load = load{Phase: loadWaiting, Since: m.now}
-		m.waiting[r.Group]++
 	}
+	m.enterQueue(h)
 	m.indexRole(h, was)
 	m.refreshHost(h)
 }
@@ -89,6 +90,10 @@
 func (m *Machine) release(h *host, guard view.Revision) {
 	h.Guard = max(h.Guard, guard)
 	h.Slow = false
+	if r, ok := m.spareRole(h); ok {
+		m.setSpare(h, r)
+		return
+	}
 	m.setRole(h, role{Epoch: m.nextEpoch()})
 }
 
@@ -100,6 +105,7 @@
 	} else {
 		delete(d.free, h.Info.Name)
 	}
+	m.indexSpare(h)
 	if was.Group != "" {
 		m.touchID(was.Group)
 	}
@@ -111,14 +117,14 @@
 // refreshHost follows a host's report: whether orders are due to it, and how
 // far its load is.
 func (m *Machine) refreshHost(h *host) {
-	if h.free() && h.Present && h.Reported && h.Status.Group != "" && h.Role.Epoch <= h.Status.Epoch {
+	if h.cold() && h.Present && h.Reported && h.Status.Group != "" && h.Role.Epoch <= h.Status.Epoch {
 		h.Role.Epoch = m.nextEpoch()
 	}
 	if h.ready() {
 		h.VerifiedAt = h.Role.Epoch
 	}
 	m.followLoad(h)
-	m.indexFetch(h)
+	m.indexRunning(h)
 	due := !h.agrees()
 	if h.Unsettled && !due {
 		h.OrdersEnded = m.now
@@ -136,10 +142,10 @@
 
 // followLoad notes the end of a host's load.
 func (m *Machine) followLoad(h *host) {
-	if h.free() || h.Load.Phase == loadNone || h.Load.Phase == loadDone || !h.loaded() {
+	if h.cold() || h.Load.Phase == loadNone || h.Load.Phase == loadDone || !h.loaded() {
 		return
 	}
-	m.endFetch(h)
+	m.leaveQueue(h)
 	m.account.LoadsDone++
 	h.Load = load{Phase: loadDone, Since: m.now}
 }
@@ -157,32 +163,10 @@
 	if h.Load.Phase != loadWaiting {
 		m.account.LoadsWasted++
 	}
-	m.endFetch(h)
+	m.leaveQueue(h)
 	h.Load = load{}
 }
 
-// endFetch takes a host out of the load schedule.
-func (m *Machine) endFetch(h *host) {
-	delete(m.running, h.Info.Name)
-	if h.Load.Phase != loadWaiting {
-		return
-	}
-	id := h.Role.Group
-	m.waiting[id]--
-	if m.waiting[id] <= 0 {
-		delete(m.waiting, id)
-	}
-}
-
-// indexFetch keeps the set of hosts that may fetch.
-func (m *Machine) indexFetch(h *host) {
-	if h.Present && h.Load.Phase == loadRunning {
-		m.running[h.Info.Name] = h
-	} else {
-		delete(m.running, h.Info.Name)
-	}
-}
-
 // orderOverdue tells whether a host does not do for long what it is ordered.
 func (m *Machine) orderOverdue(h *host) bool {
 	if !h.Unsettled || h.Load.Phase == loadWaiting || h.Load.Phase == loadRunning {
@@ -197,7 +181,8 @@
 	if h.Load.Phase != loadRunning {
 		return false
 	}
-	bound := loadPatience + loadPatienceFactor*m.opts.loadTime(weights)
+	shared := max(1, len(m.running)/m.opts.slots())
+	bound := loadPatience + loadPatienceFactor*time.Duration(shared)*m.opts.loadTime(weights)
 	return time.Duration(m.now-h.Load.Since) > bound
 }
 
--- a/pkg/group/life.go
+++ b/pkg/group/life.go
@@ -115,7 +115,7 @@
 	g.Settled = true
 	for rank := range g.Seats {
 		h := m.seated(g, rank)
-		m.endFetch(h)
+		m.leaveQueue(h)
 		h.Load = load{}
 	}
 }
--- a/pkg/group/machine.go
+++ b/pkg/group/machine.go
@@ -28,6 +28,9 @@
 	rev       view.Revision // of the running step
 	domains   map[string]*domain
 	unsettled map[view.HostName]*host // to which orders are due
+	cold      map[string]bool         // fabric domains with free hosts that hold no weights
+	idle      map[view.HostName]*host // spares whose load the schedule holds back
+	spares    map[view.HostName]*host // free hosts that hold weights or are to
 	waiting   map[view.GroupID]int    // members whose load the schedule holds back
 	running   map[view.HostName]*host // hosts that may fetch
 	active    map[view.GroupID]*group // to look at as time passes
@@ -56,6 +59,9 @@
 	m.unsettled = make(map[view.HostName]*host)
 	m.waiting = make(map[view.GroupID]int)
 	m.running = make(map[view.HostName]*host)
+	m.cold = make(map[string]bool)
+	m.idle = make(map[view.HostName]*host)
+	m.spares = make(map[view.HostName]*host)
 	m.active = make(map[view.GroupID]*group)
 	m.behind = make(map[view.GroupID]*group)
 	m.touched = make(map[view.GroupID]*group)
@@ -148,9 +154,14 @@
 	}
 }
 
+// evaluationRounds bounds the work of one step. Groups that need more are
+// looked at again with the next tick.
+const evaluationRounds = 32
+
 // evaluateTouched looks at touched groups, in order, until none is left.
 func (m *Machine) evaluateTouched() {
-	for len(m.touched) > 0 {
+	defer clear(m.touched)
+	for round := 0; len(m.touched) > 0 && round < evaluationRounds; round++ {
 		batch := make([]*group, 0, len(m.touched))
 		for _, g := range m.touched {
 			batch = append(batch, g)
--- a/pkg/group/machine_test.go
+++ b/pkg/group/machine_test.go
@@ -135,7 +135,7 @@
 }
 
 func TestSpareTakesOver(t *testing.T) {
-	p := newServing(t, Options{}, 1, 1, 5)
+	p := newServing(t, Options{ColdSpares: true}, 1, 1, 5)
 	lost := p.m.Groups()[0].Members[2].Host
 	p.kill(lost)
 	if p.taking() != 0 {
@@ -150,6 +150,22 @@
 	}
 }
 
+func TestWarmSpareTakesOverAtOnce(t *testing.T) {
+	p := newServing(t, Options{}, 1, 1, 8)
+	if n := p.m.Stats().Spares; n != 4 {
+		t.Fatalf("%d spares have weights, want 4", n)
+	}
+	lost := p.m.Groups()[0].Members[2].Host
+	p.kill(lost)
+	p.seconds(8)
+	if p.taking() != 1 {
+		t.Fatalf("not repaired: %+v", p.m.Groups())
+	}
+	if done := p.m.Stats().LoadsDone; done != 8 {
+		t.Errorf("%d loads, want 4 for members and 4 for spares", done)
+	}
+}
+
 func TestPausedMemberReturns(t *testing.T) {
 	p := newServing(t, Options{}, 1, 1, 5)
 	lost := p.m.Groups()[0].Members[2]
@@ -229,3 +245,30 @@
 		t.Fatalf("restored state differs, err %v", err)
 	}
 }
+
+func TestStuckReplacementEndsAStep(t *testing.T) {
+	p := newServing(t, Options{}, 1, 1, 5)
+	stuck := view.HostName("h0-4")
+	for _, name := range p.m.HostNames() {
+		if h, _ := p.m.Host(name); h.Group == "" {
+			stuck = name
+		}
+	}
+	lost := p.m.Groups()[0].Members[2].Host
+	p.kill(lost)
+	for range 400 {
+		p.now += view.Time(time.Second)
+		p.step(Ticked{})
+		p.step(BarrierPassed{p.rev})
+		for _, o := range p.m.Orders(p.now) {
+			if o.Host == stuck {
+				o.LoadAllowed = false
+				p.loads[o.Host] = loadSeconds
+				p.obey(o)
+			}
+		}
+	}
+	if e := p.m.Stats().Epoch; e > 400 {
+		t.Errorf("%d fencing numbers in 400 s for one host that makes no headway", e)
+	}
+}
--- a/pkg/group/model.go
+++ b/pkg/group/model.go
@@ -15,8 +15,14 @@
 	removed      bool // no longer wanted; stays until its groups are gone
 	groups       map[view.GroupID]*group
 	tally        tally
-	surplusSince view.Time // 0 while there is none
-	blocked      bool      // the rollout can't go on without going under the minimum
+	inDomain     map[string]int // groups that are not dissolving, by failure domain
+	surplusSince view.Time      // 0 while there is none
+	spareVersion string         // version that spares hold or are to
+	blocked      bool           // the rollout can't go on without going under the minimum
+}
+
+func newModel() *model {
+	return &model{groups: make(map[view.GroupID]*group), inDomain: make(map[string]int)}
 }
 
 // outdated tells whether a group differs from what is wanted.
--- a/pkg/group/objects.go
+++ b/pkg/group/objects.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"github.com/sesamemux/sesamemux/pkg/object"
-	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
 func (m *Machine) publishObjects(set object.Set) {
@@ -20,7 +19,7 @@
 	for name, mod := range m.models {
 		if !wanted[name] {
 			mod.removed = true
-			mod.want.Copies, mod.want.Minimum = 0, 0
+			mod.want.Copies, mod.want.Minimum, mod.want.Version = 0, 0, ""
 		}
 	}
 	for _, mod := range m.models {
@@ -32,7 +31,7 @@
 func (m *Machine) want(w object.ModelGroup, weights int64) {
 	mod := m.models[w.Name]
 	if mod == nil {
-		mod = &model{groups: make(map[view.GroupID]*group)}
+		mod = newModel()
 		m.models[w.Name] = mod
 	}
 	w.HostsPerGroup = max(1, w.HostsPerGroup)
--- a/pkg/group/options.go
+++ b/pkg/group/options.go
@@ -45,6 +45,7 @@
 	SurplusHold     time.Duration // how long surplus serving groups are kept
 	Policy          Policy
 	LoadOrder       LoadOrder
+	ColdSpares      bool // free hosts hold no weights
 	// FixedGrace replaces the learned wait for silent members where it is
 	// above 0, and turns waiting off where it is below.
 	FixedGrace time.Duration
--- a/pkg/group/orders.go
+++ b/pkg/group/orders.go
@@ -40,18 +40,19 @@
 		Kind:        order.KindRelease,
 		Fence:       h.Role.Epoch,
 	}
-	g := m.groups[h.Role.Group]
-	if g == nil {
+	if h.cold() {
 		return o
 	}
 	o.Kind = order.KindServe
-	o.Group = g.ID
+	o.Group = h.Role.Group
 	o.Version = h.Role.Version
-	o.WeightsBytes = g.Weights
+	o.WeightsBytes = h.Role.Weights
 	o.Adapters = h.Role.Adapters
 	o.Rank = h.Role.Rank
-	o.Peers = g.peers(h.Role.Epoch)
 	o.LoadAllowed = h.Load.allowed()
+	if g := m.groups[h.Role.Group]; g != nil {
+		o.Peers = g.peers(h.Role.Epoch)
+	}
 	return o
 }
 
--- a/pkg/group/placement/survey.go
+++ b/pkg/group/placement/survey.go
@@ -1,5 +1,7 @@
 package placement
 
+import "maps"
+
 // Domain is one fabric domain.
 type Domain struct {
 	Name          string
@@ -13,15 +15,13 @@
 	groups  map[string]int // by failure domain
 }
 
-// NewSurvey returns an empty survey.
-func NewSurvey() *Survey { return &Survey{groups: make(map[string]int)} }
+// NewSurvey returns a survey without hosts. groups counts the model's groups
+// by failure domain.
+func NewSurvey(groups map[string]int) *Survey { return &Survey{groups: maps.Clone(groups)} }
 
 // Add adds a fabric domain.
 func (s *Survey) Add(d Domain) { s.domains = append(s.domains, d) }
 
-// AddGroup adds a group that stands in a failure domain.
-func (s *Survey) AddGroup(failureDomain string) { s.groups[failureDomain]++ }
-
 // Choose gives the fabric domain for the next group and counts it as taken.
 // Domains that keep their spares come first, then those in failure domains
 // with few groups, then those with many free hosts.
--- a/pkg/group/plan.go
+++ b/pkg/group/plan.go
@@ -20,10 +20,11 @@
 		m.rollOut(mod)
 		m.dropSurplus(mod)
 		m.fillUp(mod)
-		if mod.removed && len(mod.groups) == 0 {
+		if mod.removed && len(mod.groups) == 0 && mod.spareVersion == "" {
 			delete(m.models, mod.want.Name)
 		}
 	}
+	m.planSpares()
 }
 
 // target is how many groups a model should have now: one more than wanted
@@ -62,7 +63,7 @@
 
 // survey tells placement what hosts there are for a model.
 func (m *Machine) survey(mod *model, fit func(*host) bool) *placement.Survey {
-	s := placement.NewSurvey()
+	s := placement.NewSurvey(mod.inDomain)
 	for _, d := range m.domains {
 		free := 0
 		if len(d.free) >= mod.want.HostsPerGroup && mod.allows(d.failureDomain) {
@@ -70,11 +71,6 @@
 		}
 		s.Add(placement.Domain{Name: d.name, FailureDomain: d.failureDomain, Free: free})
 	}
-	for _, g := range mod.groups {
-		if g.State != view.StateDissolving {
-			s.AddGroup(g.FailureDomain)
-		}
-	}
 	return s
 }
 
@@ -116,7 +112,7 @@
 		Since:         m.now,
 	}
 	m.addGroup(g)
-	for rank, h := range hosts {
+	for rank, h := range ranked(hosts, mod) {
 		g.Seats[rank].occupy(h)
 		m.setRole(h, g.role(rank, g.Epoch))
 	}
@@ -125,10 +121,35 @@
 	m.touch(g)
 }
 
+// ranked orders hosts by rank: spares get the rank whose weights they hold.
+func ranked(hosts []*host, mod *model) []*host {
+	byRank := make([]*host, len(hosts))
+	var others []*host
+	for _, h := range hosts {
+		r := h.Role.Rank
+		if h.Role.Spare == mod.want.Name && r < len(hosts) && byRank[r] == nil {
+			byRank[r] = h
+			continue
+		}
+		others = append(others, h)
+	}
+	for rank := range byRank {
+		if byRank[rank] == nil {
+			byRank[rank] = others[0]
+			others = others[1:]
+		}
+	}
+	return byRank
+}
+
 // addGroup enters a group in the indexes.
 func (m *Machine) addGroup(g *group) {
 	m.groups[g.ID] = g
-	m.models[g.Model].groups[g.ID] = g
+	mod := m.models[g.Model]
+	mod.groups[g.ID] = g
+	if g.State != view.StateDissolving {
+		mod.inDomain[g.FailureDomain]++
+	}
 	m.domains[g.FabricDomain].groups[g.ID] = g
 }
 
--- a/pkg/group/read.go
+++ b/pkg/group/read.go
@@ -15,6 +15,7 @@
 	Reported bool          // Status is of this presence
 	Status   report.Status // last report
 	Group    view.GroupID  // group that it is a member of or is prepared for, "" if free
+	Spare    string        // model group whose weights it holds while it is free
 	Epoch    view.Epoch    // fencing number of its role
 	Rank     int
 	OrderDue bool
@@ -32,7 +33,8 @@
 		Present:  h.Present,
 		Reported: h.Reported,
 		Status:   h.Status,
-		Group:    h.Role.Group,
+		Group:    m.groupOf(h),
+		Spare:    h.Role.Spare,
 		Epoch:    h.Role.Epoch,
 		Rank:     h.Role.Rank,
 		OrderDue: h.Unsettled,
@@ -40,6 +42,14 @@
 	}, true
 }
 
+// groupOf gives the group that a host belongs to, "" if it is free.
+func (m *Machine) groupOf(h *host) view.GroupID {
+	if h.free() {
+		return ""
+	}
+	return h.Role.Group
+}
+
 // HostNames gives the names of all engine hosts, in order.
 func (m *Machine) HostNames() []view.HostName {
 	return slices.Sorted(maps.Keys(m.hosts))
--- a/pkg/group/repair.go
+++ b/pkg/group/repair.go
@@ -133,10 +133,14 @@
 		if h == nil {
 			continue
 		}
-		if h.Present && !m.out(h) && !h.failed() {
+		stuck := h.failed() || m.orderOverdue(h) || m.loadOverdue(h, g.Weights)
+		if h.Present && !m.out(h) && !stuck {
 			continue
 		}
 		m.cancelNext(g, rank)
+		if stuck {
+			m.chill(h)
+		}
 		dropped = true
 	}
 	if dropped {
--- a/pkg/group/role.go
+++ b/pkg/group/role.go
@@ -10,12 +10,18 @@
 // role is what a host should run. An empty Group means nothing.
 type role struct {
 	Group    view.GroupID
+	Spare    string // model group whose weights a free host holds; Group is spareGroup(Spare)
 	Epoch    view.Epoch
 	Version  string
 	Adapters []string
 	Rank     int
+	Weights  int64 // bytes to fetch
 }
 
+// spareGroup is the group name in orders to free hosts that hold weights. No
+// group has it, as those end in a number.
+func spareGroup(model string) view.GroupID { return view.GroupID(model + "-spare") }
+
 // reportedBy tells whether a status is of this role, whatever its phase.
 func (r role) reportedBy(s report.Status) bool {
 	return s.Group == r.Group &&
--- a/pkg/group/schedule.go
+++ b/pkg/group/schedule.go
@@ -8,15 +8,17 @@
 func (m *Machine) scheduleLoads() {
 	if m.opts.LoadOrder == EqualShare {
 		m.allowAll()
+		m.scheduleSpares()
 		return
 	}
 	for len(m.waiting) > 0 && len(m.running) < m.opts.slots() {
 		g := m.nextLoad()
 		if g == nil {
-			return
+			break
 		}
 		m.allowGroup(g)
 	}
+	m.scheduleSpares()
 }
 
 // allowAll lets every waiting member fetch.
@@ -113,7 +115,7 @@
 
 // allow lets a host fetch.
 func (m *Machine) allow(h *host) {
-	m.endFetch(h)
+	m.leaveQueue(h)
 	h.Load = load{Phase: loadRunning, Since: m.now}
 	m.refreshHost(h)
 }
--- a/pkg/group/snapshot.go
+++ b/pkg/group/snapshot.go
@@ -41,6 +41,7 @@
 	Removed      bool
 	SurplusSince view.Time
 	Blocked      bool
+	SpareVersion string
 }
 
 type numberState struct {
@@ -76,6 +77,7 @@
 			Removed:      mod.removed,
 			SurplusSince: mod.surplusSince,
 			Blocked:      mod.blocked,
+			SpareVersion: mod.spareVersion,
 		})
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.numbers)) {
@@ -109,15 +111,7 @@
 		m.numbers[n.Model] = n.Last
 	}
 	for _, ms := range s.Models {
-		m.models[ms.Want.Name] = &model{
-			want:         ms.Want,
-			adapters:     sortedAdapters(ms.Want.Adapters),
-			weights:      ms.Weights,
-			removed:      ms.Removed,
-			groups:       make(map[view.GroupID]*group),
-			surplusSince: ms.SurplusSince,
-			blocked:      ms.Blocked,
-		}
+		m.restoreModel(ms)
 	}
 	for i := range s.Hosts {
 		m.restoreHost(&s.Hosts[i])
@@ -128,17 +122,27 @@
 	return nil
 }
 
+func (m *Machine) restoreModel(s modelState) {
+	mod := newModel()
+	mod.want = s.Want
+	mod.adapters = sortedAdapters(s.Want.Adapters)
+	mod.weights = s.Weights
+	mod.removed = s.Removed
+	mod.surplusSince = s.SurplusSince
+	mod.blocked = s.Blocked
+	mod.spareVersion = s.SpareVersion
+	m.models[s.Want.Name] = mod
+}
+
 func (m *Machine) restoreHost(h *host) {
 	m.hosts[h.Info.Name] = h
 	m.enterDomain(h)
 	m.countHost(h, 1)
-	m.indexFetch(h)
+	m.enterQueue(h)
+	m.indexSpare(h)
 	if h.Unsettled {
 		m.unsettled[h.Info.Name] = h
 	}
-	if h.Load.Phase == loadWaiting {
-		m.waiting[h.Role.Group]++
-	}
 }
 
 func (m *Machine) restoreGroup(g *group) {
--- a/pkg/group/trouble.go
+++ b/pkg/group/trouble.go
@@ -15,6 +15,9 @@
 	troubleGone           // the host will not come back by itself
 )
 
+// readBackTime is how long a host that has the weights takes to be a member.
+const readBackTime = 2 * time.Second
+
 // trouble tells what is wrong with a rank of a group.
 func (m *Machine) trouble(g *group, rank int) trouble {
 	h := m.seated(g, rank)
@@ -42,14 +45,15 @@
 		return false
 	case troubleSilent:
 		h := m.seated(g, rank)
-		return time.Duration(m.now-h.LostAt) >= m.grace(g, h)
+		return time.Duration(m.now-h.LostAt) >= m.grace(g, rank)
 	default:
 		return true
 	}
 }
 
-// grace is how long a silent member is waited for before a spare loads.
-func (m *Machine) grace(g *group, h *host) time.Duration {
+// grace is how long a silent member is waited for before a spare is prepared.
+func (m *Machine) grace(g *group, rank int) time.Duration {
+	h := m.seated(g, rank)
 	mod := m.models[g.Model]
 	switch {
 	case m.opts.FixedGrace > 0:
@@ -57,8 +61,17 @@
 	case m.opts.FixedGrace < 0 || h.Faults.flapping(m.now):
 		return 0
 	default:
-		return m.returns.Grace(m.opts.loadTime(g.Weights), mod.want.PauseGrace)
+		return m.returns.Grace(m.switchTime(g, rank), mod.want.PauseGrace)
+	}
+}
+
+// switchTime is how long it takes until another host can have a rank.
+func (m *Machine) switchTime(g *group, rank int) time.Duration {
+	h := m.candidate(g, rank)
+	if h != nil && g.role(rank, 0).loadedBy(h.Status) {
+		return readBackTime
 	}
+	return m.opts.loadTime(g.Weights)
 }
 
 // missing counts the ranks that need another host now.
--- a/pkg/groupday/day.go
+++ b/pkg/groupday/day.go
@@ -19,6 +19,7 @@
 	orderDelay   = 600 * time.Millisecond
 	reportDelay  = 600 * time.Millisecond
 	silenceBound = 3 * time.Second
+	restartTime  = time.Minute
 	viewDelay    = 1500 * time.Millisecond // until the barrier passes a revision
 	workBound    = 15 * time.Second        // longest work on a draining group
 	epochStart   = time.Hour               // virtual time at the start
@@ -251,3 +252,12 @@
 	}
 	m.fresh, m.silent = false, false
 }
+
+// RestartDomain restarts all hosts of a failure domain.
+func (d *Day) RestartDomain(name string) {
+	for n, m := range d.members {
+		if m.host.FailureDomain == name {
+			d.strike(strike{host: n, kind: restarts, away: restartTime})
+		}
+	}
+}
--- a/pkg/groupday/fleet.go
+++ b/pkg/groupday/fleet.go
@@ -95,3 +95,13 @@
 		ChecksFence:   n%2 == 0,
 	}
 }
+
+// Tenth is a tenth of the target.
+func Tenth(spares int) Fleet {
+	f := Target(spares)
+	f.FabricDomains = 1200 / f.HostsPerFabric
+	f.Copies = f.FabricDomains * groupsPerFabric
+	f.Minimum = f.Copies * 9 / 10
+	f.StoreRate /= 10
+	return f
+}
--- a/pkg/groupday/trouble.go
+++ b/pkg/groupday/trouble.go
@@ -104,3 +104,8 @@
 func pauseTime(r *rand.Rand) time.Duration {
 	return time.Duration(float64(medianPause) * math.Exp(pauseSpread*r.NormFloat64()))
 }
+
+// TenthTrouble is the target's day for a tenth of its hosts, and a rack.
+func TenthTrouble() Trouble {
+	return Trouble{Failures: 18, Restarts: 370, Pauses: 370, Racks: 1}
+}
--- a/pkg/prove/groups/fault.go
+++ b/pkg/prove/groups/fault.go
@@ -47,10 +47,10 @@
 	g.cutUntil = w.now + time.Minute
 }
 
-// hurryLoads makes loads shorter than a gate's lease.
-func (w *World) hurryLoads() {
+// hurryLoads makes loads short, as leases and deadlines are.
+func (w *World) hurryLoads(d time.Duration) {
 	for _, e := range w.engines {
-		e.loadTime = time.Second
+		e.loadTime = d
 	}
 }
 
@@ -191,7 +191,7 @@
 			name: "deposed leaders' orders arrive late", promise: prove.OneGroupPerHost,
 			strike: func(w *World, g view.Group) {
 				w.deposes = true
-				w.hurryLoads()
+				w.hurryLoads(tick)
 				w.down(w.member(g), 20*time.Second, true, true)
 				w.dissolveSome()
 				w.changeMinds()
@@ -210,7 +210,9 @@
 		{
 			name: "gate lags up to its lease", promise: prove.OneGroupPerHost,
 			strike: func(w *World, g view.Group) {
-				w.hurryLoads()
+				w.hurryLoads(tick)
+				w.calm = true
+				_ = w.Run(4 * loadTime)
 				w.cutGate(w.gates[0])
 				w.down(w.member(g), tick, true, false)
 			},
--- a/pkg/prove/groups/world.go
+++ b/pkg/prove/groups/world.go
@@ -200,8 +200,12 @@
 	return w.listed
 }
 
-// noteDraining lets work run on for a while on a group that begins to drain.
+// noteDraining lets work run on for a while on a group that begins to drain,
+// until it loses a member.
 func (w *World) noteDraining(was, is view.Group) {
+	if is.State == view.StateSuspended {
+		delete(w.running, instance{is.ID, is.Epoch})
+	}
 	if !takes(was) || !is.Draining || is.State == view.StateSuspended || was.Epoch != is.Epoch {
 		return
 	}
