Mend data races in the proofs' own scaffolding

Change: the bed's random numbers and incarnations behind a lock, the running gate behind an atomic pointer with a handler of its own for each run, a copy of the options. Ruled out: races in the product: all 33 reports were in the scaffolding.

--- a/pkg/prove/control/bed.go
+++ b/pkg/prove/control/bed.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -46,9 +47,11 @@
 	seed    uint64
 	options options
 	net     *memconn.Network
-	rand    *rand.Rand
 	started time.Time
-	born    uint64 // incarnations handed out
+
+	mu   sync.Mutex
+	rand *rand.Rand
+	born uint64 // incarnations handed out
 
 	keepers []*keeperProcess
 	gates   []*gateProcess
@@ -158,6 +161,8 @@
 
 // incarnation returns one that was never used.
 func (b *bed) incarnation() view.Incarnation {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.born++
 	return view.Incarnation(b.born)
 }
@@ -193,5 +198,12 @@
 
 // between returns a random time from a to b.
 func (b *bed) between(least, most time.Duration) time.Duration {
-	return least + time.Duration(b.rand.Int64N(int64(most-least)))
+	return least + time.Duration(b.intN(int(most-least)))
+}
+
+// intN returns a random number below n.
+func (b *bed) intN(n int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rand.IntN(n)
 }
--- a/pkg/prove/control/drains.go
+++ b/pkg/prove/control/drains.go
@@ -151,7 +151,7 @@
 
 // leave lets a random engine announce that it leaves.
 func (r *run) leave() error {
-	leaving := r.bed.engines[r.bed.rand.IntN(len(r.bed.engines))]
+	leaving := r.bed.engines[r.bed.intN(len(r.bed.engines))]
 	leaving.leave()
 	r.observer.require(duty{
 		what: "the leaving of " + string(leaving.name),
@@ -179,7 +179,7 @@
 	return func(r *run) error {
 		err := r.during(strike, func() error {
 			for range 2 * rounds {
-				e := r.bed.engines[r.bed.rand.IntN(len(r.bed.engines))]
+				e := r.bed.engines[r.bed.intN(len(r.bed.engines))]
 				e.kill()
 				r.pause()
 				e.start()
--- a/pkg/prove/control/gate_process.go
+++ b/pkg/prove/control/gate_process.go
@@ -17,15 +17,16 @@
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
-// gateProcess is one gate that can be killed and started again. It is the
-// gate's only request handler, and notes what comes into force.
+// gateProcess is one gate that can be killed and started again. It notes what
+// comes into force.
 type gateProcess struct {
 	bed  *bed
 	name view.GateName
-	gate *gate.Gate
-	stop func()
+	stop func() // nil while it is down
 	end  func() // a graceful shutdown; returns when the process has ended
 
+	running atomic.Pointer[gate.Gate] // nil while it is down
+
 	mu      sync.Mutex
 	highest view.Revision // in force in the running process
 	broken  error         // what a view change broke
@@ -43,8 +44,10 @@
 	alive := &atomic.Bool{}
 	alive.Store(true)
 	dial := p.bed.dialer(host, alive)
+	p.mu.Lock()
 	p.highest = 0
-	p.gate = gate.New(gate.Config{
+	p.mu.Unlock()
+	g := gate.New(gate.Config{
 		Self:   view.Gate{Name: p.name, Incarnation: p.bed.incarnation(), FailureDomain: "fd-a", PeerAddress: host + ":81"},
 		Caller: leader.NewCaller(p.bed.keeperAddresses(), dial),
 		Clock:  clock.NewGo(),
@@ -60,16 +63,17 @@
 		},
 		Dial: dial,
 	})
+	p.running.Store(g)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = p.gate.Serve(ctx, p)
+		_ = g.Serve(ctx, gateHandler{process: p, gate: g})
 	}()
 	p.stop = func() {
 		alive.Store(false)
 		p.bed.net.Kill(host)
-		p.gate.Lease().Release()
+		g.Lease().Release()
 		cancel()
 		<-done
 	}
@@ -87,17 +91,27 @@
 	if p.stop == nil {
 		return
 	}
+	p.running.Store(nil)
 	p.stop()
 	p.stop = nil
 }
 
 // takesWork tells whether the gate would take new work now.
 func (p *gateProcess) takesWork() bool {
-	return p.stop != nil && (p.gate.Lease().Valid() || (p.bed.options.ignoreLease && p.gate.View().Revision > 0))
+	g := p.running.Load()
+	if g == nil {
+		return false
+	}
+	return g.Lease().Valid() || (p.bed.options.ignoreLease && g.View().Revision > 0)
 }
 
-// inForce returns the view in force.
-func (p *gateProcess) inForce() *view.View { return p.gate.View() }
+// inForce returns the view in force, an empty one while the gate is down.
+func (p *gateProcess) inForce() *view.View {
+	if g := p.running.Load(); g != nil {
+		return g.View()
+	}
+	return view.New()
+}
 
 func (p *gateProcess) err() error {
 	p.mu.Lock()
@@ -105,28 +119,36 @@
 	return p.broken
 }
 
-// ViewChanged implements gate.Handlers.
-func (p *gateProcess) ViewChanged() {
+// installed notes a view that came into force.
+func (p *gateProcess) installed(r view.Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.gate.View().Revision
 	if r < p.highest {
 		p.broken = eris.Errorf("gate %s went back from revision %d to %d", p.name, p.highest, r)
 	}
 	p.highest = r
 }
 
+// gateHandler is the only request handler of one run of a gate.
+type gateHandler struct {
+	process *gateProcess
+	gate    *gate.Gate
+}
+
+// ViewChanged implements gate.Handlers.
+func (h gateHandler) ViewChanged() { h.process.installed(h.gate.View().Revision) }
+
 // RegisterCallers implements gate.Handlers: answers that take their time.
-func (p *gateProcess) RegisterCallers(e *echo.Echo) { e.GET(slowPath, slowAnswer) }
+func (gateHandler) RegisterCallers(e *echo.Echo) { e.GET(slowPath, slowAnswer) }
 
 // RegisterPeers implements gate.Handlers.
-func (p *gateProcess) RegisterPeers(*echo.Echo) {}
+func (gateHandler) RegisterPeers(*echo.Echo) {}
 
 // Drain implements gate.Handlers.
-func (p *gateProcess) Drain() {}
+func (gateHandler) Drain() {}
 
 // Finish implements gate.Handlers.
-func (p *gateProcess) Finish(context.Context) error { return nil }
+func (gateHandler) Finish(context.Context) error { return nil }
 
 // noWork is a gate without requests.
 type noWork struct{}
--- a/pkg/prove/gates/refusals.go
+++ b/pkg/prove/gates/refusals.go
@@ -15,8 +15,9 @@
 // engines pause and one dies. What is refused as not run must not have run.
 func refusals(o proxy.Options) prove.Scenario {
 	return func(seed uint64) error {
-		o.ServiceTime = time.Microsecond
-		w, err := two(o)
+		hasty := o // rows run side by side
+		hasty.ServiceTime = time.Microsecond
+		w, err := two(hasty)
 		if err != nil {
 			return err
 		}
