--- a/cmd/sesame-gate/main.go
+++ b/cmd/sesame-gate/main.go
@@ -1,13 +1,12 @@
-// Command sesame-gate is not built yet.
+// Command sesame-gate serves callers and takes upstreams' announcements.
 package main
 
 import (
-	"fmt"
-	"net"
-	"os"
+	"github.com/sesamemux/sesamemux/pkg/gatedaemon"
+	"github.com/sesamemux/sesamemux/pkg/program"
+	"github.com/sesamemux/sesamemux/pkg/settings"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "sesame-gate: not built yet", net.IPv4len)
-	os.Exit(1)
+	program.Daemon[settings.Gate]("sesame-gate", "Serves callers and takes upstreams' announcements.", gatedaemon.Run)
 }
--- a/cmd/sesame-keeper/main.go
+++ b/cmd/sesame-keeper/main.go
@@ -1,13 +1,12 @@
-// Command sesame-keeper is not built yet.
+// Command sesame-keeper holds one replica of the system's state.
 package main
 
 import (
-	"fmt"
-	"net"
-	"os"
+	"github.com/sesamemux/sesamemux/pkg/keeper"
+	"github.com/sesamemux/sesamemux/pkg/program"
+	"github.com/sesamemux/sesamemux/pkg/settings"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "sesame-keeper: not built yet", net.IPv4len)
-	os.Exit(1)
+	program.Daemon[settings.Keeper]("sesame-keeper", "Holds one replica of the system's state.", keeper.RunDaemon)
 }
--- a/pkg/control/operator.go
+++ b/pkg/control/operator.go
@@ -99,8 +99,9 @@
 	Term     uint64   `json:"term"`
 	Commit   uint64   `json:"commit"`
 	Applied  uint64   `json:"applied"`
+	Last     uint64   `json:"last"`     // index of the last entry in its log
+	Snapshot uint64   `json:"snapshot"` // index of the last entry in its snapshot
 	Members  []Member `json:"members"`
-	LogBytes int64    `json:"log_bytes"`
 }
 
 // Member is one replica of the quorum.
