--- a/pkg/prove/gates/cold.go
+++ b/pkg/prove/gates/cold.go
@@ -107,6 +107,7 @@
 // doesn't learn that the gate is gone.
 func lostGate(o permit.Options) prove.Scenario {
 	return func(seed uint64) error {
+		o := o
 		o.MaxRequestTime = 20 * time.Second
 		w := newWorld(o)
 		defer w.close()
@@ -191,6 +192,7 @@
 // movedPermits moves permits to another gate while the first one's work runs.
 func movedPermits(o permit.Options) prove.Scenario {
 	return func(seed uint64) error {
+		o := o
 		o.MinPermits = 1
 		w := newWorld(o)
 		defer w.close()
--- a/pkg/prove/gates/refusals.go
+++ b/pkg/prove/gates/refusals.go
@@ -15,6 +15,7 @@
 // engines pause and one dies. What is refused as not run must not have run.
 func refusals(o proxy.Options) prove.Scenario {
 	return func(seed uint64) error {
+		o := o
 		o.ServiceTime = time.Microsecond
 		w, err := two(o)
 		if err != nil {
