--- /dev/null
+++ b/pkg/permit/balance.go
@@ -0,0 +1,75 @@
+package permit
+
+import (
+	"slices"
+
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+func (a *Allocator) ticked(now view.Time, rev view.Revision) []Change {
+	var changes []Change
+	for _, t := range a.sorted() {
+		expired := t.expireOrphans(now, a.options.MaxRequestTime)
+		if !t.Up {
+			if len(t.Orphans) == 0 {
+				delete(a.targets, t.ID)
+			}
+			continue
+		}
+		if t.grow(now) {
+			changes = append(changes, a.spread(t, now, rev)...)
+			continue
+		}
+		if expired || t.waits() {
+			changes = append(changes, a.rebalance(t, now, rev)...)
+		}
+	}
+	return changes
+}
+
+// waits tells whether a gate has work waiting for the target.
+func (t *target) waits() bool {
+	return slices.ContainsFunc(t.Holdings, func(h holding) bool { return h.Queued > 0 })
+}
+
+// rebalance moves permits to where work waits, if that is worth a change.
+func (a *Allocator) rebalance(t *target, now view.Time, rev view.Revision) []Change {
+	if !t.Up {
+		return nil
+	}
+	free, due := t.free() > 0, now-t.LookedAt >= view.Time(a.options.RebalanceInterval)
+	if !free && !due {
+		return nil
+	}
+	desired := a.desired(t)
+	if free && a.raiseTo(t, desired) {
+		return []Change{PutShare{Share: t.share()}}
+	}
+	if !due {
+		return nil
+	}
+	t.LookedAt = now
+	if !t.worthMoving(desired) {
+		return nil
+	}
+	return a.publish(t, desired, rev)
+}
+
+// spread divides the bound anew.
+func (a *Allocator) spread(t *target, now view.Time, rev view.Revision) []Change {
+	if !t.Up {
+		return nil
+	}
+	t.LookedAt = now
+	a.publish(t, a.desired(t), rev)
+	return []Change{PutShare{Share: t.share()}}
+}
+
+func (a *Allocator) publish(t *target, desired map[view.GateName]int, rev view.Revision) []Change {
+	lowered := t.lowerTo(desired, rev)
+	raised := a.raiseTo(t, desired)
+	if !lowered && !raised {
+		return nil
+	}
+	return []Change{PutShare{Share: t.share()}}
+}
