--- a/pkg/prove/gates/refusals.go
+++ b/pkg/prove/gates/refusals.go
@@ -15,9 +15,9 @@
 // engines pause and one dies. What is refused as not run must not have run.
 func refusals(o proxy.Options) prove.Scenario {
 	return func(seed uint64) error {
-		hasty := o // rows run side by side
-		hasty.ServiceTime = time.Microsecond
-		w, err := two(hasty)
+		o := o
+		o.ServiceTime = time.Microsecond
+		w, err := two(o)
 		if err != nil {
 			return err
 		}
