Convict several requests that crash upstreams at the same time

Change: two trials convict in any case; a second crash makes a suspect in any case; crashes held are bounded. Ruled out: dropping the rule on failures of the platform (a dark domain would convict innocent trials).

--- a/pkg/prove/once/crash_callers.go
+++ b/pkg/prove/once/crash_callers.go
@@ -15,20 +15,20 @@
 	}
 	n := min(w.rand.IntN(innocentCount), w.rand.IntN(innocentCount))
 	f := view.Fingerprint(fmt.Sprintf("innocent-%d", n))
-	if !w.send(g, f, 1+w.rand.IntN(innocentTicks), false) {
+	if !w.send(g, f, 1+w.rand.IntN(innocentTicks)) {
 		w.result.Delayed++
 	}
 }
 
-// badCaller keeps copies of the bad request in flight, each through another
+// badCaller keeps copies of a bad request in flight, each through another
 // gate.
-func (w *crashWorld) badCaller() {
+func (w *crashWorld) badCaller(f view.Fingerprint) {
 	if w.now%badRetry != 0 {
 		return
 	}
 	flying := 0
 	for _, r := range w.runs {
-		if r.bad {
+		if r.bad == f {
 			flying++
 		}
 	}
@@ -36,15 +36,15 @@
 		g := w.gates[w.nextBad%len(w.gates)]
 		w.nextBad++
 		if !g.dead {
-			w.sendBad(g)
+			w.sendBad(g, f)
 		}
 	}
 }
 
-func (w *crashWorld) sendBad(g *crashGate) {
+func (w *crashWorld) sendBad(g *crashGate, f view.Fingerprint) {
 	trials := w.result.Trials
-	if !w.send(g, badFingerprint, crashAfter, true) {
-		if g.guard.Check(w.time(), badFingerprint).Kind == suspect.Refused {
+	if !w.send(g, f, crashAfter) {
+		if g.guard.Check(w.time(), f).Kind == suspect.Refused {
 			w.result.Refused++
 		}
 		return
@@ -55,7 +55,7 @@
 }
 
 // send lets a gate run a request, or hand it to the gate that runs its trial.
-func (w *crashWorld) send(g *crashGate, f view.Fingerprint, ticks int, bad bool) bool {
+func (w *crashWorld) send(g *crashGate, f view.Fingerprint, ticks int) bool {
 	if !w.plan.NoGuard {
 		v := g.guard.Check(w.time(), f)
 		if v.Kind == suspect.Elsewhere {
@@ -74,10 +74,14 @@
 		if !ok {
 			continue
 		}
-		if r.Trial() && bad {
+		x := &crashRun{gate: g, run: r, upstream: u, inc: u.inc, endAt: w.now + ticks}
+		if isBad(f) {
+			x.bad = f
+		}
+		if r.Trial() && isBad(f) {
 			w.result.Trials++
 		}
-		w.runs = append(w.runs, &crashRun{gate: g, run: r, upstream: u, inc: u.inc, bad: bad, endAt: w.now + ticks})
+		w.runs = append(w.runs, x)
 		return true
 	}
 	return false
--- a/pkg/prove/once/crash_rows.go
+++ b/pkg/prove/once/crash_rows.go
@@ -27,20 +27,24 @@
 // crashRows are about requests that crash upstreams. The brief lists them
 // among the faults; the promise next to them is that a refusal is true.
 func crashRows() []prove.Row {
-	one := CrashPlan{Gates: 9, Upstreams: 30, Copies: 1, Length: crashLength}
+	one := CrashPlan{Gates: 9, Upstreams: 30, Bad: 1, Copies: 1, Length: crashLength}
 	many := one
 	many.Copies = 5
 	dark := one
-	dark.Copies = 0
+	dark.Bad = 0
 	dark.Dark = true
 	killed := one
 	killed.KillTrial = true
+	several := one
+	several.Bad = 4
+	several.Upstreams = 12
 	both := many
 	both.Dark = true
 	anyCrash := suspect.Unsafe{AnyCrashConvicts: true}
 	return []prove.Row{
 		crashRow("request crashes upstreams", "sent to each gate in turn", one, func(p *CrashPlan) { p.NoGuard = true }),
 		crashRow("request crashes upstreams", "sent to several gates at once", many, func(p *CrashPlan) { p.NoGuard = true }),
+		crashRow("several requests crash upstreams", "at the same time", several, func(p *CrashPlan) { p.NoGuard = true }),
 		crashRow("failure domain dark", "under innocent requests", dark, func(p *CrashPlan) { p.Machine = anyCrash }),
 		crashRow("trial gate killed", "at each trial", killed, func(p *CrashPlan) { p.NoGuard = true }),
 		crashRow("failure domain dark", "while a request crashes upstreams", both, func(p *CrashPlan) { p.NoGuard = true }),
@@ -62,13 +66,13 @@
 
 func judgeCrashes(p CrashPlan, r CrashResult) error {
 	var errs []error
-	if bound := min(r.Before, p.Copies*2) + 1 + r.Killed; p.Copies > 0 && r.Lost > bound {
+	if bound := crashBound(p, r); p.Bad > 0 && r.Lost > bound {
 		errs = append(errs, eris.Wrapf(errLost, "%d, bound %d", r.Lost, bound))
 	}
 	if r.Convicted > 0 {
 		errs = append(errs, eris.Wrapf(errConvicted, "%d", r.Convicted))
 	}
-	if p.Copies > 0 && r.Refused == 0 {
+	if p.Bad > 0 && r.Refused == 0 {
 		errs = append(errs, errGuilty)
 	}
 	if r.Suspects > stuckLimit {
@@ -76,3 +80,15 @@
 	}
 	return errors.Join(errs...)
 }
+
+// crashBound is how many upstreams bad requests may cost: the copies sent
+// before they were suspects, a trial each, and one more for each trial gate
+// that dies. Where several crash upstreams at the same time, a trial may look
+// like a failure of the platform and has to be repeated.
+func crashBound(p CrashPlan, r CrashResult) int {
+	trials := p.Bad
+	if p.Bad > 1 || p.Dark {
+		trials = 2 * p.Bad
+	}
+	return min(r.Before, p.Bad*p.Copies*2) + trials + r.Killed
+}
--- a/pkg/suspect/machine.go
+++ b/pkg/suspect/machine.go
@@ -103,10 +103,24 @@
 		At:    now,
 		Ran:   make(map[view.Fingerprint]bool),
 	}
+	if len(m.crashes) >= m.options.MaxCrashes {
+		m.forgetOldest()
+	}
 	m.crashes[id] = c
 	return c
 }
 
+// forgetOldest drops the crash that was reported first.
+func (m *Machine) forgetOldest() {
+	var oldest *crash
+	for _, c := range m.crashes {
+		if oldest == nil || c.Order < oldest.Order {
+			oldest = c
+		}
+	}
+	delete(m.crashes, oldest.ID)
+}
+
 // mass tells whether a crash is part of a failure of the platform, as seen
 // from a fingerprint: enough others crashed about then without running it.
 func (m *Machine) mass(c *crash, f view.Fingerprint) bool {
@@ -123,11 +137,21 @@
 	return others >= m.options.MassCrashes-1
 }
 
+// ranBefore tells whether a fingerprint also ran in an earlier crash.
+func (m *Machine) ranBefore(c *crash, f view.Fingerprint) bool {
+	for _, other := range m.crashes {
+		if _, ran := other.Ran[f]; ran && other.Order < c.Order {
+			return true
+		}
+	}
+	return false
+}
+
 // suspect counts a crash against a fingerprint.
 func (m *Machine) suspect(c *crash, r Running, gate view.GateName) {
 	e, ok := m.entries[r.Fingerprint]
 	if !ok {
-		if m.mass(c, r.Fingerprint) || len(m.entries) >= m.options.MaxSuspects {
+		if len(m.entries) >= m.options.MaxSuspects || m.mass(c, r.Fingerprint) && !m.ranBefore(c, r.Fingerprint) {
 			return
 		}
 		e = &entry{Fingerprint: r.Fingerprint, Organisation: r.Organisation}
--- a/pkg/suspect/options.go
+++ b/pkg/suspect/options.go
@@ -10,6 +10,7 @@
 	DefaultMassWindow    = 5 * time.Second
 	DefaultMassCrashes   = 4
 	DefaultMaxSuspects   = 1024
+	DefaultMaxCrashes    = 1024
 )
 
 // Options bounds a machine. Every replica must have the same. Zero fields take
@@ -19,10 +20,12 @@
 	ConvictedTime time.Duration // since its last crash, until a convicted fingerprint is free again
 	CrashTime     time.Duration // how long a crash is remembered, at least SuspectTime
 	// MassCrashes within MassWindow that share no fingerprint are a failure of
-	// the platform: they make no new suspects and convict none.
+	// the platform: a fingerprint that ran in one of them becomes no suspect,
+	// and one trial among them convicts none. Two of either count again.
 	MassWindow  time.Duration
 	MassCrashes int
 	MaxSuspects int // fingerprints held at most; beyond it a crash makes no new ones
+	MaxCrashes  int // crashes remembered at most; the oldest is forgotten for a new one
 	Unsafe      Unsafe
 }
 
@@ -50,5 +53,8 @@
 	if o.MaxSuspects == 0 {
 		o.MaxSuspects = DefaultMaxSuspects
 	}
+	if o.MaxCrashes == 0 {
+		o.MaxCrashes = DefaultMaxCrashes
+	}
 	return o
 }
