--- a/pkg/proxy/parse.go
+++ b/pkg/proxy/parse.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -61,6 +59,7 @@
 	if c.callerID == "" {
 		c.callerID = c.id
 	}
+	c.trace = c.callerID
 	c.tracker = stream.NewTracker(c.id, 0)
 	p.readHeader(c, r.Header)
 	if peer {
@@ -90,6 +89,7 @@
 // readHop takes what another gate says of the request.
 func (c *call) readHop(h http.Header, offset int) {
 	c.hop = h.Get(infer.HeaderHop)
+	c.trace = h.Get(infer.HeaderTrace)
 	c.hopAttempt, _ = strconv.Atoi(h.Get(infer.HeaderAttempt))
 	c.version = h.Get(infer.HeaderVersion)
 	c.tracker = stream.NewTracker(c.id, max(0, offset))
@@ -100,8 +100,7 @@
 // none or a peer has checked it.
 func organisationOf(x *index, h http.Header, peer bool) (object.Organisation, bool) {
 	if key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer "); ok && !peer {
-		sum := sha256.Sum256([]byte(key))
-		if name, ok := x.keys[hex.EncodeToString(sum[:])]; ok {
+		if name, ok := x.keys.Organisation(key); ok {
 			return x.view.Organisations.Get(name)
 		}
 	}
--- a/pkg/replica/node_test.go
+++ b/pkg/replica/node_test.go
@@ -12,6 +12,7 @@
 	"github.com/sesamemux/sesamemux/pkg/raft"
 	"github.com/sesamemux/sesamemux/pkg/replica"
 	"github.com/sesamemux/sesamemux/pkg/replica/memnet"
+	"github.com/sesamemux/sesamemux/pkg/wal"
 )
 
 // sum adds up commands of 8 bytes.
@@ -289,3 +290,74 @@
 		}
 	})
 }
+
+// After a loss of power two of three start alone, and serve what was accepted.
+func TestMajorityStartsWithoutTheThird(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		defer c.stopAll()
+		id := c.leader()
+		for range 10 {
+			c.propose(id, 1)
+		}
+		for _, p := range c.peers {
+			c.stop(p.ID)
+			c.disks[p.ID].Crash()
+			c.disks[p.ID].Restart()
+		}
+		c.start(id, false)
+		c.start(id%3+1, false)
+		if got := c.propose(c.leader(), 1); got != 11 {
+			t.Fatalf("state %d", got)
+		}
+	})
+}
+
+// A replica that joins may start several times before it is added.
+func TestJoiningReplicaStartsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		defer c.stopAll()
+		leader := c.nodes[c.leader()]
+		c.disks[4] = disk.NewMem(4)
+		for range 3 {
+			c.start(4, true)
+			time.Sleep(time.Second)
+			c.stop(4)
+			c.disks[4].Crash()
+			c.disks[4].Restart()
+		}
+		c.start(4, true)
+		if err := leader.AddLearner(t.Context(), 4, "mem"); err != nil {
+			t.Fatal(err)
+		}
+		if err := leader.Promote(t.Context(), 4); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// A failed sync ends the replica; what waited has an unknown outcome.
+func TestFailedSyncEndsTheReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, nil)
+		id := c.leader()
+		c.disks[id].SetInjector(func(op disk.Operation, _ string) disk.Fault {
+			if op == disk.OpSync {
+				return disk.FailSync
+			}
+			return disk.NoFault
+		})
+		n := c.nodes[id]
+		if _, err := n.Propose(t.Context(), number(1)); !errors.Is(err, replica.ErrUnknownOutcome) {
+			t.Fatalf("proposal: %v", err)
+		}
+		<-n.Done()
+		if !errors.Is(n.Err(), wal.ErrFailed) {
+			t.Fatalf("ended with %v", n.Err())
+		}
+		if _, err := n.Propose(t.Context(), number(1)); !errors.Is(err, replica.ErrStopped) {
+			t.Fatalf("later proposal: %v", err)
+		}
+	})
+}
--- a/pkg/rpc/server.go
+++ b/pkg/rpc/server.go
@@ -74,7 +74,7 @@
 
 // ServeConn answers requests on one connection, in the background.
 func (s *Server) ServeConn(c net.Conn) {
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(c, codec{})
 	h := &connHandler{server: s, raw: c, slots: make(chan struct{}, maxConcurrent)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -146,7 +146,7 @@
 	if req.Params != nil {
 		raw = *req.Params
 	}
-	result, err := f(ctx, raw)
+	result, err := f(withConn(ctx, h.raw), raw)
 	h.reply(ctx, conn, req, result, err)
 }
 
