Keep free text of the HTTP libraries off the output

Cause: the metrics server and echo's own logger wrote lines that are no key=value. Change: the metrics server's are dropped, echo's too; a gate's servers tell by the process's logger. Conclusion: one key=value line for each event.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -186,6 +187,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
+	e.Logger.SetOutput(io.Discard) // the servers tell by ErrorLog
 	return e
 }
 
--- a/pkg/introspect/http.go
+++ b/pkg/introspect/http.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net/http"
 	"time"
 
@@ -31,6 +33,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
+	e.Logger.SetOutput(io.Discard)
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(g, promhttp.HandlerOpts{})))
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", func(c echo.Context) error {
@@ -40,7 +43,9 @@
 		}
 		return c.String(http.StatusOK, "ok\n")
 	})
-	server := &http.Server{Addr: address, Handler: e, ReadHeaderTimeout: headerTimeout}
+	// No free text reaches the standard error: scrapers that hang up are no event.
+	silent := log.New(io.Discard, "", 0)
+	server := &http.Server{Addr: address, Handler: e, ReadHeaderTimeout: headerTimeout, ErrorLog: silent}
 	ended := make(chan error, 1)
 	go func() { ended <- server.ListenAndServe() }()
 	select {
