--- a/cmd/sesame-bench/main.go
+++ b/cmd/sesame-bench/main.go
@@ -16,6 +16,7 @@
 	"github.com/sesamemux/sesamemux/pkg/bench/consensus"
 	"github.com/sesamemux/sesamemux/pkg/bench/control"
 	"github.com/sesamemux/sesamemux/pkg/bench/gates"
+	"github.com/sesamemux/sesamemux/pkg/bench/groups"
 	"github.com/sesamemux/sesamemux/pkg/bench/once"
 )
 
@@ -37,7 +38,7 @@
 
 // measures returns those of all areas.
 func measures() []bench.Measure {
-	return slices.Concat(consensus.Measures(), control.Measures(), gates.Measures(), once.Measures())
+	return slices.Concat(consensus.Measures(), control.Measures(), gates.Measures(), groups.Measures(), once.Measures())
 }
 
 // run prints every wanted measure; false if one could not be taken.
