Free a lost gate's permits by the targets' own counts

Cause: nobody told the allocator targets' own counts, so that the permits of a gate that was killed were held back for the longest request time, 90 s; a service host whose only permits it held took no calls for that long. Change: the leader asks for the counts of targets with such permits; gates answer from the reports of groups' heads, and ask service hosts then as well. A host that gives no reports is held back for 90 s as before. Ruled out: giving the permits away at the lease's end (work of the lost gate may still run: the row "gate lost holding permits" is there for that).

--- a/pkg/control/sync.go
+++ b/pkg/control/sync.go
@@ -35,10 +35,20 @@
 	Uses    []view.TargetUse `json:"uses,omitempty"`
 	Orders  []OrderResult    `json:"orders,omitempty"`
 	Settled []view.GroupID   `json:"settled,omitempty"` // draining groups without work here
+	Counts  []TargetCount    `json:"counts,omitempty"`  // of the targets that the last reply asked for
 	Relayed bool             `json:"relayed,omitempty"` // passed on by a keeper that does not lead
 	Clock   timeline.HLC     `json:"clock,omitzero"`    // of the sender's time line
 }
 
+// TargetCount is a target's own count of the work on it, over all gates, as its
+// head reported it.
+type TargetCount struct {
+	Target      view.TargetID    `json:"target"`
+	Incarnation view.Incarnation `json:"incarnation"`
+	Running     int              `json:"running"` // running and waiting
+	AgeMillis   int64            `json:"age_ms"`
+}
+
 // Gone is an upstream that refused or reset connections, seen by a gate.
 type Gone struct {
 	Host        view.HostName    `json:"host"`
@@ -47,11 +57,12 @@
 
 // SyncReply grants the lease and brings the view up to date.
 type SyncReply struct {
-	LeaseMillis int64         `json:"lease_ms"` // 0: no lease, only the view
-	Delta       *view.Delta   `json:"delta,omitempty"`
-	Orders      []order.Order `json:"orders,omitempty"`
-	OrderTTLMS  int64         `json:"order_ttl_ms"`     // counted from the sending of the request
-	Resend      bool          `json:"resend,omitempty"` // send all announcements in full
-	Leader      string        `json:"leader,omitempty"` // set by a keeper that passed the request on
-	Clock       timeline.HLC  `json:"clock,omitzero"`   // of the sender's time line
+	LeaseMillis int64           `json:"lease_ms"` // 0: no lease, only the view
+	Delta       *view.Delta     `json:"delta,omitempty"`
+	Orders      []order.Order   `json:"orders,omitempty"`
+	OrderTTLMS  int64           `json:"order_ttl_ms"`     // counted from the sending of the request
+	Resend      bool            `json:"resend,omitempty"` // send all announcements in full
+	Count       []view.TargetID `json:"count,omitempty"`  // targets whose own counts are wanted
+	Leader      string          `json:"leader,omitempty"` // set by a keeper that passed the request on
+	Clock       timeline.HLC    `json:"clock,omitzero"`   // of the sender's time line
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -71,6 +71,7 @@
 	g.syncer.changed = g.viewChanged
 	g.syncer.view.Store(view.New())
 	g.watcher = newWatcher(c.Clock, client, g.View, g.registry)
+	g.syncer.counter = g.watcher
 	return g
 }
 
--- a/pkg/gate/syncer.go
+++ b/pkg/gate/syncer.go
@@ -34,6 +34,11 @@
 	Settled(v *view.View) []view.GroupID
 }
 
+// Counter knows targets' own counts of the work on them.
+type Counter interface {
+	Counts(v *view.View, targets []view.TargetID) []control.TargetCount
+}
+
 // timedOrder is an order with the moment up to which it may be sent.
 type timedOrder struct {
 	order    order.Order
@@ -48,6 +53,8 @@
 	lease    *membership.Lease
 	registry *registry
 	source   Source
+	counter  Counter
+	wanted   []view.TargetID // counts that the last reply asked for
 	courier  *courier
 	events   Events
 	stamps   *timeline.Recorder
@@ -90,6 +97,7 @@
 		Uses:    s.source.Uses(),
 		Orders:  results,
 		Settled: s.source.Settled(v),
+		Counts:  s.counter.Counts(v, s.wanted),
 		Clock:   s.stamps.Stamp(),
 	}
 	if s.full {
@@ -124,6 +132,7 @@
 	if reply.LeaseMillis > 0 {
 		s.lease.Extend(sent, time.Duration(reply.LeaseMillis)*time.Millisecond)
 	}
+	s.wanted = reply.Count
 	deadline := sent.Add(time.Duration(reply.OrderTTLMS) * time.Millisecond)
 	for _, o := range reply.Orders {
 		s.courier.take(timedOrder{order: o, deadline: deadline})
--- a/pkg/gate/watcher.go
+++ b/pkg/gate/watcher.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/edge/report"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
@@ -31,6 +33,10 @@
 	staleReport = 1500 * time.Millisecond
 	// missedReports is how many reports in a row a host may miss.
 	missedReports = 2
+	// groupTarget begins the target of a group.
+	groupTarget = "group/"
+	// hostTarget begins the target of a service host.
+	hostTarget = "host/"
 )
 
 // watched is what is known of one host from its own reports.
@@ -56,8 +62,9 @@
 	registry *registry
 	listener ReportListener
 
-	mu    sync.RWMutex
-	hosts map[view.HostName]*watched
+	mu     sync.RWMutex
+	hosts  map[view.HostName]*watched
+	wanted []view.TargetID // whose own counts the keepers want
 }
 
 func newWatcher(c clock.Clock, client *http.Client, v func() *view.View, r *registry) *watcher {
@@ -97,10 +104,42 @@
 			})
 		}
 	}
+	for _, h := range w.wantedHosts(v) {
+		present[h.Name] = struct{}{}
+		work.Go(func() error {
+			w.ask(ctx, asMember(h))
+			return nil
+		})
+	}
 	_ = work.Wait()
 	w.forget(present)
 }
 
+// wantedHosts returns the service hosts whose own counts are wanted.
+func (w *watcher) wantedHosts(v *view.View) []view.Host {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	var out []view.Host
+	for _, t := range w.wanted {
+		name, ok := strings.CutPrefix(string(t), hostTarget)
+		if !ok {
+			continue
+		}
+		if h, ok := v.Hosts.Get(view.HostName(name)); ok {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// noRank marks a host that is no member of a group.
+const noRank = -1
+
+// asMember makes a service host look like a member to be asked.
+func asMember(h view.Host) view.Member {
+	return view.Member{Host: h.Name, Incarnation: h.Incarnation, Address: h.Address, Rank: noRank}
+}
+
 // forget drops hosts that are in no serving group any more.
 func (w *watcher) forget(present map[view.HostName]struct{}) {
 	w.mu.Lock()
@@ -197,3 +236,54 @@
 	s := k.report.Status
 	return s.Incarnation == m.Incarnation && s.Epoch == g.Epoch && s.Group == g.ID && s.Rank == m.Rank && s.Phase == report.PhaseReady
 }
+
+// Counts implements Counter from the latest reports of groups' heads and of
+// service hosts.
+func (w *watcher) Counts(v *view.View, targets []view.TargetID) []control.TargetCount {
+	w.mu.Lock()
+	w.wanted = targets
+	w.mu.Unlock()
+	var out []control.TargetCount
+	for _, t := range targets {
+		m, ok := taker(v, t)
+		if !ok {
+			continue
+		}
+		if c, ok := w.count(t, m); ok {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// taker returns the host that takes a target's requests.
+func taker(v *view.View, t view.TargetID) (view.Member, bool) {
+	if name, ok := strings.CutPrefix(string(t), hostTarget); ok {
+		h, known := v.Hosts.Get(view.HostName(name))
+		return asMember(h), known
+	}
+	id, _ := strings.CutPrefix(string(t), groupTarget)
+	g, _ := v.Groups.Get(view.GroupID(id))
+	for _, m := range g.Members {
+		if m.Rank == 0 {
+			return m, true
+		}
+	}
+	return view.Member{}, false
+}
+
+// count returns what a head last reported, if that is of the same incarnation.
+func (w *watcher) count(t view.TargetID, head view.Member) (control.TargetCount, bool) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	k, ok := w.hosts[head.Host]
+	if !ok || k.at == 0 || k.missed > 0 || k.report.Status.Incarnation != head.Incarnation {
+		return control.TargetCount{}, false
+	}
+	return control.TargetCount{
+		Target:      t,
+		Incarnation: head.Incarnation,
+		Running:     k.report.Load.Running + k.report.Load.Waiting,
+		AgeMillis:   w.clock.Now().Sub(k.at).Milliseconds(),
+	}, true
+}
--- a/pkg/keeper/sync.go
+++ b/pkg/keeper/sync.go
@@ -88,6 +88,7 @@
 		OrderTTLMS:  t.keeper.timing.Orders.TTL.Milliseconds(),
 		Resend:      resend,
 		Orders:      t.take(s),
+		Count:       t.countsWanted(),
 	}
 	if t.keeper.revision() > req.InForce {
 		reply.Delta = t.keeper.store.Delta(req.InForce)
@@ -145,6 +146,13 @@
 	return control.SyncReply{}, nil
 }
 
+// countsWanted returns the targets whose own counts are wanted.
+func (t *term) countsWanted() []view.TargetID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts.wanted
+}
+
 // await waits until there is a newer view or an order for the gate, as long as
 // the gate allows.
 func (t *term) await(ctx context.Context, s membership.Session, req control.SyncRequest) {
--- a/pkg/keeper/term.go
+++ b/pkg/keeper/term.go
@@ -29,6 +29,7 @@
 	orders  *dispatch.Dispatcher
 	uses    *useAccount
 	settled *settledAccount
+	counts  *countAccount
 	leaving map[membership.Session]struct{} // being unregistered; get no lease
 	news    chan struct{}                   // closed and replaced when orders wait
 }
@@ -52,6 +53,7 @@
 		orders:  dispatch.New(k.timing.Orders, now),
 		uses:    newUseAccount(),
 		settled: newSettledAccount(),
+		counts:  newCountAccount(),
 		leaving: make(map[membership.Session]struct{}),
 		news:    make(chan struct{}),
 	}
@@ -112,6 +114,7 @@
 	now := t.keeper.clock.Now()
 	o := t.hosts.Collect(now)
 	o.Tick = ticked
+	o.Counts = t.counts.collect()
 	t.keeper.store.Read(func(s *state.State) {
 		o.Reports = slices.DeleteFunc(o.Reports, s.Known)
 		o.Uses = t.uses.collect(s.ShareChanged)
@@ -119,6 +122,9 @@
 		if barrier > s.Barrier() {
 			o.Barrier = barrier
 		}
+		if ticked {
+			t.counts.want(s.Orphaned())
+		}
 		draining, since := s.DrainingGroups()
 		o.Settled = t.settled.collect(draining, since, max(barrier, s.Barrier()), t.holders(now))
 	})
@@ -248,5 +254,6 @@
 	}
 	t.uses.note(s.Gate, req.Uses)
 	t.settled.note(s, req.InForce, req.Settled)
+	t.counts.note(req.Counts)
 	return resend
 }
--- a/pkg/permit/orphan.go
+++ b/pkg/permit/orphan.go
@@ -19,3 +19,15 @@
 	}
 	return n
 }
+
+// Orphaned returns the targets that have orphan parts, in order. Their own
+// counts can end these early.
+func (a *Allocator) Orphaned() []view.TargetID {
+	var out []view.TargetID
+	for _, t := range a.sorted() {
+		if len(t.Orphans) > 0 {
+			out = append(out, t.ID)
+		}
+	}
+	return out
+}
--- a/pkg/state/command.go
+++ b/pkg/state/command.go
@@ -5,6 +5,7 @@
 	"github.com/sesamemux/sesamemux/pkg/membership"
 	"github.com/sesamemux/sesamemux/pkg/object"
 	"github.com/sesamemux/sesamemux/pkg/once"
+	"github.com/sesamemux/sesamemux/pkg/permit"
 	"github.com/sesamemux/sesamemux/pkg/suspect"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
@@ -57,13 +58,14 @@
 // Observation is what the leader has learned since its last one. All parts
 // take effect at one revision.
 type Observation struct {
-	Seen    []view.Host    `msgpack:",omitempty"`
-	Lost    []Incarnate    `msgpack:",omitempty"`
-	Reports []HostReport   `msgpack:",omitempty"`
-	Uses    []GateUses     `msgpack:",omitempty"`
-	Settled []SettledGroup `msgpack:",omitempty"`
-	Barrier view.Revision  `msgpack:",omitempty"`
-	Tick    bool           `msgpack:",omitempty"`
+	Seen    []view.Host             `msgpack:",omitempty"`
+	Lost    []Incarnate             `msgpack:",omitempty"`
+	Reports []HostReport            `msgpack:",omitempty"`
+	Uses    []GateUses              `msgpack:",omitempty"`
+	Settled []SettledGroup          `msgpack:",omitempty"`
+	Counts  []permit.TargetReported `msgpack:",omitempty"`
+	Barrier view.Revision           `msgpack:",omitempty"`
+	Tick    bool                    `msgpack:",omitempty"`
 }
 
 // Incarnate is one start of an upstream host.
@@ -94,5 +96,5 @@
 // Empty tells whether the observation changes nothing.
 func (o *Observation) Empty() bool {
 	return len(o.Seen) == 0 && len(o.Lost) == 0 && len(o.Reports) == 0 &&
-		len(o.Uses) == 0 && len(o.Settled) == 0 && o.Barrier == 0 && !o.Tick
+		len(o.Uses) == 0 && len(o.Settled) == 0 && len(o.Counts) == 0 && o.Barrier == 0 && !o.Tick
 }
--- a/pkg/state/observe.go
+++ b/pkg/state/observe.go
@@ -24,6 +24,9 @@
 	for _, u := range o.Uses {
 		p.permits(permit.UseReported{Gate: u.Gate, Uses: u.Uses, Final: u.Final})
 	}
+	for _, c := range o.Counts {
+		p.permits(c)
+	}
 	for _, g := range o.Settled {
 		p.groups(group.GroupSettled{ID: g.Group, Epoch: g.Epoch})
 	}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -200,3 +200,7 @@
 func (s *State) GroupsSince(r view.Revision) []view.Entry[view.GroupID, view.Group] {
 	return s.view.Groups.Since(r).Put
 }
+
+// Orphaned returns the targets on which work of gates without a lease may still
+// run.
+func (s *State) Orphaned() []view.TargetID { return s.permits.Orphaned() }
