--- a/pkg/group/placement/survey.go
+++ b/pkg/group/placement/survey.go
@@ -17,7 +17,11 @@
 
 // NewSurvey returns a survey without hosts. groups counts the model's groups
 // by failure domain.
-func NewSurvey(groups map[string]int) *Survey { return &Survey{groups: maps.Clone(groups)} }
+func NewSurvey(groups map[string]int) *Survey {
+	s := &Survey{groups: make(map[string]int)}
+	maps.Copy(s.groups, groups)
+	return s
+}
 
 // Add adds a fabric domain.
 func (s *Survey) Add(d Domain) { s.domains = append(s.domains, d) }
