Name targets in one place

Change: view.GroupTarget, view.HostTarget and their inverses. Ruled out: a struct in place of the string (it is a map key in JSON and msgpack).

--- a/pkg/bench/gates/run.go
+++ b/pkg/bench/gates/run.go
@@ -67,7 +67,7 @@
 		serving:     true,
 		requests:    make(map[*engine.Sequence]*request),
 	}
-	t.target = view.TargetID("group/" + t.id)
+	t.target = view.GroupTarget(t.id)
 	t.model = engine.NewModel(r.scenario.model, 0)
 	return t
 }
--- a/pkg/ctl/status.go
+++ b/pkg/ctl/status.go
@@ -47,10 +47,10 @@
 	st.Hosts = slices.DeleteFunc(st.Hosts, func(h view.Host) bool { return h.FailureDomain != domain })
 	targets := make(map[view.TargetID]bool)
 	for _, g := range st.Groups {
-		targets[view.TargetID("group/"+string(g.ID))] = true
+		targets[view.GroupTarget(g.ID)] = true
 	}
 	for _, h := range st.Hosts {
-		targets[view.TargetID("host/"+string(h.Name))] = true
+		targets[view.HostTarget(h.Name)] = true
 	}
 	st.Shares = slices.DeleteFunc(st.Shares, func(s view.Share) bool { return !targets[s.Target] })
 }
--- a/pkg/gate/watcher.go
+++ b/pkg/gate/watcher.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -33,10 +32,6 @@
 	staleReport = 1500 * time.Millisecond
 	// missedReports is how many reports in a row a host may miss.
 	missedReports = 2
-	// groupTarget begins the target of a group.
-	groupTarget = "group/"
-	// hostTarget begins the target of a service host.
-	hostTarget = "host/"
 )
 
 // watched is what is known of one host from its own reports.
@@ -121,11 +116,11 @@
 	defer w.mu.RUnlock()
 	var out []view.Host
 	for _, t := range w.wanted {
-		name, ok := strings.CutPrefix(string(t), hostTarget)
+		name, ok := t.Host()
 		if !ok {
 			continue
 		}
-		if h, ok := v.Hosts.Get(view.HostName(name)); ok {
+		if h, ok := v.Hosts.Get(name); ok {
 			out = append(out, h)
 		}
 	}
@@ -258,12 +253,12 @@
 
 // taker returns the host that takes a target's requests.
 func taker(v *view.View, t view.TargetID) (view.Member, bool) {
-	if name, ok := strings.CutPrefix(string(t), hostTarget); ok {
-		h, known := v.Hosts.Get(view.HostName(name))
+	if name, ok := t.Host(); ok {
+		h, known := v.Hosts.Get(name)
 		return asMember(h), known
 	}
-	id, _ := strings.CutPrefix(string(t), groupTarget)
-	g, _ := v.Groups.Get(view.GroupID(id))
+	id, _ := t.Group()
+	g, _ := v.Groups.Get(id)
 	for _, m := range g.Members {
 		if m.Rank == 0 {
 			return m, true
--- a/pkg/gatedaemon/source.go
+++ b/pkg/gatedaemon/source.go
@@ -27,7 +27,7 @@
 
 // idle tells whether no request of this gate runs on a group.
 func (s *source) idle(g view.Group) bool {
-	target := view.TargetID("group/" + g.ID)
+	target := view.GroupTarget(g.ID)
 	for _, m := range g.Members {
 		if _, inFlight := s.permits.Room(target, m.Incarnation); m.Rank == 0 && inFlight > 0 {
 			return false
--- a/pkg/prove/gates/keeper.go
+++ b/pkg/prove/gates/keeper.go
@@ -107,7 +107,7 @@
 func (k *keeper) share(id view.GroupID) view.Share {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	s, _ := k.view.Shares.Get(view.TargetID("group/" + id))
+	s, _ := k.view.Shares.Get(view.GroupTarget(id))
 	return s
 }
 
--- a/pkg/prove/gates/world.go
+++ b/pkg/prove/gates/world.go
@@ -124,7 +124,7 @@
 		}, r)
 	})
 	w.keeper.event(permit.TargetUp{
-		Target:      view.TargetID("group/" + id),
+		Target:      view.GroupTarget(id),
 		Incarnation: inc,
 		Max:         w.limits.MaxInFlight,
 		Cold:        w.limits.ColdInFlight,
--- a/pkg/prove/once/world.go
+++ b/pkg/prove/once/world.go
@@ -128,7 +128,7 @@
 		Service:     serviceName,
 	}
 	w.view.Hosts.Put(h.Name, h, 1)
-	target := view.TargetID("host/" + string(h.Name))
+	target := view.HostTarget(h.Name)
 	share := view.Share{Target: target, Incarnation: 1, Bound: gatePermits * gateCount, Cold: gatePermits * gateCount}
 	for g := range gateCount {
 		share.Gates = append(share.Gates, view.GateShare{Gate: gateName(g), Permits: w.permits(g)})
--- a/pkg/proxy/index.go
+++ b/pkg/proxy/index.go
@@ -22,9 +22,6 @@
 	share  view.Share
 }
 
-// groupTarget names a group's target.
-func groupTarget(id view.GroupID) view.TargetID { return view.TargetID("group/" + id) }
-
 func newIndex(v *view.View, self view.GateName) *index {
 	x := &index{
 		view:   v,
@@ -46,7 +43,7 @@
 }
 
 func newPlace(v *view.View, g view.Group) (place, bool) {
-	t := groupTarget(g.ID)
+	t := view.GroupTarget(g.ID)
 	s, _ := v.Shares.Get(t)
 	for _, m := range g.Members {
 		if m.Rank == 0 {
--- a/pkg/serviceproxy/handover.go
+++ b/pkg/serviceproxy/handover.go
@@ -78,7 +78,7 @@
 	v := h.proxy.config.View()
 	var best view.GateShare
 	for _, host := range h.proxy.hosts(service) {
-		id := target(host.Name)
+		id := view.HostTarget(host.Name)
 		if free, _ := h.room(id, host.Incarnation); free > 0 {
 			return view.Gate{}, false
 		}
--- a/pkg/serviceproxy/handover_test.go
+++ b/pkg/serviceproxy/handover_test.go
@@ -30,7 +30,7 @@
 			}, 1)
 			v.Organisations.Put("boia", object.Organisation{Name: "boia"}, 1)
 			v.Hosts.Put("r1", view.Host{Name: "r1", Incarnation: 1, Kind: view.KindService, Service: "records"}, 1)
-			v.Shares.Put(target("r1"), view.Share{Target: target("r1"), Incarnation: 1, Gates: []view.GateShare{{Gate: "g2", Permits: 1}}}, 1)
+			v.Shares.Put(view.HostTarget("r1"), view.Share{Target: view.HostTarget("r1"), Incarnation: 1, Gates: []view.GateShare{{Gate: "g2", Permits: 1}}}, 1)
 			v.Gates.Put("g2", view.Gate{Name: "g2", PeerAddress: "g2:1"}, 1)
 			silent := func(context.Context, string, string) (net.Conn, error) {
 				near, far := net.Pipe()
--- a/pkg/serviceproxy/hosts.go
+++ b/pkg/serviceproxy/hosts.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		any = true
-		taken, ok := p.config.Permits.TryAcquire(target(h.Name), h.Incarnation)
+		taken, ok := p.config.Permits.TryAcquire(view.HostTarget(h.Name), h.Incarnation)
 		if !ok {
 			continue
 		}
@@ -77,8 +77,6 @@
 	}}
 }
 
-func target(h view.HostName) view.TargetID { return view.TargetID("host/" + string(h)) }
-
 // permitEnd tells what a call says of its host, and marks the host if its
 // connection broke.
 func (p *Proxy) permitEnd(h view.Host, err error) permit.End {
@@ -90,7 +88,7 @@
 		return permit.EndNotProven
 	}
 	if !failed.Timeout {
-		p.config.Permits.Suspect(target(h.Name), h.Incarnation)
+		p.config.Permits.Suspect(view.HostTarget(h.Name), h.Incarnation)
 	}
 	return permit.EndFailed
 }
--- a/pkg/serviceproxy/proxy_test.go
+++ b/pkg/serviceproxy/proxy_test.go
@@ -109,7 +109,7 @@
 	go server.Serve(l)
 	t.Cleanup(func() { server.Close() })
 	v.Hosts.Put(name, h, 1)
-	v.Shares.Put(target(name), view.Share{Target: target(name), Incarnation: 1, Bound: 9, Cold: 9, Gates: []view.GateShare{{Gate: "g1", Permits: 9}}}, 1)
+	v.Shares.Put(view.HostTarget(name), view.Share{Target: view.HostTarget(name), Incarnation: 1, Bound: 9, Cold: 9, Gates: []view.GateShare{{Gate: "g1", Permits: 9}}}, 1)
 }
 
 func (b *bench) order(f service.Fault) {
@@ -308,7 +308,7 @@
 	v := b.proxy.config.View()
 	v.Revision++
 	for _, name := range []view.HostName{"r1", "r2"} {
-		v.Shares.Put(target(name), view.Share{Target: target(name), Incarnation: 1, Bound: 9, Cold: 9, Gates: []view.GateShare{{Gate: "g1"}}}, v.Revision)
+		v.Shares.Put(view.HostTarget(name), view.Share{Target: view.HostTarget(name), Incarnation: 1, Bound: 9, Cold: 9, Gates: []view.GateShare{{Gate: "g1"}}}, v.Revision)
 	}
 	b.proxy.config.Permits.(*permit.Local).Install(v)
 	if err := b.proxy.lastCheck(at)(); !errors.Is(err, errNoPermit) {
--- a/pkg/state/publication.go
+++ b/pkg/state/publication.go
@@ -42,7 +42,7 @@
 
 // refreshGroup tells the allocator how much a group bears.
 func (p *publication) refreshGroup(g view.Group) {
-	target := GroupTarget(g.ID)
+	target := view.GroupTarget(g.ID)
 	if g.State != view.StateServing || len(g.Members) == 0 {
 		p.permits(permit.TargetGone{Target: target})
 		return
@@ -74,7 +74,7 @@
 func (p *publication) deleteGroup(id view.GroupID) {
 	p.state.view.Groups.Delete(id, p.revision)
 	p.changed = true
-	p.permits(permit.TargetGone{Target: GroupTarget(id)})
+	p.permits(permit.TargetGone{Target: view.GroupTarget(id)})
 }
 
 // permits gives an event to the allocator and publishes what it changes.
@@ -118,7 +118,7 @@
 func (p *publication) deleteHost(name view.HostName) {
 	p.state.view.Hosts.Delete(name, p.revision)
 	p.changed = true
-	p.permits(permit.TargetGone{Target: HostTarget(name)})
+	p.permits(permit.TargetGone{Target: view.HostTarget(name)})
 }
 
 // refreshService tells the allocator how much a service host bears.
@@ -128,11 +128,11 @@
 	}
 	svc, ok := p.state.view.Services.Get(h.Service)
 	if !ok {
-		p.permits(permit.TargetGone{Target: HostTarget(h.Name)})
+		p.permits(permit.TargetGone{Target: view.HostTarget(h.Name)})
 		return
 	}
 	p.permits(permit.TargetUp{
-		Target:      HostTarget(h.Name),
+		Target:      view.HostTarget(h.Name),
 		Incarnation: h.Incarnation,
 		Max:         svc.MaxInFlight,
 		Cold:        svc.ColdInFlight,
@@ -140,12 +140,6 @@
 	})
 }
 
-// GroupTarget is the permit target of a group.
-func GroupTarget(id view.GroupID) view.TargetID { return view.TargetID("group/" + id) }
-
-// HostTarget is the permit target of a service host.
-func HostTarget(name view.HostName) view.TargetID { return view.TargetID("host/" + name) }
-
 // syncTable makes a table hold exactly the given values.
 func syncTable[V any](p *publication, t *view.Table[string, V], values []V, key func(V) string) {
 	wanted := make(map[string]struct{}, len(values))
--- a/pkg/view/share.go
+++ b/pkg/view/share.go
@@ -1,9 +1,5 @@
 package view
 
-// TargetID names what takes requests under one permit bound: a group, as
-// "group/<id>", or one service host, as "host/<name>".
-type TargetID string
-
 // GateName names one gate process's host.
 type GateName string
 
--- /dev/null
+++ b/pkg/view/target.go
@@ -0,0 +1,31 @@
+package view
+
+import "strings"
+
+// Beginnings of the two kinds of targets.
+const (
+	groupTarget = "group/"
+	hostTarget  = "host/"
+)
+
+// TargetID names what takes requests under one permit bound: a group, as
+// "group/<id>", or one service host, as "host/<name>".
+type TargetID string
+
+// GroupTarget returns the target of a group.
+func GroupTarget(id GroupID) TargetID { return TargetID(groupTarget + id) }
+
+// HostTarget returns the target of a service host.
+func HostTarget(name HostName) TargetID { return TargetID(hostTarget + name) }
+
+// Group returns the group that the target is; false if it is a service host.
+func (t TargetID) Group() (GroupID, bool) {
+	id, ok := strings.CutPrefix(string(t), groupTarget)
+	return GroupID(id), ok
+}
+
+// Host returns the service host that the target is; false if it is a group.
+func (t TargetID) Host() (HostName, bool) {
+	name, ok := strings.CutPrefix(string(t), hostTarget)
+	return HostName(name), ok
+}
