Refuse a wrong API key also beside an open organisation's name

Cause: the model proxy fell back to the name when the key was unknown, the service proxy refused; a caller with a mistyped key was served as another organisation. Change: a key that no organisation has is refused in both. Ruled out: nothing else; found by reading the two look-ups side by side.

--- a/pkg/proxy/parse.go
+++ b/pkg/proxy/parse.go
@@ -97,12 +97,15 @@
 }
 
 // organisationOf finds the organisation by the key, or by name where it needs
-// none or a peer has checked it.
+// none or a peer has checked it. A wrong key is refused, whatever name comes with
+// it.
 func organisationOf(x *index, h http.Header, peer bool) (object.Organisation, bool) {
 	if key, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer "); ok && !peer {
-		if name, ok := x.keys.Organisation(key); ok {
-			return x.view.Organisations.Get(name)
+		name, known := x.keys.Organisation(key)
+		if !known {
+			return object.Organisation{}, false
 		}
+		return x.view.Organisations.Get(name)
 	}
 	o, ok := x.view.Organisations.Get(h.Get(infer.HeaderOrganisation))
 	if !ok || (o.KeySHA256 != "" && !peer) {
