Use what stands already for defaults and counts

Change: Set.Len, cmp.Or of the standard library, and a look at the revision before the walk. Behaviour stays as it is.

--- a/pkg/keeper/term.go
+++ b/pkg/keeper/term.go
@@ -208,6 +208,9 @@
 func (t *term) recordGroups() {
 	var changed []view.Entry[view.GroupID, view.Group]
 	t.keeper.store.Read(func(s *state.State) {
+		if s.Revision() == t.recorded {
+			return
+		}
 		changed = s.GroupsSince(t.recorded)
 		t.recorded = s.Revision()
 	})
--- a/pkg/once/options.go
+++ b/pkg/once/options.go
@@ -1,6 +1,9 @@
 package once
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -28,17 +31,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.MaxTombstones == 0 {
-		o.MaxTombstones = DefaultMaxTombstones
-	}
-	if o.KeyAhead == 0 {
-		o.KeyAhead = DefaultKeyAhead
-	}
-	if o.ConcludeTime == 0 {
-		o.ConcludeTime = DefaultConcludeTime
-	}
-	if o.NotRunTime == 0 {
-		o.NotRunTime = DefaultNotRunTime
-	}
+	o.MaxTombstones = cmp.Or(o.MaxTombstones, DefaultMaxTombstones)
+	o.KeyAhead = cmp.Or(o.KeyAhead, DefaultKeyAhead)
+	o.ConcludeTime = cmp.Or(o.ConcludeTime, DefaultConcludeTime)
+	o.NotRunTime = cmp.Or(o.NotRunTime, DefaultNotRunTime)
 	return o
 }
--- a/pkg/permit/options.go
+++ b/pkg/permit/options.go
@@ -1,6 +1,9 @@
 package permit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options sets the allocator's policy. Zero values take the defaults.
 type Options struct {
@@ -35,23 +38,11 @@
 )
 
 func (o Options) withDefaults() Options {
-	if o.MaxRequestTime == 0 {
-		o.MaxRequestTime = defaultMaxRequestTime
-	}
-	if o.LeaseTime == 0 {
-		o.LeaseTime = defaultLeaseTime
-	}
-	if o.ReportLag == 0 {
-		o.ReportLag = defaultReportLag
-	}
-	if o.RebalanceInterval == 0 {
-		o.RebalanceInterval = defaultRebalanceInterval
-	}
-	if o.MinPermits == 0 {
-		o.MinPermits = defaultMinPermits
-	}
-	if o.Sharing == "" {
-		o.Sharing = SharingDemand
-	}
+	o.MaxRequestTime = cmp.Or(o.MaxRequestTime, defaultMaxRequestTime)
+	o.LeaseTime = cmp.Or(o.LeaseTime, defaultLeaseTime)
+	o.ReportLag = cmp.Or(o.ReportLag, defaultReportLag)
+	o.RebalanceInterval = cmp.Or(o.RebalanceInterval, defaultRebalanceInterval)
+	o.MinPermits = cmp.Or(o.MinPermits, defaultMinPermits)
+	o.Sharing = cmp.Or(o.Sharing, SharingDemand)
 	return o
 }
--- a/pkg/state/operator.go
+++ b/pkg/state/operator.go
@@ -22,7 +22,7 @@
 		ChangeID: c.ChangeID,
 		Operator: c.Operator,
 		Kind:     "apply",
-		Summary:  fmt.Sprintf("%d objects", countObjects(c)),
+		Summary:  fmt.Sprintf("%d objects", c.Set.Len()),
 	})
 }
 
@@ -159,9 +159,3 @@
 	}
 	return out
 }
-
-func countObjects(c *Publish) int {
-	s := c.Set
-	return len(s.FailureDomains) + len(s.FabricDomains) + len(s.Versions) + len(s.Adapters) +
-		len(s.ModelGroups) + len(s.Services) + len(s.Organisations)
-}
--- a/pkg/suspect/options.go
+++ b/pkg/suspect/options.go
@@ -1,6 +1,9 @@
 package suspect
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -35,26 +38,12 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.SuspectTime == 0 {
-		o.SuspectTime = DefaultSuspectTime
-	}
-	if o.ConvictedTime == 0 {
-		o.ConvictedTime = DefaultConvictedTime
-	}
-	if o.CrashTime == 0 {
-		o.CrashTime = DefaultCrashTime
-	}
-	if o.MassWindow == 0 {
-		o.MassWindow = DefaultMassWindow
-	}
-	if o.MassCrashes == 0 {
-		o.MassCrashes = DefaultMassCrashes
-	}
-	if o.MaxSuspects == 0 {
-		o.MaxSuspects = DefaultMaxSuspects
-	}
-	if o.MaxCrashes == 0 {
-		o.MaxCrashes = DefaultMaxCrashes
-	}
+	o.SuspectTime = cmp.Or(o.SuspectTime, DefaultSuspectTime)
+	o.ConvictedTime = cmp.Or(o.ConvictedTime, DefaultConvictedTime)
+	o.CrashTime = cmp.Or(o.CrashTime, DefaultCrashTime)
+	o.MassWindow = cmp.Or(o.MassWindow, DefaultMassWindow)
+	o.MassCrashes = cmp.Or(o.MassCrashes, DefaultMassCrashes)
+	o.MaxSuspects = cmp.Or(o.MaxSuspects, DefaultMaxSuspects)
+	o.MaxCrashes = cmp.Or(o.MaxCrashes, DefaultMaxCrashes)
 	return o
 }
