--- a/pkg/access/rights_test.go
+++ b/pkg/access/rights_test.go
@@ -23,6 +23,14 @@
 	control.MethodOnceOutcome: {Gate, Keeper},
 	control.MethodCrashReport: {Gate, Keeper},
 	control.MethodRanWell:     {Gate, Keeper},
+
+	control.MethodFleetSync:     {Gate, Keeper},
+	control.MethodFleetAnnounce: {Keeper},
+	control.MethodFleetDepart:   {Keeper},
+	control.MethodFleetSuspect:  {Gate},
+	control.MethodFleetChange:   {Keeper},
+	control.MethodFleetRead:     {Keeper},
+	control.MethodFleetJoin:     {Keeper},
 }
 
 func openLinks(t *testing.T, f Files) *Links {
--- /dev/null
+++ b/pkg/catalog/organisation.go
@@ -0,0 +1,8 @@
+package catalog
+
+// Organisation is a customer with its API keys.
+type Organisation struct {
+	Name     string
+	Keys     []string
+	Priority *int // overrides the route's; nil: the route's holds
+}
--- /dev/null
+++ b/pkg/control/fleet.go
@@ -0,0 +1,72 @@
+package control
+
+import (
+	"github.com/sesamemux/sesamemux/pkg/durable"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+)
+
+// FleetSyncRequest tells the leading coordinator what a process holds and what
+// it saw. The answer comes at once when there is news, else after WaitMS.
+type FleetSyncRequest struct {
+	Process string `json:"process"` // unique name of the asking process
+	Entry   bool   `json:"entry"`   // it serves clients
+	Zone    string `json:"zone"`
+
+	Session  string `json:"session"`  // of the last answer; a leadership
+	Revision uint64 `json:"revision"` // of the upstreams held, in that session
+	Index    uint64 `json:"index"`    // of the durable state held
+	Version  int64  `json:"version"`  // of the document held; -1: none
+	WaitMS   int64  `json:"wait_ms"`
+
+	Running  map[string]int     `json:"running,omitempty"`  // own requests at each head, by ID
+	Load     map[string]float64 `json:"load,omitempty"`     // engine time that arriving requests need in a second, by model
+	Progress []string           `json:"progress,omitempty"` // heads that sent something in the last second
+	Arrivals bool               `json:"arrivals,omitempty"` // clients' requests have come
+}
+
+// FleetSyncResult is the news for one process.
+type FleetSyncResult struct {
+	Session  string            `json:"session"`
+	Settled  bool              `json:"settled"` // the leader has heard all live upstreams; who is missing is gone
+	Full     bool              `json:"full"`    // Upstreams are all that are known, not only changes
+	Revision uint64            `json:"revision"`
+	Index    uint64            `json:"index"`
+	Document *durable.Document `json:"document,omitempty"`
+	// Evacuated and Departures are set when Index is above the request's.
+	Evacuated  []string            `json:"evacuated,omitempty"`
+	Departures []durable.Departure `json:"departures,omitempty"`
+	Upstreams  []fleet.Upstream    `json:"upstreams,omitempty"`
+	Running    map[string]int      `json:"running,omitempty"` // at each head, over all processes
+	Entries    int                 `json:"entries"`           // processes that serve clients
+	Peers      []string            `json:"peers"`             // host:port of the coordinators
+}
+
+// FleetAnnounceResult names the leader's address for upstreams.
+type FleetAnnounceResult struct {
+	Leader string `json:"leader"` // host:port for operators and upstreams
+}
+
+// FleetSuspectRequest names a head from which nothing came any more.
+type FleetSuspectRequest struct {
+	Process  string `json:"process"`
+	Head     string `json:"head"` // upstream ID
+	SilentMS int64  `json:"silent_ms"`
+	Refused  bool   `json:"refused"` // its address refused a connection
+}
+
+// FleetReadResult is the document in force, nil when there is none.
+type FleetReadResult struct {
+	Document *durable.Document `json:"document,omitempty"`
+}
+
+// FleetJoinRequest asks for a place among the coordinators.
+type FleetJoinRequest struct {
+	Address string `json:"address"` // host:port for our own processes
+}
+
+// FleetJoinResult is the replica that the asking coordinator becomes.
+type FleetJoinResult struct {
+	Replica uint64   `json:"replica"`
+	Cluster string   `json:"cluster"`
+	Peers   []string `json:"peers"`
+}
--- a/pkg/control/methods.go
+++ b/pkg/control/methods.go
@@ -26,6 +26,18 @@
 	MethodQuarantineRelease Method = "quarantine.release"
 )
 
+// Methods that coordinators serve, for deployments whose objects come from
+// outside as one document.
+const (
+	MethodFleetSync     Method = "fleet.sync"     // an entry host's or coordinator's view of the deployment
+	MethodFleetAnnounce Method = "fleet.announce" // an upstream's word for itself, passed on to the leader
+	MethodFleetDepart   Method = "fleet.depart"   // an upstream signs off
+	MethodFleetSuspect  Method = "fleet.suspect"  // the head of a group went silent
+	MethodFleetChange   Method = "fleet.change"   // put a change by an operator in force
+	MethodFleetRead     Method = "fleet.read"     // the document in force
+	MethodFleetJoin     Method = "fleet.join"     // a coordinator without a replica asks to take part
+)
+
 // Methods that every process serves.
 const (
 	MethodTimeline Method = "timeline.read" // events of this process's ring
--- /dev/null
+++ b/pkg/coordinator/decide.go
@@ -0,0 +1,202 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/durable"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+	"github.com/sesamemux/sesamemux/pkg/formation"
+)
+
+// decide makes the leader's decisions: at each event, and now and then.
+func (c *Coordinator) decide(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		var state <-chan struct{}
+		if r := c.node.Load(); r != nil {
+			_, state = r.store.State()
+			c.mu.Lock()
+			c.takeState(r.store)
+			c.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-state:
+			continue
+		case <-tick.C:
+		case <-c.kick:
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(eventPause):
+			}
+		}
+		c.step(ctx)
+	}
+}
+
+// takeState brings the durable state into the registry and the planner. The
+// caller holds the lock.
+func (c *Coordinator) takeState(store *durable.Store) {
+	st, _ := store.State()
+	if st.Index == c.held && c.leads == nil {
+		return
+	}
+	if st.Document != nil && (c.indexed == nil || c.indexed.Set.Version < st.Document.Version) {
+		set, err := c.cfg.Decode(st.Document.Raw)
+		if err != nil {
+			c.cfg.Logger.Error("document in force can't be read", "version", st.Document.Version, "cause", err)
+			return
+		}
+		c.indexed = catalog.NewIndex(set)
+		c.cfg.Logger.Info("document in force", "version", set.Version, "routes", len(set.Routes), "index", st.Index)
+	}
+	changed := st.Index != c.held
+	c.held = st.Index
+	for _, d := range st.Departures {
+		state := fleet.Draining
+		if d.Gone {
+			state = fleet.Gone
+		}
+		if c.registry.Depart(d.ID, d.Born, state) {
+			c.observe(d.ID)
+			changed = true
+		}
+	}
+	if c.leads == nil {
+		return
+	}
+	c.leads.planner.SetEvacuated(st.Evacuated)
+	c.leads.planner.SetService(c.engineService())
+	if changed {
+		c.leads.news()
+	}
+}
+
+// engineService returns the service whose hosts form groups, nil when there is
+// none. The caller holds the lock.
+func (c *Coordinator) engineService() *catalog.Service {
+	if c.indexed == nil {
+		return nil
+	}
+	for i := range c.indexed.Set.Services {
+		if s := &c.indexed.Set.Services[i]; s.Engine != nil {
+			c.leads.service = s.Name
+			return s
+		}
+	}
+	return nil
+}
+
+// observe hands an engine host's record to the planner. The caller holds the
+// lock.
+func (c *Coordinator) observe(id string) {
+	e := c.registry.Get(id)
+	if c.leads == nil || e == nil || e.Service != c.leads.service && c.leads.service != "" {
+		return
+	}
+	c.leads.planner.Observe(c.now(), e.Upstream, e.Heard)
+}
+
+// step runs the planner once and sends its orders.
+func (c *Coordinator) step(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.leads
+	if l == nil {
+		return
+	}
+	now := c.now()
+	c.registry.Forget(now)
+	c.gather(now, l)
+	for _, u := range l.planner.Silent(now) {
+		c.probe(ctx, l, u, "no announcement")
+	}
+	orders := l.planner.Tick(now)
+	c.bar(l)
+	for _, o := range orders {
+		c.send(ctx, l, o)
+	}
+}
+
+// bar tells gates which heads get no new requests. The caller holds the lock.
+func (c *Coordinator) bar(l *leadership) {
+	barred := l.planner.Barred()
+	changed := false
+	for id := range l.barred {
+		if !barred[id] {
+			changed = c.registry.Bar(id, false) || changed
+		}
+	}
+	for id := range barred {
+		if c.registry.Bar(id, true) {
+			changed = true
+			c.cfg.Logger.Info("group gets no new requests", "head", id)
+		}
+	}
+	l.barred = barred
+	if changed {
+		l.news()
+	}
+}
+
+// gather sums up what the entry hosts told. The caller holds the lock.
+func (c *Coordinator) gather(now time.Duration, l *leadership) {
+	load := map[string]float64{}
+	busy := map[string]int{}
+	for name, p := range l.syncs {
+		if now-p.at > entryAge {
+			delete(l.syncs, name)
+			continue
+		}
+		for m, v := range p.last.Load {
+			load[m] += v
+		}
+		for h, n := range p.last.Running {
+			busy[h] += n
+		}
+		if p.last.Arrivals && !l.traffic {
+			l.traffic = true
+			l.planner.TrafficBegun()
+			c.cfg.Logger.Info("requests have begun", "told_by", name)
+		}
+	}
+	l.planner.SetLoad(load)
+	l.planner.SetBusy(busy)
+}
+
+// send carries out an order beside the decisions. The caller holds the lock.
+func (c *Coordinator) send(ctx context.Context, l *leadership, o formation.Order) {
+	go func() {
+		select {
+		case l.orders <- struct{}{}:
+			defer func() { <-l.orders }()
+		case <-ctx.Done():
+			return
+		}
+		ordering, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		result, err := c.cfg.Engines.Order(ordering, o, l.term)
+		c.metrics.Orders.WithLabelValues(string(o.Kind), resultName(result)).Inc()
+		c.cfg.Logger.Info("order to a host", "order", o.Kind, "host_id", o.Host.ID, "domain", o.Host.Domain,
+			"group", o.Group, "model", o.Model, "epoch", o.Epoch, "reason", o.Reason, "outcome", resultName(result), "cause", err)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		l.planner.Ended(c.now(), o, result)
+		c.event()
+	}()
+}
+
+func resultName(r formation.Result) string {
+	switch r {
+	case formation.Done:
+		return "done"
+	case formation.Rejected:
+		return "rejected"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/pkg/coordinator/metrics.go
@@ -0,0 +1,29 @@
+package coordinator
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics are the counters of a coordinator.
+type Metrics struct {
+	Registry   *prometheus.Registry
+	Leading    prometheus.Gauge
+	Orders     *prometheus.CounterVec
+	Suspicions prometheus.Counter
+	Dead       prometheus.Counter
+}
+
+// NewMetrics returns counters at zero in a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		Leading: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sesamemux_coordinator_leading", Help: "1 while this coordinator leads."}),
+		Orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesamemux_coordinator_orders_total", Help: "Orders to engine hosts by kind and outcome."}, []string{"order", "outcome"}),
+		Suspicions: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sesamemux_coordinator_suspicions_total", Help: "Words of entry hosts that a head went silent."}),
+		Dead: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sesamemux_coordinator_dead_hosts_total", Help: "Hosts found dead by probes."}),
+	}
+	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.Dead)
+	return m
+}
--- /dev/null
+++ b/pkg/coordinator/sync.go
@@ -0,0 +1,163 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+)
+
+// syncPause gathers news that comes close together into one answer.
+const syncPause = 10 * time.Millisecond
+
+// sync answers a process with what it does not have yet.
+func (c *Coordinator) sync(ctx context.Context, req control.FleetSyncRequest) (control.FleetSyncResult, error) {
+	deadline := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		c.mu.Lock()
+		l := c.leads
+		if l == nil {
+			c.mu.Unlock()
+			return control.FleetSyncResult{}, notLeader(c.leaderPeer())
+		}
+		c.note(l, req)
+		news := req.Session != l.session || req.Revision != c.registry.Revision() || req.Index != c.held
+		changed := l.changed
+		c.mu.Unlock()
+		if news {
+			time.Sleep(syncPause)
+			return c.news(req)
+		}
+		select {
+		case <-ctx.Done():
+			return control.FleetSyncResult{}, ctx.Err()
+		case <-deadline.C:
+			return c.news(req)
+		case <-changed:
+		}
+	}
+}
+
+// note keeps what a process told. The caller holds the lock.
+func (c *Coordinator) note(l *leadership, req control.FleetSyncRequest) {
+	p := l.syncs[req.Process]
+	if p == nil {
+		p = &processSync{}
+		l.syncs[req.Process] = p
+		c.cfg.Logger.Info("process follows this leader", "process_name", req.Process, "entry", req.Entry, "zone", req.Zone)
+	}
+	p.at = c.now()
+	p.last = req
+}
+
+func (c *Coordinator) news(req control.FleetSyncRequest) (control.FleetSyncResult, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, r := c.leads, c.node.Load()
+	if l == nil || r == nil {
+		return control.FleetSyncResult{}, notLeader("")
+	}
+	st, _ := r.store.State()
+	c.takeState(r.store)
+	since := req.Revision
+	result := control.FleetSyncResult{
+		Session:  l.session,
+		Settled:  c.now()-l.since > settleAge,
+		Revision: c.registry.Revision(),
+		Index:    st.Index,
+		Peers:    c.peers(),
+		Running:  map[string]int{},
+	}
+	if req.Session != l.session {
+		since = 0
+		result.Full = true
+	}
+	if st.Index != req.Index || result.Full {
+		result.Evacuated = st.Evacuated
+		result.Departures = st.Departures
+	}
+	if st.Document != nil && st.Document.Version > req.Version {
+		result.Document = st.Document
+	}
+	for _, u := range c.registry.Since(since) {
+		if !result.Full || u.State != fleet.Gone {
+			result.Upstreams = append(result.Upstreams, u)
+		}
+	}
+	for _, p := range l.syncs {
+		if p.last.Entry {
+			result.Entries++
+		}
+		for h, n := range p.last.Running {
+			result.Running[h] += n
+		}
+	}
+	return result, nil
+}
+
+// peers returns the addresses of all coordinators that are known.
+func (c *Coordinator) peers() []string {
+	return c.member.known()
+}
+
+// follow mirrors the leader's view while another coordinator leads, so that a
+// new leader knows the upstreams at once.
+func (c *Coordinator) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		leads := c.leads != nil
+		req := c.mirror
+		req.WaitMS = followWait.Milliseconds()
+		c.mu.Unlock()
+		if leads || c.node.Load() == nil {
+			pause(ctx, followWait)
+			continue
+		}
+		calling, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+		var result control.FleetSyncResult
+		err := c.callLeader(calling, control.MethodFleetSync, req, &result)
+		cancel()
+		if err != nil {
+			pause(ctx, tickInterval)
+			continue
+		}
+		c.takeNews(result)
+	}
+}
+
+// followWait is how long a follower's question waits for news at the leader.
+const followWait = 500 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// takeNews brings the leader's news into the mirror.
+func (c *Coordinator) takeNews(result control.FleetSyncResult) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leads != nil {
+		return
+	}
+	now := c.now()
+	for _, u := range result.Upstreams {
+		u.Barred = false
+		if u.State == fleet.Gone {
+			c.registry.Depart(u.ID, u.Born, fleet.Gone)
+			continue
+		}
+		c.registry.Announce(now, u)
+	}
+	c.mirror.Session = result.Session
+	c.mirror.Revision = result.Revision
+	c.mirror.Index = result.Index
+	if result.Document != nil {
+		c.mirror.Version = result.Document.Version
+	}
+	c.member.learn(result.Peers)
+}
--- /dev/null
+++ b/pkg/durable/command.go
@@ -0,0 +1,27 @@
+package durable
+
+import "encoding/json"
+
+// Departure is an incarnation that drains or has signed off.
+type Departure struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born,omitempty"`
+	Gone bool   `json:"gone,omitempty"` // false: it drains
+}
+
+// Command is one change. Exactly one field is set.
+type Command struct {
+	Document *Document   `json:"document,omitempty"`
+	Evacuate string      `json:"evacuate,omitempty"` // failure domain
+	Restore  string      `json:"restore,omitempty"`  // failure domain
+	Depart   []Departure `json:"depart,omitempty"`
+}
+
+// Document is a set of objects as the operator sent it.
+type Document struct {
+	Version int64  `json:"version"`
+	Raw     []byte `json:"raw"`
+}
+
+// Encode returns the command's form in the log.
+func (c Command) Encode() ([]byte, error) { return json.Marshal(c) }
--- /dev/null
+++ b/pkg/durable/store.go
@@ -0,0 +1,131 @@
+package durable
+
+import (
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxDepartures bounds the departures kept; older ones have long ended.
+const maxDepartures = 512
+
+// State is the whole replicated state. Its slices are read-only.
+type State struct {
+	Index      uint64      `json:"index"` // of the last command that changed it
+	Document   *Document   `json:"document,omitempty"`
+	Evacuated  []string    `json:"evacuated,omitempty"` // sorted
+	Departures []Departure `json:"departures,omitempty"`
+}
+
+// Store applies commands. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	state   State
+	changed chan struct{} // closed at the next change
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{changed: make(chan struct{})}
+}
+
+// State returns the state now and a channel that is closed when it changes.
+func (s *Store) State() (State, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state, s.changed
+}
+
+// Apply implements replica.Applier. The result is the error that refused the
+// command, or nil.
+func (s *Store) Apply(index uint64, command []byte) any {
+	var c Command
+	if err := json.Unmarshal(command, &c); err != nil {
+		return eris.Wrap(err, "command in the log")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := s.state
+	if !next.apply(c) {
+		return nil
+	}
+	next.Index = index
+	s.set(next)
+	return nil
+}
+
+func (s *Store) set(next State) {
+	s.state = next
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// apply carries out a command on a copy and tells whether it changed anything.
+func (st *State) apply(c Command) bool {
+	switch {
+	case c.Document != nil:
+		if st.Document != nil && c.Document.Version <= st.Document.Version {
+			return false
+		}
+		st.Document = c.Document
+		return true
+	case c.Evacuate != "":
+		i, found := slices.BinarySearch(st.Evacuated, c.Evacuate)
+		if found {
+			return false
+		}
+		st.Evacuated = slices.Insert(slices.Clone(st.Evacuated), i, c.Evacuate)
+		return true
+	case c.Restore != "":
+		i, found := slices.BinarySearch(st.Evacuated, c.Restore)
+		if !found {
+			return false
+		}
+		st.Evacuated = slices.Delete(slices.Clone(st.Evacuated), i, i+1)
+		return true
+	}
+	return st.depart(c.Depart)
+}
+
+func (st *State) depart(ds []Departure) bool {
+	changed := false
+	next := slices.Clone(st.Departures)
+	for _, d := range ds {
+		i := slices.IndexFunc(next, func(k Departure) bool { return k.ID == d.ID && k.Born == d.Born })
+		switch {
+		case i < 0:
+			next = append(next, d)
+		case d.Gone && !next[i].Gone:
+			next[i].Gone = true
+		default:
+			continue
+		}
+		changed = true
+	}
+	if len(next) > maxDepartures {
+		next = next[len(next)-maxDepartures:]
+	}
+	st.Departures = next
+	return changed
+}
+
+// Snapshot implements replica.Applier.
+func (s *Store) Snapshot() ([]byte, error) {
+	st, _ := s.State()
+	b, err := json.Marshal(st)
+	return b, eris.Wrap(err, "encode state")
+}
+
+// Restore implements replica.Applier.
+func (s *Store) Restore(snapshot []byte) error {
+	var st State
+	if err := json.Unmarshal(snapshot, &st); err != nil {
+		return eris.Wrap(err, "decode state")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(st)
+	return nil
+}
--- /dev/null
+++ b/pkg/entry/balancer.go
@@ -0,0 +1,310 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+)
+
+// reason says why no upstream was chosen.
+type reason string
+
+const (
+	noReason     reason = ""
+	noUpstream   reason = "no upstream serves it"
+	allFull      reason = "all upstreams are full"
+	allFailing   reason = "all upstreams were tried or fail"
+	coldBound    reason = "cold upstreams bear no more requests"
+	budgetSpent  reason = "budget of repeats is spent"
+	timeIsOver   reason = "no time is left"
+	noDocument   reason = "no document is in force yet"
+	unknownRoute reason = "no route matches"
+	unknownKey   reason = "unknown API key"
+)
+
+// balancer chooses upstreams by what is known of them.
+type balancer struct {
+	mu       sync.Mutex
+	targets  map[string]*target
+	evacuate map[string]bool
+	zone     string
+	entries  int // entry hosts in all
+
+	coldFactor, coldSlack float64
+	rand                  *rand.Rand
+}
+
+func newBalancer(cfg Config) *balancer {
+	return &balancer{
+		targets:    map[string]*target{},
+		evacuate:   map[string]bool{},
+		zone:       cfg.Zone,
+		entries:    1,
+		coldFactor: cfg.ColdFactor,
+		coldSlack:  cfg.ColdSlack,
+		rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// wish is what a request needs of an upstream.
+type wish struct {
+	service *catalog.Service
+	model   string // of an engine service
+	tried   map[string]bool
+}
+
+// choose picks an upstream and counts the request there; done must be called
+// for it. Load: many callers at once on few heads, heads that die, cold ones.
+func (b *balancer) choose(now time.Duration, w wish) (*target, reason) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var best *target
+	bestScore := 0.0
+	why := noUpstream
+	for _, t := range b.candidates(w) {
+		if r := b.refuses(now, t, w); r != noReason {
+			why = worseReason(why, r)
+			continue
+		}
+		score := b.score(t, w)
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	if best == nil {
+		return nil, why
+	}
+	best.running++
+	best.starts = append(best.starts, now)
+	if best.running == 1 {
+		best.lastByte = now
+	}
+	return best, noReason
+}
+
+// worseReason keeps the reason that passes soonest.
+func worseReason(a, b reason) reason {
+	order := []reason{noUpstream, allFailing, coldBound, allFull}
+	rank := func(r reason) int {
+		for i, v := range order {
+			if v == r {
+				return i
+			}
+		}
+		return 0
+	}
+	if rank(b) > rank(a) {
+		return b
+	}
+	return a
+}
+
+// candidates returns the upstreams that could serve a request at all, sorted.
+func (b *balancer) candidates(w wish) []*target {
+	var ts []*target
+	for _, t := range b.targets {
+		if t.Service != w.service.Name || t.State != fleet.Ready || t.Barred || b.evacuate[t.Zone] {
+			continue
+		}
+		if w.service.Engine != nil && (!t.Leads() || servedModel(t.Seat.Group) != w.model) {
+			continue
+		}
+		ts = append(ts, t)
+	}
+	sort.Slice(ts, func(i, j int) bool { return ts[i].ID < ts[j].ID })
+	return ts
+}
+
+// servedModel returns the model that a group's name begins with.
+func servedModel(group string) string {
+	model, _, _ := strings.Cut(group, "/")
+	return model
+}
+
+func (b *balancer) refuses(now time.Duration, t *target, w wish) reason {
+	switch {
+	case w.tried[t.ID], now < t.suspectUntil, now < t.backoffUntil:
+		return allFailing
+	case w.service.ColdPerSecond > 0 && t.startsNow(now) >= b.startsAllowed(w.service):
+		return coldBound
+	case t.total() >= b.room(t, w):
+		return allFull
+	}
+	return noReason
+}
+
+// room returns how many requests may be at an upstream: what runs at once and
+// a few that wait there, so that no place stays empty while news travels.
+func (b *balancer) room(t *target, w wish) int {
+	slots := t.Slots
+	if w.service.Engine != nil && w.service.Engine.Slots > 0 {
+		slots = w.service.Engine.Slots
+	}
+	if slots == 0 {
+		slots = 1
+	}
+	return slots + max(slots/8, 1)
+}
+
+// startsAllowed is this host's part of the requests that a cold upstream
+// bears in a second. It holds for all: an upstream may turn cold unannounced.
+func (b *balancer) startsAllowed(s *catalog.Service) int {
+	all := s.ColdPerSecond*b.coldFactor + b.coldSlack
+	return max(int(all/float64(b.entries+entriesToCome)), 1)
+}
+
+// score rates an upstream: the requests there, by how slowly they run, and
+// what lately failed. The random part keeps entry hosts from choosing alike
+// between two syncs.
+func (b *balancer) score(t *target, w wish) float64 {
+	slots := t.Slots
+	if w.service.Engine != nil {
+		slots = w.service.Engine.Slots
+	}
+	load := float64(t.total()+1) / float64(max(slots, 1))
+	score := load*max(t.slowness, 1) + errorCost*t.errorRate + spread*b.rand.Float64()
+	if t.Zone != b.zone {
+		score += farCost
+	}
+	return score
+}
+
+const (
+	// errorCost is the load that an upstream that fails everything seems to
+	// carry.
+	errorCost = 4.0
+	// spread is the width of the random part, in parts of an upstream's slots.
+	spread = 0.06
+	// farCost is the load that a way to another failure domain is worth.
+	farCost = 0.02
+)
+
+// done takes a request off an upstream.
+func (b *balancer) done(t *target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.running--
+}
+
+// progress notes that something came from an upstream, after gap and where
+// want was expected; want 0 tells nothing of its speed.
+func (b *balancer) progress(now time.Duration, t *target, gap, want time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.lastByte = now
+	t.suspectUntil = 0
+	t.failures = 0
+	if want > 0 {
+		t.slowness += slownessGain * (float64(gap)/float64(want) - t.slowness)
+	}
+}
+
+// slownessGain and errorGain smooth over the last twenty or so samples.
+const (
+	slownessGain = 0.05
+	errorGain    = 0.1
+)
+
+// answered notes how an answer ended.
+func (b *balancer) answered(now time.Duration, t *target, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.lastByte = now
+	if ok {
+		t.failures = 0
+		t.backoffUntil = 0
+		t.errorRate -= errorGain * t.errorRate
+		return
+	}
+	t.errorRate += errorGain * (1 - t.errorRate)
+}
+
+// failed notes that an upstream could not be reached or broke off.
+func (b *balancer) failed(now time.Duration, t *target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	pause := min(backoffFirst<<min(t.failures, 5), backoffMost)
+	t.failures++
+	t.backoffUntil = now + pause
+	t.errorRate += errorGain * (1 - t.errorRate)
+}
+
+// suspect keeps new requests from a head that went silent. It tells whether
+// that is news, and for how long it has been silent.
+func (b *balancer) suspect(now time.Duration, t *target) (bool, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fresh := now >= t.suspectUntil
+	t.suspectUntil = now + suspectFor
+	return fresh, now - t.lastByte
+}
+
+// silence returns how long nothing came from an upstream.
+func (b *balancer) silence(now time.Duration, t *target) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now - t.lastByte
+}
+
+// told returns the own requests at each head, and the heads that sent
+// something within the last second.
+func (b *balancer) told(now time.Duration) (map[string]int, []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	running := map[string]int{}
+	var progress []string
+	for id, t := range b.targets {
+		if !t.Leads() {
+			continue
+		}
+		if t.running > 0 {
+			running[id] = t.running
+		}
+		if now-t.lastByte < time.Second && now >= t.suspectUntil && t.lastByte > 0 {
+			progress = append(progress, id)
+		}
+	}
+	sort.Strings(progress)
+	return running, progress
+}
+
+// entryCount returns the number of entry hosts as last told.
+func (b *balancer) entryCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.entries
+}
+
+// full notes that an upstream refused a request as one too many.
+func (b *balancer) full(now time.Duration, t *target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.backoffUntil = now + fullPause
+}
+
+// fullPause is how long an upstream that refused a request gets no other.
+const fullPause = 100 * time.Millisecond
+
+// float returns a random number in [0,1).
+func (b *balancer) float() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rand.Float64()
+}
+
+// elsewhere tells whether another upstream could take a request.
+func (b *balancer) elsewhere(now time.Duration, w wish) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.candidates(w) {
+		if b.refuses(now, t, w) == noReason {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/entry/demand.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/catalog"
+)
+
+// demandSpan is the time over which the arriving load is averaged: long
+// against the pauses between requests, short against a shift of the mix.
+const demandSpan = 4 * time.Second
+
+// demand measures the engine time that arriving requests need, by model.
+type demand struct {
+	mu   sync.Mutex
+	sum  map[string]float64 // decayed seconds of a group's time
+	last time.Duration
+	any  bool
+}
+
+func newDemand() *demand { return &demand{sum: map[string]float64{}} }
+
+// usualBatch is the number of requests among which a step's time is divided
+// when a request's cost is estimated.
+const usualBatch = 13
+
+// cost estimates the time of a group that a request needs, in seconds: the
+// prompt is read alone, the answer written together with usualBatch others.
+func cost(e *catalog.Engine, m catalog.Model, prompt, answer int) float64 {
+	step := (e.Step + usualBatch*e.PerRequest).Seconds() / usualBatch
+	read := 0.0
+	if e.ReadPerS > 0 {
+		read = float64(prompt) / e.ReadPerS
+	}
+	return (read + float64(answer)*step) * m.Pace
+}
+
+// arrived counts a request.
+func (d *demand) arrived(now time.Duration, model string, seconds float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decay(now)
+	d.sum[model] += seconds
+	d.any = true
+}
+
+func (d *demand) decay(now time.Duration) {
+	f := math.Exp(-float64(now-d.last) / float64(demandSpan))
+	d.last = now
+	for m := range d.sum {
+		d.sum[m] *= f
+	}
+}
+
+// rates returns the engine time needed in a second, by model, and whether any
+// request has come.
+func (d *demand) rates(now time.Duration) (map[string]float64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.decay(now)
+	rates := map[string]float64{}
+	for m, s := range d.sum {
+		rates[m] = math.Round(s/demandSpan.Seconds()*1000) / 1000
+	}
+	return rates, d.any
+}
--- /dev/null
+++ b/pkg/entry/gate.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/leader"
+	"github.com/sesamemux/sesamemux/pkg/upstream"
+)
+
+// Gate is an entry host.
+type Gate struct {
+	cfg      Config
+	caller   *leader.Caller
+	suspects *leader.Caller
+	pool     *upstream.Pool
+	balancer *balancer
+	budget   *budget
+	demand   *demand
+	metrics  *Metrics
+	lines    *lines
+	crashes  *crashes
+
+	index    atomic.Pointer[catalog.Index]
+	stopping atomic.Bool
+	inFlight sync.WaitGroup
+}
+
+// New returns an entry host that does not run yet.
+func New(cfg Config) *Gate {
+	g := &Gate{
+		cfg:      cfg,
+		caller:   leader.NewCaller(cfg.Peers, cfg.Dial),
+		suspects: leader.NewCaller(cfg.Peers, cfg.Dial),
+		balancer: newBalancer(cfg),
+		budget:   newBudget(cfg.RetryRatio, cfg.RetryBurst),
+		demand:   newDemand(),
+		metrics:  NewMetrics(),
+		crashes:  newCrashes(),
+	}
+	g.lines = &lines{logger: cfg.Logger, suppressed: g.metrics.Suppressed}
+	g.pool = upstream.NewPool(upstream.Options{
+		Dial:       cfg.DialBackend,
+		ProbeAfter: idleReuse,
+		MaxIdle:    idlePerUpstream,
+		FirstByte:  upstreamSilence,
+		Stall:      upstreamSilence,
+	})
+	return g
+}
+
+func (g *Gate) now() time.Duration { return time.Duration(g.cfg.Clock.Now()) }
+
+// Metrics returns the counters of this process.
+func (g *Gate) Metrics() *Metrics { return g.metrics }
+
+// Ready tells whether the balancer may send clients here, and if not, why.
+func (g *Gate) Ready() (bool, string) {
+	switch {
+	case g.stopping.Load():
+		return false, "stopping"
+	case g.index.Load() == nil:
+		return false, "no document is in force yet"
+	}
+	return true, ""
+}
+
+// Stop makes Ready fail. Requests are still taken.
+func (g *Gate) Stop() { g.stopping.Store(true) }
+
+// Run follows the coordinators until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	held := control.FleetSyncRequest{Process: g.cfg.Name, Zone: g.cfg.Zone, Entry: true, Version: -1, WaitMS: syncWait.Milliseconds()}
+	reached := false
+	for ctx.Err() == nil {
+		err := g.syncOnce(ctx, &held)
+		if (err == nil) != reached {
+			reached = err == nil
+			g.cfg.Logger.Info("coordinators", "reached", reached, "address", g.caller.Address(), "session", held.Session, "cause", err)
+		}
+		g.metrics.sync(err)
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(syncRetry):
+			}
+		}
+		g.pool.Expire()
+	}
+	g.caller.Close()
+	g.suspects.Close()
+	g.pool.Close()
+}
+
+// syncOnce asks the leading coordinator for news.
+func (g *Gate) syncOnce(ctx context.Context, held *control.FleetSyncRequest) error {
+	now := g.now()
+	held.Running, held.Progress = g.balancer.told(now)
+	held.Load, held.Arrivals = g.demand.rates(now)
+	calling, cancel := context.WithTimeout(ctx, syncWait+syncTimeout)
+	defer cancel()
+	var result control.FleetSyncResult
+	if err := g.caller.CallOnce(calling, control.MethodFleetSync, *held, &result); err != nil {
+		return err
+	}
+	if result.Document != nil {
+		g.putInForce(result.Document.Raw)
+	}
+	newer := result.Index >= held.Index && (result.Index != held.Index || result.Full)
+	for _, address := range g.balancer.take(g.now(), result, held.Running, newer) {
+		g.pool.Forget(address)
+	}
+	if result.Session != held.Session {
+		g.cfg.Logger.Info("leader followed", "session", result.Session, "before", held.Session, "upstreams", len(result.Upstreams), "index", result.Index)
+	}
+	held.Session = result.Session
+	held.Revision = result.Revision
+	held.Index = max(held.Index, result.Index)
+	if x := g.index.Load(); x != nil {
+		held.Version = x.Set.Version
+	}
+	for _, p := range result.Peers {
+		g.caller.Learn(p)
+		g.suspects.Learn(p)
+	}
+	g.suspects.Found(g.caller.Address())
+	return nil
+}
+
+// putInForce replaces the document by a newer one.
+func (g *Gate) putInForce(raw []byte) {
+	set, err := g.cfg.Decode(raw)
+	if err != nil {
+		g.cfg.Logger.Error("document can't be read; the former one stays", "bytes", len(raw), "cause", err)
+		return
+	}
+	if x := g.index.Load(); x != nil && x.Set.Version >= set.Version {
+		return
+	}
+	g.index.Store(catalog.NewIndex(set))
+	g.metrics.Version.Set(float64(set.Version))
+	g.cfg.Logger.Info("document in force", "version", set.Version, "routes", len(set.Routes), "organisations", len(set.Organisations))
+}
+
+// report tells the coordinator that a head went silent.
+func (g *Gate) report(t *target, silent time.Duration, refused bool) {
+	req := control.FleetSuspectRequest{
+		Process: g.cfg.Name, Head: t.ID, SilentMS: silent.Milliseconds(), Refused: refused,
+	}
+	g.metrics.Suspected.Inc()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+		defer cancel()
+		var none struct{}
+		err := g.suspects.CallOnce(ctx, control.MethodFleetSuspect, req, &none)
+		if err != nil {
+			// The answer may have named the leader.
+			err = g.suspects.CallOnce(ctx, control.MethodFleetSuspect, req, &none)
+		}
+		g.cfg.Logger.Info("head went silent", "head", t.ID, "silent_ms", silent.Milliseconds(), "refused", refused, "told", err == nil, "cause", err)
+	}()
+}
--- /dev/null
+++ b/pkg/entry/metrics.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the counters and histograms of an entry host.
+type Metrics struct {
+	Registry   *prometheus.Registry
+	Requests   *prometheus.CounterVec
+	Duration   *prometheus.HistogramVec
+	FirstEvent *prometheus.HistogramVec
+	Pause      prometheus.Histogram
+	Repeats    *prometheus.CounterVec
+	Syncs      *prometheus.CounterVec
+	Suspected  prometheus.Counter
+	Suppressed prometheus.Counter
+	Version    prometheus.Gauge
+}
+
+// secondsBuckets are from 5 ms to about 10 s.
+var secondsBuckets = prometheus.ExponentialBuckets(0.005, 1.8, 14)
+
+// NewMetrics returns counters at zero in a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesamemux_entry_requests_total", Help: "Clients' requests by route and outcome."}, []string{"route", "outcome"}),
+		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sesamemux_entry_request_seconds", Help: "Time of a request until its answer ended.", Buckets: secondsBuckets}, []string{"kind"}),
+		FirstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sesamemux_entry_first_event_seconds", Help: "Time until the first event of a stream.", Buckets: secondsBuckets}, []string{"model"}),
+		Pause: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "sesamemux_entry_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: secondsBuckets}),
+		Repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesamemux_entry_repeats_total", Help: "Requests sent to a further upstream by cause."}, []string{"cause"}),
+		Syncs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesamemux_entry_syncs_total", Help: "Questions to the coordinators by outcome."}, []string{"outcome"}),
+		Suspected: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sesamemux_entry_suspected_heads_total", Help: "Heads of groups that went silent."}),
+		Suppressed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sesamemux_entry_lines_suppressed_total", Help: "Log lines about requests beyond the bound."}),
+		Version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sesamemux_entry_document_version", Help: "Version of the document in force here."}),
+	}
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.Pause, m.Repeats, m.Syncs, m.Suspected, m.Suppressed, m.Version)
+	return m
+}
+
+func (m *Metrics) sync(err error) {
+	if err != nil {
+		m.Syncs.WithLabelValues("failed").Inc()
+		return
+	}
+	m.Syncs.WithLabelValues("answered").Inc()
+}
+
+func (m *Metrics) ended(c *call, took time.Duration) {
+	m.Requests.WithLabelValues(c.routeName(), string(c.outcome)).Inc()
+	if c.route != nil {
+		m.Duration.WithLabelValues(string(c.route.Kind)).Observe(took.Seconds())
+	}
+}
--- /dev/null
+++ b/pkg/entry/target.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+)
+
+// target is an upstream with what this entry host knows of it. Its fields are
+// guarded by the balancer's lock.
+type target struct {
+	fleet.Upstream
+	missing time.Duration // since a settled leader did not name it; 0: it did
+
+	running  int // own requests
+	others   int // requests of other entry hosts, as last told
+	lastByte time.Duration
+	starts   []time.Duration // own requests sent in the last second
+
+	suspectUntil time.Duration
+	backoffUntil time.Duration
+	failures     int     // in a row
+	errorRate    float64 // smoothed share of failed answers
+	slowness     float64 // smoothed time between events against the expected one
+}
+
+// total returns the requests that run at the upstream.
+func (t *target) total() int { return t.running + t.others }
+
+// startsNow returns the own requests sent within the last second.
+func (t *target) startsNow(now time.Duration) int {
+	kept := t.starts[:0]
+	for _, s := range t.starts {
+		if now-s < time.Second {
+			kept = append(kept, s)
+		}
+	}
+	t.starts = kept
+	return len(kept)
+}
--- /dev/null
+++ b/pkg/entry/view.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+)
+
+// take brings a coordinator's news into the balancer. own are the requests at
+// each head that were told with the question. It returns the addresses of
+// upstreams that are gone.
+func (b *balancer) take(now time.Duration, result control.FleetSyncResult, own map[string]int, newer bool) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var left []string
+	named := map[string]bool{}
+	for _, u := range result.Upstreams {
+		named[u.ID] = true
+		b.takeUpstream(u)
+	}
+	if newer {
+		b.evacuate = map[string]bool{}
+		for _, zone := range result.Evacuated {
+			b.evacuate[zone] = true
+		}
+		for _, d := range result.Departures {
+			if t := b.targets[d.ID]; t != nil && t.Born == d.Born {
+				t.State = departed(t.State, d.Gone)
+			}
+		}
+	}
+	for id, t := range b.targets {
+		if result.Full {
+			t.missing = missingSince(now, t.missing, named[id])
+		}
+		gone := t.State == fleet.Gone || t.missing != 0 && result.Settled && now-t.missing > missingFor
+		if gone && t.running == 0 {
+			left = append(left, t.Address)
+			delete(b.targets, id)
+			continue
+		}
+		t.others = max(result.Running[id]-own[id], 0)
+	}
+	b.entries = max(result.Entries, 1)
+	return left
+}
+
+func missingSince(now, since time.Duration, named bool) time.Duration {
+	switch {
+	case named:
+		return 0
+	case since == 0:
+		return now
+	}
+	return since
+}
+
+// departed returns the state after a notice; it never goes back.
+func departed(s fleet.State, gone bool) fleet.State {
+	if gone || s == fleet.Gone {
+		return fleet.Gone
+	}
+	return fleet.Draining
+}
+
+func (b *balancer) takeUpstream(u fleet.Upstream) {
+	t := b.targets[u.ID]
+	if t == nil {
+		if u.State != fleet.Gone {
+			b.targets[u.ID] = &target{Upstream: u, slowness: 1}
+		}
+		return
+	}
+	same := u.Born == t.Born && u.Sequence == t.Sequence
+	if !same && !u.Newer(&t.Upstream) {
+		return
+	}
+	if u.Born == t.Born && t.State != fleet.Ready && u.State == fleet.Ready {
+		u.State = t.State
+	}
+	if u.Born != t.Born {
+		t.failures, t.errorRate, t.slowness = 0, 0, 1
+		t.suspectUntil, t.backoffUntil = 0, 0
+	}
+	if u.Seat == nil || t.Seat == nil || *u.Seat != *t.Seat {
+		t.suspectUntil = 0
+	}
+	t.Upstream = u
+	t.missing = 0
+}
--- /dev/null
+++ b/pkg/fleet/registry.go
@@ -0,0 +1,145 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+)
+
+// ForgetAfter is how long a silent or departed incarnation is kept: longer
+// than an announcement may be late, so that a late one is recognised.
+const ForgetAfter = 60 * time.Second
+
+// Entry is what a registry keeps of an incarnation.
+type Entry struct {
+	Upstream
+	Heard    time.Duration // when it last announced itself, by the caller's clock
+	Revision uint64        // of its last change
+}
+
+// Registry holds the newest record of each upstream. Its methods are for one
+// goroutine.
+type Registry struct {
+	entries  map[string]*Entry
+	owners   map[string]string // address to the ID that holds it
+	revision uint64
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{entries: map[string]*Entry{}, owners: map[string]string{}}
+}
+
+// Revision counts the changes that gates must hear of.
+func (r *Registry) Revision() uint64 { return r.revision }
+
+// Get returns an entry, nil for an unknown ID.
+func (r *Registry) Get(id string) *Entry { return r.entries[id] }
+
+// Announce takes an upstream's word for itself and tells whether gates must
+// hear of it. An announcement that is older than what is known changes
+// nothing; neither does one of an incarnation whose address has a newer owner.
+func (r *Registry) Announce(now time.Duration, u Upstream) bool {
+	known := r.entries[u.ID]
+	if known != nil {
+		if !u.Newer(&known.Upstream) {
+			return false
+		}
+		if u.Born == known.Born {
+			u.State = worse(known.State, u.State)
+			u.Barred = known.Barred
+		}
+	}
+	if owner := r.entries[r.owners[u.Address]]; owner != nil && owner.ID != u.ID && owner.State != Gone {
+		if owner.Born >= u.Born {
+			return false
+		}
+		r.change(owner, func(e *Entry) { e.State = Gone })
+	}
+	r.owners[u.Address] = u.ID
+	if known == nil {
+		known = &Entry{}
+		r.entries[u.ID] = known
+	}
+	changed := known.ID == "" || u.differs(&known.Upstream)
+	known.Upstream = u
+	known.Heard = now
+	if changed {
+		r.touch(known)
+	}
+	return changed
+}
+
+// worse returns the later state of an incarnation's life: it never goes back.
+func worse(a, b State) State {
+	rank := map[State]int{Ready: 0, Draining: 1, Gone: 2}
+	if rank[a] > rank[b] {
+		return a
+	}
+	return b
+}
+
+// Depart marks an incarnation as draining or gone. It tells whether gates must
+// hear of it.
+func (r *Registry) Depart(id string, born int64, state State) bool {
+	e := r.entries[id]
+	if e == nil || e.Born != born || worse(e.State, state) == e.State {
+		return false
+	}
+	r.change(e, func(e *Entry) { e.State = state })
+	return true
+}
+
+// Bar keeps new requests from the head of a group, or allows them again.
+func (r *Registry) Bar(id string, barred bool) bool {
+	e := r.entries[id]
+	if e == nil || e.Barred == barred {
+		return false
+	}
+	r.change(e, func(e *Entry) { e.Barred = barred })
+	return true
+}
+
+func (r *Registry) change(e *Entry, set func(*Entry)) {
+	set(e)
+	r.touch(e)
+}
+
+func (r *Registry) touch(e *Entry) {
+	r.revision++
+	e.Revision = r.revision
+}
+
+// Since returns the records that changed after a revision, sorted by ID.
+func (r *Registry) Since(revision uint64) []Upstream {
+	var us []Upstream
+	for _, e := range r.entries {
+		if e.Revision > revision {
+			us = append(us, e.Upstream)
+		}
+	}
+	sort.Slice(us, func(i, j int) bool { return us[i].ID < us[j].ID })
+	return us
+}
+
+// All returns the entries sorted by ID.
+func (r *Registry) All() []*Entry {
+	es := make([]*Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		es = append(es, e)
+	}
+	sort.Slice(es, func(i, j int) bool { return es[i].ID < es[j].ID })
+	return es
+}
+
+// Forget drops incarnations that were silent for ForgetAfter.
+func (r *Registry) Forget(now time.Duration) {
+	for id, e := range r.entries {
+		if now-e.Heard < ForgetAfter {
+			continue
+		}
+		delete(r.entries, id)
+		if r.owners[e.Address] == id {
+			delete(r.owners, e.Address)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/fleet/upstream.go
@@ -0,0 +1,85 @@
+package fleet
+
+// State is what an upstream says of itself.
+type State string
+
+const (
+	Ready    State = "ready"
+	Draining State = "draining"
+	// Gone is the state of an incarnation that signed off or was replaced at
+	// its address.
+	Gone State = "gone"
+)
+
+// SeatState is the state of a host's part in a group.
+type SeatState string
+
+const (
+	SeatJoining SeatState = "joining"
+	SeatReady   SeatState = "ready"
+	SeatOpen    SeatState = "open"
+	SeatClosing SeatState = "closing"
+	SeatBroken  SeatState = "broken"
+)
+
+// Seat is a host's part in a group.
+type Seat struct {
+	Group string    `json:"g"`
+	Epoch int64     `json:"e"`
+	Rank  int       `json:"r"` // 0 is the head
+	State SeatState `json:"s"`
+}
+
+// Upstream is one incarnation of a process that serves requests.
+type Upstream struct {
+	ID       string   `json:"id"`
+	Service  string   `json:"svc"`
+	Address  string   `json:"addr"` // host:port
+	Zone     string   `json:"z"`
+	Domain   string   `json:"d,omitempty"` // fabric in which groups run at full speed
+	Born     int64    `json:"b,omitempty"` // start of the process, Unix milliseconds of its own clock
+	Sequence int64    `json:"n"`           // grows with each announcement of an incarnation
+	Slots    int      `json:"sl,omitempty"`
+	State    State    `json:"st"`
+	WarmupMS int64    `json:"w,omitempty"` // left of the warm-up when it was announced
+	Staged   []string `json:"sg,omitempty"`
+	Seat     *Seat    `json:"seat,omitempty"`
+
+	// Barred is set by the coordinator: the head's group is being taken
+	// apart and gets no new requests.
+	Barred bool `json:"x,omitempty"`
+}
+
+// Newer tells whether u is news after v, which has the same ID. An
+// incarnation that starts again under its ID counts its announcements anew.
+func (u *Upstream) Newer(v *Upstream) bool {
+	if u.Born != v.Born {
+		return u.Born > v.Born
+	}
+	return u.Sequence > v.Sequence
+}
+
+// Leads tells whether the upstream is the head of an open group.
+func (u *Upstream) Leads() bool {
+	return u.Seat != nil && u.Seat.Rank == 0 && u.Seat.State == SeatOpen
+}
+
+// differs tells whether gates must hear of u after v.
+func (u *Upstream) differs(v *Upstream) bool {
+	if u.Born != v.Born || u.Address != v.Address || u.State != v.State || u.Service != v.Service ||
+		u.Zone != v.Zone || u.Slots != v.Slots || u.Barred != v.Barred || (u.WarmupMS > 0) != (v.WarmupMS > 0) {
+		return true
+	}
+	if (u.Seat == nil) != (v.Seat == nil) || u.Seat != nil && *u.Seat != *v.Seat {
+		return true
+	}
+	if len(u.Staged) != len(v.Staged) {
+		return true
+	}
+	for i := range u.Staged {
+		if u.Staged[i] != v.Staged[i] {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/formation/form.go
@@ -0,0 +1,188 @@
+package formation
+
+import (
+	"sort"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+)
+
+// usable tells whether a host may serve at all.
+func (p *Planner) usable(h *host) bool {
+	return h.State == fleet.Ready && !h.dead && !p.evacuated[h.Zone]
+}
+
+// free tells whether a host can be planned for a new group.
+func (p *Planner) free(now time.Duration, h *host) bool {
+	return p.usable(h) && h.group == nil && !h.seated() && now-h.heard <= SilentAfter &&
+		(h.order == nil || h.order.Kind == Stage)
+}
+
+// models returns the models with their part of the load, the heaviest first.
+func (p *Planner) models() []modelPlan {
+	var ms []modelPlan
+	measured := 0.0
+	for _, w := range p.load {
+		measured += w
+	}
+	for _, m := range p.service.Engine.Models {
+		w := m.Share * m.Pace
+		if measured > 0 {
+			w = p.load[m.Name]
+		}
+		ms = append(ms, modelPlan{Model: m, weight: w})
+	}
+	sort.SliceStable(ms, func(i, j int) bool {
+		return ms[i].weight*float64(ms[i].GroupSize) > ms[j].weight*float64(ms[j].GroupSize)
+	})
+	return ms
+}
+
+// lacking returns how many groups of each model are missing.
+func (p *Planner) lacking(ms []modelPlan) map[string]int {
+	hosts := 0
+	for _, h := range p.hosts {
+		if p.usable(h) {
+			hosts++
+		}
+	}
+	want := targets(ms, hosts)
+	for _, g := range p.groups {
+		if g.phase != draining && g.phase != retiring && !p.evacuated[g.head().Zone] {
+			want[g.model]--
+		}
+	}
+	return want
+}
+
+// form plans new groups from free hosts. Before traffic hosts join without
+// their weights; later they are staged first, so that a host that loads can
+// still be used elsewhere.
+func (p *Planner) form(now time.Duration) {
+	ms := p.models()
+	for {
+		lacking := p.lacking(ms)
+		formed := false
+		for _, m := range p.byNeed(ms, lacking) {
+			if members, within := p.bestMembers(now, m); members != nil {
+				p.newGroup(now, m, members, within)
+				formed = true
+				break
+			}
+		}
+		if !formed {
+			return
+		}
+	}
+}
+
+// byNeed returns the models that lack groups, the one first that has the most
+// load for each group that it has.
+func (p *Planner) byNeed(ms []modelPlan, lacking map[string]int) []modelPlan {
+	have := map[string]int{}
+	for _, g := range p.groups {
+		if g.phase != retiring && g.phase != draining && !p.evacuated[g.head().Zone] {
+			have[g.model]++
+		}
+	}
+	var needy []modelPlan
+	for _, m := range ms {
+		if lacking[m.Name] > 0 {
+			needy = append(needy, m)
+		}
+	}
+	sort.SliceStable(needy, func(i, j int) bool {
+		return needy[i].weight/float64(have[needy[i].Name]+1) > needy[j].weight/float64(have[needy[j].Name]+1)
+	})
+	return needy
+}
+
+// bestMembers returns the hosts of the failure domain that can serve a model
+// soonest, and when; nil when no domain has enough.
+func (p *Planner) bestMembers(now time.Duration, m modelPlan) ([]*host, time.Duration) {
+	if m.GroupSize <= 0 {
+		return nil, 0
+	}
+	mayLoad := !p.traffic
+	var best []*host
+	var bestTime time.Duration
+	bestLeft := 0
+	for _, hs := range p.freeByDomain(now) {
+		var able []*host
+		times := map[string]time.Duration{}
+		for _, h := range hs {
+			d, ok := h.readyIn(now, m, mayLoad)
+			if !ok || h.order != nil {
+				continue
+			}
+			if p.traffic && d > m.WarmTime+waitForStaging {
+				continue
+			}
+			times[h.ID] = d
+			able = append(able, h)
+		}
+		if len(able) < m.GroupSize {
+			continue
+		}
+		sort.SliceStable(able, func(i, j int) bool { return times[able[i].ID] < times[able[j].ID] })
+		members := able[:m.GroupSize]
+		t := times[members[m.GroupSize-1].ID]
+		left := (len(hs) - m.GroupSize) % m.GroupSize
+		if best == nil || t < bestTime || t == bestTime && left < bestLeft {
+			best, bestTime, bestLeft = members, t, left
+		}
+	}
+	return best, bestTime
+}
+
+// waitForStaging is how long a group is held for a host whose staging ends
+// soon.
+const waitForStaging = 500 * time.Millisecond
+
+func (p *Planner) freeByDomain(now time.Duration) [][]*host {
+	byDomain := map[string][]*host{}
+	var names []string
+	for _, h := range p.sorted() {
+		if !p.free(now, h) {
+			continue
+		}
+		if byDomain[h.Domain] == nil {
+			names = append(names, h.Domain)
+		}
+		byDomain[h.Domain] = append(byDomain[h.Domain], h)
+	}
+	sort.Strings(names)
+	list := make([][]*host, 0, len(names))
+	for _, n := range names {
+		list = append(list, byDomain[n])
+	}
+	return list
+}
+
+// joins gives the join orders of forming groups to the members that have not
+// taken theirs.
+func (p *Planner) joins(now time.Duration) []Order {
+	var orders []Order
+	for _, g := range p.sortedGroups() {
+		if g.phase != forming {
+			continue
+		}
+		for _, m := range g.members {
+			if g.seatOf(m) != nil || !mayOrder(now, m) || m.seated() {
+				continue
+			}
+			if p.traffic && !m.holds(g.model) && m.last != g.model {
+				continue
+			}
+			m.retryAt = now + joinAgain
+			orders = append(orders, p.order(m, Order{
+				Kind: Join, Group: g.name, Epoch: g.epoch, Model: g.model, Members: g.memberIDs(), Reason: "group forms",
+			}))
+		}
+	}
+	return orders
+}
+
+// joinAgain is the pause before a join that was accepted, but is not in the
+// host's reports, is given again.
+const joinAgain = 2 * time.Second
--- /dev/null
+++ b/pkg/formation/group.go
@@ -0,0 +1,59 @@
+package formation
+
+import (
+	"strings"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+)
+
+// phase is a group's place in its life.
+type phase uint8
+
+const (
+	forming  phase = iota // members are joining
+	opening               // all were ready; the head was told to open
+	standing              // the head serves
+	draining              // no new requests; running ones end
+	retiring              // members are told to leave
+)
+
+// group is one replica of a model.
+type group struct {
+	name     string
+	epoch    int64
+	model    string
+	members  []*host // the head first
+	phase    phase
+	since    time.Duration // of the phase
+	deadline time.Duration // of forming and draining
+	ready    map[string]bool
+	reason   string // why it is taken apart
+}
+
+func (g *group) head() *host { return g.members[0] }
+
+func (g *group) memberIDs() []string {
+	ids := make([]string, len(g.members))
+	for i, m := range g.members {
+		ids[i] = m.ID
+	}
+	return ids
+}
+
+// seatOf returns a host's seat if it is in this group.
+func (g *group) seatOf(h *host) *fleet.Seat {
+	if h.Seat != nil && h.Seat.Group == g.name && h.Seat.Epoch == g.epoch {
+		return h.Seat
+	}
+	return nil
+}
+
+// nameSeparator stands between model and number in a group's name, so that a
+// planner that takes over knows the model of a group it did not form.
+const nameSeparator = "/"
+
+func modelOf(groupName string) string {
+	model, _, _ := strings.Cut(groupName, nameSeparator)
+	return model
+}
--- /dev/null
+++ b/pkg/formation/planner.go
@@ -0,0 +1,293 @@
+package formation
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+)
+
+// Config is what a planner starts with.
+type Config struct {
+	// Term is the leadership that the planner acts for; no other planner has
+	// the same.
+	Term uint64
+	// Now is the time at the start of the leadership.
+	Now time.Duration
+	// LoadWindow is the span over which the starts of loads are bounded.
+	LoadWindow time.Duration
+}
+
+// epochsOfTerm is the number of epochs that one leadership may use.
+const epochsOfTerm = 1 << 20
+
+// Planner decides groups of one service.
+type Planner struct {
+	cfg     Config
+	service *catalog.Service
+	load    map[string]float64 // measured engine time by model
+
+	hosts     map[string]*host
+	groups    map[int64]*group // by epoch
+	evacuated map[string]bool  // failure domains
+
+	nextEpoch int64
+	nextOrder uint64
+	lastNew   time.Duration // when the newest host was first seen
+	firstSeen time.Duration
+	traffic   bool // requests have begun
+	loads     []time.Duration
+	busy      map[string]int // running requests by head, as gates count them
+}
+
+// New returns a planner without hosts.
+func New(cfg Config) *Planner {
+	return &Planner{
+		cfg:       cfg,
+		load:      map[string]float64{},
+		hosts:     map[string]*host{},
+		groups:    map[int64]*group{},
+		evacuated: map[string]bool{},
+		nextEpoch: int64(cfg.Term)*epochsOfTerm + 1,
+		busy:      map[string]int{},
+	}
+}
+
+// SetService gives the objects in force; nil when no engine service is left.
+func (p *Planner) SetService(s *catalog.Service) { p.service = s }
+
+// SetEvacuated gives the failure domains that get no requests.
+func (p *Planner) SetEvacuated(domains []string) {
+	p.evacuated = map[string]bool{}
+	for _, d := range domains {
+		p.evacuated[d] = true
+	}
+}
+
+// SetLoad gives the engine time that each model's requests need.
+func (p *Planner) SetLoad(load map[string]float64) { p.load = load }
+
+// TrafficBegun says that clients' requests have come.
+func (p *Planner) TrafficBegun() { p.traffic = true }
+
+// SetBusy gives the requests that run at each head, by ID.
+func (p *Planner) SetBusy(busy map[string]int) { p.busy = busy }
+
+// Observe takes the newest record of a host, heard at a moment.
+func (p *Planner) Observe(now time.Duration, u fleet.Upstream, heard time.Duration) {
+	h := p.hosts[u.ID]
+	if h == nil {
+		h = &host{freeSince: now}
+		p.hosts[u.ID] = h
+		p.lastNew = now
+		if p.firstSeen == 0 {
+			p.firstSeen = now
+		}
+	}
+	if h.Born != u.Born {
+		*h = host{group: h.group, freeSince: now}
+	}
+	if heard > h.heard {
+		h.dead = false
+	}
+	h.Upstream = u
+	h.heard = heard
+	if h.Seat != nil && h.Seat.State != fleet.SeatJoining {
+		h.last = modelOf(h.Seat.Group)
+	}
+	if h.staging != "" && h.holds(h.staging) {
+		h.staging = ""
+	}
+}
+
+// Dead says that a host did not answer a probe. It counts as lost until it
+// announces itself again.
+func (p *Planner) Dead(id string) {
+	if h := p.hosts[id]; h != nil {
+		h.dead = true
+	}
+}
+
+// GroupMembers returns the members of the standing group that a host leads,
+// nil when it leads none.
+func (p *Planner) GroupMembers(head string) []fleet.Upstream {
+	h := p.hosts[head]
+	if h == nil || h.group == nil || h.group.phase != standing || h.group.head() != h {
+		return nil
+	}
+	us := make([]fleet.Upstream, 0, len(h.group.members))
+	for _, m := range h.group.members {
+		us = append(us, m.Upstream)
+	}
+	return us
+}
+
+// Silent returns hosts in groups that have not announced themselves for
+// SilentAfter and are not known to be dead.
+func (p *Planner) Silent(now time.Duration) []fleet.Upstream {
+	var us []fleet.Upstream
+	for _, h := range p.sorted() {
+		if h.group != nil && !h.dead && h.State != fleet.Gone && now-h.heard > SilentAfter {
+			us = append(us, h.Upstream)
+		}
+	}
+	return us
+}
+
+// HeadOf returns the head of a host's group, empty when it is in none.
+func (p *Planner) HeadOf(id string) string {
+	if h := p.hosts[id]; h != nil && h.group != nil {
+		return h.group.head().ID
+	}
+	return ""
+}
+
+// Barred returns the heads of groups that must not get new requests.
+func (p *Planner) Barred() map[string]bool {
+	barred := map[string]bool{}
+	for _, g := range p.groups {
+		if g.phase == draining || g.phase == retiring {
+			barred[g.head().ID] = true
+		}
+	}
+	return barred
+}
+
+// Ended takes the outcome of an order.
+func (p *Planner) Ended(now time.Duration, o Order, r Result) {
+	h := p.hosts[o.Host.ID]
+	if h == nil || h.order == nil || h.order.ID != o.ID {
+		return
+	}
+	h.order = nil
+	if r != Done {
+		h.retryAt = now + orderRetry
+	}
+	switch {
+	case o.Kind == Leave && r != Unknown:
+		// A host that rejects a leave is in another group or in none.
+		h.left = o.Epoch
+		if h.group != nil && h.group.epoch == o.Epoch {
+			h.group = nil
+			h.freeSince = now
+		}
+	case o.Kind == Stage && r == Done:
+		h.staging = o.Model
+		h.stagedBy = now + p.loadTime(o.Model)
+	case o.Kind == Join && r == Rejected:
+		if g := p.groups[o.Epoch]; g != nil && g.phase == forming {
+			p.retire(now, g, "a host rejected its join")
+		}
+	}
+}
+
+func (p *Planner) loadTime(model string) time.Duration {
+	if p.service == nil || p.service.Engine == nil {
+		return 0
+	}
+	m, _ := p.service.Engine.Model(model)
+	return m.LoadTime
+}
+
+// Tick moves all groups on and returns the orders that are due.
+func (p *Planner) Tick(now time.Duration) []Order {
+	if p.service == nil || p.service.Engine == nil {
+		return nil
+	}
+	p.dropHosts()
+	if now-p.cfg.Now >= adoptAfter || p.firstSeen != 0 && !p.anySeats() {
+		p.adopt(now)
+	}
+	var orders []Order
+	for _, g := range p.sortedGroups() {
+		orders = append(orders, p.advance(now, g)...)
+	}
+	orders = append(orders, p.freeStrays(now)...)
+	if p.settled(now) {
+		p.form(now)
+		orders = append(orders, p.joins(now)...)
+		orders = append(orders, p.stage(now)...)
+	}
+	return orders
+}
+
+// anySeats tells whether a host reports a group.
+func (p *Planner) anySeats() bool {
+	for _, h := range p.hosts {
+		if h.Seat != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// settled tells whether groups may be formed: hosts and groups of a former
+// leadership are known, and no new hosts come in at the start.
+func (p *Planner) settled(now time.Duration) bool {
+	if p.firstSeen == 0 || p.anySeats() && now-p.cfg.Now < adoptAfter && len(p.groups) == 0 {
+		return false
+	}
+	return p.traffic || len(p.groups) > 0 || now-p.lastNew >= settleTime || now-p.firstSeen >= settleLimit
+}
+
+// dropHosts forgets hosts that are gone.
+func (p *Planner) dropHosts() {
+	for id, h := range p.hosts {
+		if h.State == fleet.Gone && h.group == nil {
+			delete(p.hosts, id)
+		}
+	}
+}
+
+func (p *Planner) sorted() []*host {
+	hs := make([]*host, 0, len(p.hosts))
+	for _, h := range p.hosts {
+		hs = append(hs, h)
+	}
+	sort.Slice(hs, func(i, j int) bool { return hs[i].ID < hs[j].ID })
+	return hs
+}
+
+func (p *Planner) sortedGroups() []*group {
+	gs := make([]*group, 0, len(p.groups))
+	for _, g := range p.groups {
+		gs = append(gs, g)
+	}
+	sort.Slice(gs, func(i, j int) bool { return gs[i].epoch < gs[j].epoch })
+	return gs
+}
+
+// order makes an order and notes it at the host.
+func (p *Planner) order(h *host, o Order) Order {
+	p.nextOrder++
+	o.ID = p.nextOrder
+	o.Host = h.Upstream
+	h.order = &o
+	return o
+}
+
+// mayOrder tells whether a host can be given an order now.
+func mayOrder(now time.Duration, h *host) bool {
+	return h.order == nil && now >= h.retryAt && !h.dead && h.State != fleet.Gone
+}
+
+func (p *Planner) newGroup(now time.Duration, m modelPlan, members []*host, within time.Duration) *group {
+	g := &group{
+		name:     fmt.Sprintf("%s%s%d", m.Name, nameSeparator, p.nextEpoch),
+		epoch:    p.nextEpoch,
+		model:    m.Name,
+		members:  members,
+		phase:    forming,
+		since:    now,
+		deadline: now + within + formSlack,
+		ready:    map[string]bool{},
+	}
+	p.nextEpoch++
+	p.groups[g.epoch] = g
+	for _, h := range members {
+		h.group = g
+	}
+	return g
+}
--- a/pkg/leader/caller.go
+++ b/pkg/leader/caller.go
@@ -143,6 +143,15 @@
 	}
 }
 
+// Learn adds an address to those that are tried.
+func (c *Caller) Learn(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !slices.Contains(c.order, address) {
+		c.order = append(c.order, address)
+	}
+}
+
 // Found tells which keeper leads, as one that passed a call on said. It is
 // called from then on, unless it could not be reached a short time ago.
 func (c *Caller) Found(address string) {
--- /dev/null
+++ b/pkg/logging/queue.go
@@ -0,0 +1,66 @@
+package logging
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// queuedLines bounds the lines that wait for a slow reader of the output.
+const queuedLines = 2048
+
+// Queue is a writer that never blocks: one goroutine passes lines on, and
+// lines that find the queue full are dropped and counted.
+type Queue struct {
+	lines chan []byte
+	lost  atomic.Uint64
+	done  chan struct{}
+	once  sync.Once
+}
+
+// NewQueue returns a queue in front of a writer.
+func NewQueue(w io.Writer) *Queue {
+	q := &Queue{lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	go q.run(w)
+	return q
+}
+
+func (q *Queue) run(w io.Writer) {
+	defer close(q.done)
+	for line := range q.lines {
+		// Lines that wait go out in one write.
+		for more := true; more && len(line) < maxWrite; {
+			select {
+			case next, ok := <-q.lines:
+				more = ok
+				line = append(line, next...)
+			default:
+				more = false
+			}
+		}
+		_, _ = w.Write(line) // there is no other place to tell of it
+	}
+}
+
+// maxWrite is the size from which lines are written without waiting for more,
+// in bytes.
+const maxWrite = 32 << 10
+
+// Write implements io.Writer. It takes a copy and returns at once.
+func (q *Queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.lost.Add(1)
+	}
+	return len(line), nil
+}
+
+// Lost returns the number of lines that were dropped.
+func (q *Queue) Lost() uint64 { return q.lost.Load() }
+
+// Close writes the lines that wait. Nothing may be written afterwards.
+func (q *Queue) Close() {
+	q.once.Do(func() { close(q.lines) })
+	<-q.done
+}
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -21,6 +21,7 @@
 	key    key
 	since  time.Time     // idle since then
 	limit  time.Duration // between two bytes
+	keeps  time.Duration // idle time that the upstream announced; 0: none
 
 	deadline time.Time // for reading
 }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -18,6 +18,9 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Framed says that the body has a length or comes in chunks; otherwise it
+	// ends with the connection.
+	Framed bool
 
 	pool *Pool
 	conn *conn
@@ -50,7 +53,9 @@
 		return nil, broken(ctx, err)
 	}
 	c.limit = p.options.Stall
-	out := &Response{Status: res.StatusCode, Header: res.Header, pool: p, conn: c, res: res, stop: stop}
+	c.keeps = announcedIdle(res.Header)
+	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	out := &Response{Status: res.StatusCode, Header: res.Header, Framed: framed, pool: p, conn: c, res: res, stop: stop}
 	out.Body = &body{ctx: ctx, response: out}
 	return out, nil
 }
--- a/pkg/upstream/options.go
+++ b/pkg/upstream/options.go
@@ -12,9 +12,12 @@
 
 // Options sets a pool.
 type Options struct {
-	Dial         DialFunc
-	Guard        *sync.RWMutex // see the package's contract; nil: none
-	ProbePath    string        // GET path that a live connection answers
+	Dial  DialFunc
+	Guard *sync.RWMutex // see the package's contract; nil: none
+	// ProbePath is a GET path that a live connection answers. Without one a
+	// connection is used again only while it has been idle for less than
+	// ProbeAfter and than half of what the upstream announced, and is quiet.
+	ProbePath    string
 	ProbeTimeout time.Duration // for dialling and probing, each; default 500 ms
 	ProbeAfter   time.Duration // idle time after which a connection is probed; default 1 s
 	IdleTimeout  time.Duration // idle time after which a connection is closed; default 60 s
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -61,7 +61,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.since) < p.options.ProbeAfter || p.probe(c) == nil {
+		if p.alive(c) {
 			return c, nil
 		}
 		c.close()
@@ -69,6 +69,15 @@
 	return p.open(ctx, k)
 }
 
+// alive tells whether an idle connection may be used again.
+func (p *Pool) alive(c *conn) bool {
+	idle := time.Since(c.since)
+	if p.options.ProbePath != "" {
+		return idle < p.options.ProbeAfter || p.probe(c) == nil
+	}
+	return idle < p.options.ProbeAfter && (c.keeps == 0 || idle < c.keeps/2) && c.quiet()
+}
+
 func (p *Pool) take(k key) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/upstream/request.go
+++ b/pkg/upstream/request.go
@@ -12,6 +12,7 @@
 type Request struct {
 	Address     string
 	Incarnation view.Incarnation // 0: any
+	Host        string           // of the Host header; Address when empty
 	Method      string
 	Path        string
 	Header      http.Header
@@ -28,7 +29,11 @@
 	b.WriteByte(' ')
 	b.WriteString(r.Path)
 	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(r.Address)
+	if r.Host != "" {
+		b.WriteString(r.Host)
+	} else {
+		b.WriteString(r.Address)
+	}
 	b.WriteString("\r\nContent-Length: ")
 	b.WriteString(strconv.Itoa(len(r.Body)))
 	b.WriteString("\r\n")
