Divide hosts by measured load and keep two models on each host

Cause: the declared share is of the hosts' time, not of the groups'; groups of the small model were too few from the first second, and survivors of a broken group could not serve anything else without a load. Change: first mix by share over group size, then by measured engine time; each host gets the weights of a model beside its last group's; a group is given up where its hosts are worth more as another model's; the age of a head's last byte replaces a yes or no; first events may take longer. Ruled out: forming by the number of wanted groups alone (hosts stayed free).

--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -20,7 +20,7 @@
 
 	Running  map[string]int     `json:"running,omitempty"`  // own requests at each head, by ID
 	Load     map[string]float64 `json:"load,omitempty"`     // engine time that arriving requests need in a second, by model
-	Progress []string           `json:"progress,omitempty"` // heads that sent something in the last second
+	Progress map[string]int64   `json:"progress,omitempty"` // ms since a head last sent something, where that is short
 	Arrivals bool               `json:"arrivals,omitempty"` // clients' requests have come
 }
 
--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -52,6 +52,9 @@
 	tickInterval = 100 * time.Millisecond
 	// eventPause gathers events that come close together into one decision.
 	eventPause = 5 * time.Millisecond
+	// summaryInterval is how often the state of the groups is logged when it
+	// changed.
+	summaryInterval = time.Second
 	// tendInterval is how often the leader looks after the quorum.
 	tendInterval = 500 * time.Millisecond
 	// voterSilence is how long a voter may be silent before a waiting
@@ -71,9 +74,6 @@
 	probeTimeout = 300 * time.Millisecond
 	// orderTimeout bounds one order; hosts answer at once or late.
 	orderTimeout = time.Second
-	// progressAge is how recent an entry host's word that a head sends may be
-	// to count against a failed probe.
-	progressAge = time.Second
 	// entryAge is how long an entry host counts after its last sync.
 	entryAge = 10 * time.Second
 	// settleAge is the age of a leadership from which all live upstreams have
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -57,6 +57,10 @@
 	probing map[string]bool
 	traffic bool
 	barred  map[string]bool
+
+	load    map[string]float64 // engine time that requests need in a second, by model
+	summary string             // last logged state of the groups
+	told    time.Duration
 }
 
 // processSync is what a process last told.
--- a/pkg/coordinator/decide.go
+++ b/pkg/coordinator/decide.go
@@ -117,6 +117,13 @@
 		c.probe(ctx, l, u, "no announcement")
 	}
 	orders := l.planner.Tick(now)
+	if now-l.told >= summaryInterval {
+		l.told = now
+		if text := l.planner.Summary(); text != l.summary {
+			l.summary = text
+			c.cfg.Logger.Info("groups", "state", text, "wanted", l.planner.Wanted(), "load", l.load)
+		}
+	}
 	c.bar(l)
 	for _, o := range orders {
 		c.send(ctx, l, o)
@@ -161,10 +168,11 @@
 		}
 		if p.last.Arrivals && !l.traffic {
 			l.traffic = true
-			l.planner.TrafficBegun()
+			l.planner.TrafficBegun(now)
 			c.cfg.Logger.Info("requests have begun", "told_by", name)
 		}
 	}
+	l.load = load
 	l.planner.SetLoad(load)
 	l.planner.SetBusy(busy)
 }
--- a/pkg/coordinator/probe.go
+++ b/pkg/coordinator/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"syscall"
+	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
@@ -19,10 +20,6 @@
 		return struct{}{}, notLeader("")
 	}
 	c.metrics.Suspicions.Inc()
-	if p := l.syncs[req.Process]; p != nil {
-		// Its earlier word that the head sends does not hold any more.
-		p.last.Progress = without(p.last.Progress, req.Head)
-	}
 	members := l.planner.GroupMembers(req.Head)
 	c.cfg.Logger.Info("head went silent", "told_by", req.Process, "head", req.Head, "silent_ms", req.SilentMS,
 		"refused", req.Refused, "members", len(members))
@@ -32,16 +29,6 @@
 	return struct{}{}, nil
 }
 
-func without(ids []string, id string) []string {
-	var rest []string
-	for _, v := range ids {
-		if v != id {
-			rest = append(rest, v)
-		}
-	}
-	return rest
-}
-
 // probe asks a host whether it is there. One that refuses connections, or
 // does not answer twice while no entry host sees its group work, is dead. The
 // caller holds the lock.
@@ -50,6 +37,7 @@
 		return
 	}
 	l.probing[u.ID] = true
+	began := c.now()
 	go func() {
 		err := c.ask(ctx, u)
 		if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
@@ -59,7 +47,7 @@
 		defer c.mu.Unlock()
 		delete(l.probing, u.ID)
 		head := l.planner.HeadOf(u.ID)
-		works := err != nil && head != "" && c.works(l, head)
+		works := err != nil && head != "" && c.worksSince(l, head, began)
 		c.cfg.Logger.Info("host probed", "host_id", u.ID, "reason", reason, "answers", err == nil, "cause", err, "group_works", works)
 		if err == nil || works {
 			return
@@ -76,18 +64,13 @@
 	return c.cfg.Engines.Probe(asking, u)
 }
 
-// works tells whether an entry host lately got something from a head. The
-// caller holds the lock.
-func (c *Coordinator) works(l *leadership, head string) bool {
-	now := c.now()
+// worksSince tells whether an entry host got something from a head after a
+// moment. The caller holds the lock.
+func (c *Coordinator) worksSince(l *leadership, head string, since time.Duration) bool {
 	for _, p := range l.syncs {
-		if now-p.at > progressAge {
-			continue
-		}
-		for _, id := range p.last.Progress {
-			if id == head {
-				return true
-			}
+		age, told := p.last.Progress[head]
+		if told && p.at-time.Duration(age)*time.Millisecond > since {
+			return true
 		}
 	}
 	return false
--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -81,9 +81,6 @@
 	}
 	best.running++
 	best.starts = append(best.starts, now)
-	if best.running == 1 {
-		best.lastByte = now
-	}
 	return best, noReason
 }
 
@@ -251,13 +248,16 @@
 	return now - t.lastByte
 }
 
-// told returns the own requests at each head, and the heads that sent
-// something within the last second.
-func (b *balancer) told(now time.Duration) (map[string]int, []string) {
+// progressTold is the age up to which a head's last byte is told.
+const progressTold = 2 * time.Second
+
+// told returns the own requests at each head, and how many milliseconds ago
+// each head last sent something.
+func (b *balancer) told(now time.Duration) (map[string]int, map[string]int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	running := map[string]int{}
-	var progress []string
+	progress := map[string]int64{}
 	for id, t := range b.targets {
 		if !t.Leads() {
 			continue
@@ -265,11 +265,10 @@
 		if t.running > 0 {
 			running[id] = t.running
 		}
-		if now-t.lastByte < time.Second && now >= t.suspectUntil && t.lastByte > 0 {
-			progress = append(progress, id)
+		if t.lastByte > 0 && now-t.lastByte < progressTold {
+			progress[id] = (now - t.lastByte).Milliseconds()
 		}
 	}
-	sort.Strings(progress)
 	return running, progress
 }
 
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -45,11 +45,17 @@
 	// is kept.
 	missingFor = 3 * time.Second
 
-	// silentHead is the silence of a head with running requests after which
-	// its streams go on elsewhere: several passes of an engine under load.
-	silentHead = 350 * time.Millisecond
+	// silentHead is the silence of a head that was writing after which its
+	// streams go on elsewhere: a pass that reads prompts in all its steps takes
+	// up to 300 ms.
+	silentHead = 400 * time.Millisecond
+	// silentFirst is the same for a head from which nothing has come on a
+	// stream yet: prompts of others may be read first.
+	silentFirst = 800 * time.Millisecond
 	// silentStream is the silence of one stream of a head that sends others.
 	silentStream = 1200 * time.Millisecond
+	// watchPause is the time between two looks at a silent stream.
+	watchPause = 150 * time.Millisecond
 	// suspectFor is how long a head that went silent gets no new requests.
 	suspectFor = 1500 * time.Millisecond
 	// backoffFirst and backoffMost bound the time without new requests after
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -206,9 +206,18 @@
 	timer  *time.Timer
 	cancel context.CancelFunc
 	last   atomic.Int64 // when something came on this stream
+	writes atomic.Bool  // events have come
 	gaveUp atomic.Bool
 }
 
+// bound returns the silence that the stream may show.
+func (w *watch) bound() time.Duration {
+	if w.writes.Load() {
+		return silentHead
+	}
+	return silentFirst
+}
+
 func (s *streaming) watch(t *target, cancel context.CancelFunc) *watch {
 	w := &watch{s: s, t: t, cancel: cancel}
 	w.last.Store(int64(s.call.gate.now()))
@@ -217,7 +226,10 @@
 }
 
 // moved notes that something came.
-func (w *watch) moved() { w.last.Store(int64(w.s.call.gate.now())) }
+func (w *watch) moved() {
+	w.last.Store(int64(w.s.call.gate.now()))
+	w.writes.Store(true)
+}
 
 func (w *watch) stop() { w.timer.Stop() }
 
@@ -229,17 +241,17 @@
 	own := now - time.Duration(w.last.Load())
 	head := g.balancer.silence(now, w.t)
 	switch {
-	case own < silentHead:
-		w.timer.Reset(silentHead - own)
+	case own < w.bound():
+		w.timer.Reset(w.bound() - own)
 		return
-	case head >= silentHead:
+	case head >= w.bound():
 		g.suspectHead(now, w.t, false)
 	case own < silentStream:
-		w.timer.Reset(silentHead / 2)
+		w.timer.Reset(watchPause)
 		return
 	}
 	if !c.route.Repeatable() || !g.balancer.elsewhere(now, wish{service: c.service, model: c.model, tried: c.tried}) {
-		w.timer.Reset(silentHead / 2)
+		w.timer.Reset(watchPause)
 		return
 	}
 	w.gaveUp.Store(true)
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -47,8 +47,14 @@
 		if u.Born == known.Born {
 			u.State = worse(known.State, u.State)
 			u.Barred = known.Barred
+			if u.LastGroup == "" {
+				u.LastGroup = known.LastGroup
+			}
 		}
 	}
+	if u.Seat != nil && u.Seat.State != SeatJoining {
+		u.LastGroup = u.Seat.Group
+	}
 	if owner := r.entries[r.owners[u.Address]]; owner != nil && owner.ID != u.ID && owner.State != Gone {
 		if owner.Born >= u.Born {
 			return false
--- a/pkg/fleet/upstream.go
+++ b/pkg/fleet/upstream.go
@@ -45,6 +45,9 @@
 	Staged   []string `json:"sg,omitempty"`
 	Seat     *Seat    `json:"seat,omitempty"`
 
+	// LastGroup is the newest group that this incarnation was ready in. It is
+	// kept by those who listen; the upstream does not say it.
+	LastGroup string `json:"lg,omitempty"`
 	// Barred is set by the coordinator: the head's group is being taken
 	// apart and gets no new requests.
 	Barred bool `json:"x,omitempty"`
--- a/pkg/formation/form.go
+++ b/pkg/formation/form.go
@@ -26,7 +26,7 @@
 		measured += w
 	}
 	for _, m := range p.service.Engine.Models {
-		w := m.Share * m.Pace
+		w := m.Share / float64(max(m.GroupSize, 1)) // the share is of the hosts' time
 		if measured > 0 {
 			w = p.load[m.Name]
 		}
@@ -47,23 +47,34 @@
 		}
 	}
 	want := targets(ms, hosts)
-	for _, g := range p.groups {
-		if g.phase != draining && g.phase != retiring && !p.evacuated[g.head().Zone] {
-			want[g.model]--
-		}
+	for model, n := range p.groupCounts() {
+		want[model] -= n
 	}
 	return want
 }
 
+// Wanted returns how many groups each model should have in all.
+func (p *Planner) Wanted() map[string]int {
+	if p.service == nil || p.service.Engine == nil {
+		return nil
+	}
+	hosts := 0
+	for _, h := range p.hosts {
+		if p.usable(h) {
+			hosts++
+		}
+	}
+	return targets(p.models(), hosts)
+}
+
 // form plans new groups from free hosts. Before traffic hosts join without
 // their weights; later they are staged first, so that a host that loads can
 // still be used elsewhere.
 func (p *Planner) form(now time.Duration) {
 	ms := p.models()
 	for {
-		lacking := p.lacking(ms)
 		formed := false
-		for _, m := range p.byNeed(ms, lacking) {
+		for _, m := range p.byNeed(ms) {
 			if members, within := p.bestMembers(now, m); members != nil {
 				p.newGroup(now, m, members, within)
 				formed = true
@@ -76,18 +87,15 @@
 	}
 }
 
-// byNeed returns the models that lack groups, the one first that has the most
-// load for each group that it has.
-func (p *Planner) byNeed(ms []modelPlan, lacking map[string]int) []modelPlan {
-	have := map[string]int{}
-	for _, g := range p.groups {
-		if g.phase != retiring && g.phase != draining && !p.evacuated[g.head().Zone] {
-			have[g.model]++
-		}
-	}
+// byNeed returns the models to which one more group is worth something, the
+// one first that has the most load for each group. Before traffic each gets
+// the groups of its part of the load.
+func (p *Planner) byNeed(ms []modelPlan) []modelPlan {
+	lacking := p.lacking(ms)
+	have := p.groupCounts()
 	var needy []modelPlan
 	for _, m := range ms {
-		if lacking[m.Name] > 0 {
+		if lacking[m.Name] > 0 || p.traffic && gain(m, have[m.Name]) > leastGain {
 			needy = append(needy, m)
 		}
 	}
@@ -97,6 +105,10 @@
 	return needy
 }
 
+// leastGain is the worth of one more group below which its hosts stay free, to
+// take the places of others that die.
+const leastGain = 0.02
+
 // bestMembers returns the hosts of the failure domain that can serve a model
 // soonest, and when; nil when no domain has enough.
 func (p *Planner) bestMembers(now time.Duration, m modelPlan) ([]*host, time.Duration) {
--- a/pkg/formation/life.go
+++ b/pkg/formation/life.go
@@ -163,7 +163,7 @@
 	}
 	var orders []Order
 	for _, h := range p.sorted() {
-		if h.group != nil || !h.seated() || !mayOrder(now, h) {
+		if h.group != nil || !h.seated() || !mayOrder(now, h) || now-h.heard > SilentAfter {
 			continue
 		}
 		orders = append(orders, p.order(h, Order{
--- a/pkg/formation/options.go
+++ b/pkg/formation/options.go
@@ -25,9 +25,6 @@
 	settleTime = 400 * time.Millisecond
 	// settleLimit bounds that wait.
 	settleLimit = 1500 * time.Millisecond
-	// strandedAfter is how long a free host with weights that no group wants
-	// waits before another model is staged on it.
-	strandedAfter = 4 * time.Second
 	// loadShare is the part of the load ceiling that the planner uses; the
 	// rest is for loads that start late.
 	loadShare = 0.9
--- a/pkg/formation/planner.go
+++ b/pkg/formation/planner.go
@@ -40,6 +40,9 @@
 	traffic   bool // requests have begun
 	loads     []time.Duration
 	busy      map[string]int // running requests by head, as gates count them
+
+	trafficSince time.Duration
+	rebalanced   time.Duration // when a group last began to change its model
 }
 
 // New returns a planner without hosts.
@@ -70,7 +73,10 @@
 func (p *Planner) SetLoad(load map[string]float64) { p.load = load }
 
 // TrafficBegun says that clients' requests have come.
-func (p *Planner) TrafficBegun() { p.traffic = true }
+func (p *Planner) TrafficBegun(now time.Duration) {
+	p.traffic = true
+	p.trafficSince = now
+}
 
 // SetBusy gives the requests that run at each head, by ID.
 func (p *Planner) SetBusy(busy map[string]int) { p.busy = busy }
@@ -94,9 +100,7 @@
 	}
 	h.Upstream = u
 	h.heard = heard
-	if h.Seat != nil && h.Seat.State != fleet.SeatJoining {
-		h.last = modelOf(h.Seat.Group)
-	}
+	h.last = modelOf(u.LastGroup)
 	if h.staging != "" && h.holds(h.staging) {
 		h.staging = ""
 	}
@@ -207,6 +211,7 @@
 	orders = append(orders, p.freeStrays(now)...)
 	if p.settled(now) {
 		p.form(now)
+		p.rebalance(now)
 		orders = append(orders, p.joins(now)...)
 		orders = append(orders, p.stage(now)...)
 	}
--- a/pkg/formation/stage.go
+++ b/pkg/formation/stage.go
@@ -3,72 +3,82 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/fleet"
 )
 
-// stage copies weights to free hosts that have none in use: to the domain and
-// model first that lack the fewest hosts for a whole group.
+// stage copies weights to hosts. A host joins a group of the model of its last
+// group at once, and one of a staged model soon; so each host is given the
+// weights of a model other than its last group's and can serve either.
 func (p *Planner) stage(now time.Duration) []Order {
-	if !p.traffic {
-		return nil
-	}
-	var orders []Order
 	ms := p.models()
 	room := p.loadRoom(now)
-	for _, hs := range p.freeByDomain(now) {
-		for _, h := range p.unstaged(now, hs) {
-			if room <= 0 {
-				return orders
-			}
-			m, ok := p.bestToStage(hs, ms)
-			if !ok || h.holds(m.Name) || !mayOrder(now, h) {
-				continue
-			}
-			room--
-			p.loads = append(p.loads, now)
-			h.staging = m.Name // counts for the next choice; cleared below if refused
-			h.stagedBy = now + m.LoadTime
-			orders = append(orders, p.order(h, Order{Kind: Stage, Model: m.Name, Reason: "spare host without weights"}))
+	var orders []Order
+	for _, c := range p.stageable(now) {
+		if room <= 0 {
+			break
+		}
+		m, ok := p.bestToStage(c, ms)
+		if !ok || !p.spareCopy(c) {
+			continue
 		}
+		room--
+		p.loads = append(p.loads, now)
+		c.staging = m.Name // counts for the next choice; the order's end corrects it
+		c.stagedBy = now + m.LoadTime
+		orders = append(orders, p.order(c, Order{Kind: Stage, Model: m.Name, Reason: "so that the host can serve it soon"}))
 	}
 	return orders
 }
 
-// unstaged returns the free hosts without weights, and those whose weights
-// have been of no use for a while.
-func (p *Planner) unstaged(now time.Duration, hs []*host) []*host {
-	var us []*host
-	for _, h := range hs {
-		if h.staging != "" && now >= h.stagedBy+formSlack {
+// stageable returns the hosts that should get other weights, those without any
+// first.
+func (p *Planner) stageable(now time.Duration) []*host {
+	var empty, second []*host
+	for _, h := range p.sorted() {
+		if h.staging != "" && now >= h.stagedBy+stageSlack {
 			h.staging = "" // it did not report the weights in time
 		}
-		if h.staging != "" || h.order != nil {
+		if h.State != fleet.Ready || !mayOrder(now, h) || h.staging != "" || now-h.heard > SilentAfter {
 			continue
 		}
-		if len(h.Staged) == 0 || now-h.freeSince > strandedAfter && p.stranded(h, hs) {
-			us = append(us, h)
+		settled := h.group == nil && !h.seated() || h.group != nil && h.group.phase == standing
+		switch {
+		case !settled:
+		case len(h.Staged) == 0 && h.last == "" && p.traffic:
+			empty = append(empty, h)
+		case h.last != "" && (len(h.Staged) == 0 || h.holds(h.last)):
+			second = append(second, h)
 		}
 	}
-	return us
+	if p.traffic && len(empty) > 0 {
+		return empty
+	}
+	return append(empty, second...)
 }
 
-// stranded tells whether a host's weights are of a model of which the domain
-// has too few free hosts for a group, while another model has more.
-func (p *Planner) stranded(h *host, hs []*host) bool {
-	count := map[string]int{}
-	for _, other := range hs {
-		count[p.modelAt(other)]++
+// spareCopy tells whether a host's weights may be replaced: enough others of
+// its domain keep them through a restart to form a group.
+func (p *Planner) spareCopy(h *host) bool {
+	if len(h.Staged) == 0 {
+		return true
+	}
+	own := h.Staged[len(h.Staged)-1]
+	m, known := p.service.Engine.Model(own)
+	if !known {
+		return true
 	}
-	own := p.modelAt(h)
-	for model, n := range count {
-		if model != "" && model != own && n > count[own] {
-			return true
+	copies := 0
+	for _, other := range p.hosts {
+		if other != h && other.Domain == h.Domain && p.usable(other) && p.onDisk(other) == own {
+			copies++
 		}
 	}
-	return false
+	return copies >= m.GroupSize
 }
 
-// modelAt returns the model that a free host has or is getting.
-func (p *Planner) modelAt(h *host) string {
+// onDisk returns the model that a host has on its disk or is getting.
+func (p *Planner) onDisk(h *host) string {
 	if h.staging != "" {
 		return h.staging
 	}
@@ -78,53 +88,62 @@
 	return ""
 }
 
-// bestToStage returns the model for a domain's next host without weights: the
-// one that then lacks the fewest hosts for a group, by need among equals.
-func (p *Planner) bestToStage(hs []*host, ms []modelPlan) (modelPlan, bool) {
-	if len(ms) == 0 {
-		return modelPlan{}, false
+// stageSlack is added to the time of a load that others slow down.
+const stageSlack = 10 * time.Second
+
+// modelAt returns the model that a free host has or is getting.
+func (p *Planner) modelAt(h *host) string {
+	if h.staging != "" {
+		return h.staging
 	}
-	empties := 0
+	if len(h.Staged) > 0 {
+		return h.Staged[len(h.Staged)-1]
+	}
+	return h.last
+}
+
+// bestToStage returns the model for a host: not its last group's, first one
+// that lacks groups, then the one for which its domain then lacks the fewest
+// hosts.
+func (p *Planner) bestToStage(h *host, ms []modelPlan) (modelPlan, bool) {
 	count := map[string]int{}
-	for _, h := range hs {
-		if m := p.modelAt(h); m != "" {
-			count[m]++
-		} else {
-			empties++
+	for _, other := range p.hosts {
+		if other != h && other.Domain == h.Domain && other.group == nil && p.usable(other) {
+			count[p.modelAt(other)]++
 		}
 	}
 	lacking := p.lacking(ms)
 	type option struct {
 		m       modelPlan
 		missing int
-		lacks   bool
+		lacks   int
 	}
 	var options []option
 	for _, m := range ms {
-		if m.GroupSize <= 0 {
+		if m.GroupSize <= 0 || m.Name == h.last || h.holds(m.Name) {
 			continue
 		}
-		missing := m.GroupSize - count[m.Name]%m.GroupSize
-		options = append(options, option{m, missing, lacking[m.Name] > 0})
+		options = append(options, option{m, m.GroupSize - count[m.Name]%m.GroupSize, max(lacking[m.Name], 0)})
 	}
 	if len(options) == 0 {
 		return modelPlan{}, false
 	}
 	sort.SliceStable(options, func(i, j int) bool {
 		a, b := options[i], options[j]
-		if a.lacks != b.lacks {
-			return a.lacks
+		if (a.lacks > 0) != (b.lacks > 0) {
+			return a.lacks > 0
 		}
-		if fitsA, fitsB := a.missing <= empties, b.missing <= empties; fitsA != fitsB {
-			return fitsA
-		}
-		return false
+		return a.missing < b.missing
 	})
 	return options[0].m, true
 }
 
-// loadRoom returns how many loads may start now.
+// loadRoom returns how many loads may start now. Before requests come loads
+// are quick and not bounded.
 func (p *Planner) loadRoom(now time.Duration) int {
+	if !p.traffic {
+		return len(p.hosts)
+	}
 	e := p.service.Engine
 	kept := p.loads[:0]
 	for _, t := range p.loads {
