--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -79,6 +79,9 @@
 	if best == nil {
 		return nil, why
 	}
+	if best.running == 0 {
+		best.busyFrom = now
+	}
 	best.running++
 	best.starts = append(best.starts, now)
 	return best, noReason
@@ -238,14 +241,14 @@
 	defer b.mu.Unlock()
 	fresh := now >= t.suspectUntil
 	t.suspectUntil = now + suspectFor
-	return fresh, now - t.lastByte
+	return fresh, t.silence(now)
 }
 
 // silence returns how long nothing came from an upstream.
 func (b *balancer) silence(now time.Duration, t *target) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return now - t.lastByte
+	return t.silence(now)
 }
 
 // progressTold is the age up to which a head's last byte is told.
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -15,6 +15,7 @@
 	running  int // own requests
 	others   int // requests of other entry hosts, as last told
 	lastByte time.Duration
+	busyFrom time.Duration // when the first of the running requests was sent
 	starts   []time.Duration // own requests sent in the last second
 
 	suspectUntil time.Duration
@@ -38,3 +39,8 @@
 	t.starts = kept
 	return len(kept)
 }
+
+// silence returns for how long something was due and nothing came.
+func (t *target) silence(now time.Duration) time.Duration {
+	return now - max(t.lastByte, t.busyFrom)
+}
