Take groups over as their members announce themselves

Cause: a new leader waited 2.5 s before it mended anything, and took dead heads over again ten times a second, each time waking every entry host.

--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -15,7 +15,7 @@
 	running  int // own requests
 	others   int // requests of other entry hosts, as last told
 	lastByte time.Duration
-	busyFrom time.Duration // when the first of the running requests was sent
+	busyFrom time.Duration   // when the first of the running requests was sent
 	starts   []time.Duration // own requests sent in the last second
 
 	suspectUntil time.Duration
--- a/pkg/formation/form.go
+++ b/pkg/formation/form.go
@@ -14,7 +14,7 @@
 
 // free tells whether a host can be planned for a new group.
 func (p *Planner) free(now time.Duration, h *host) bool {
-	return p.usable(h) && h.group == nil && !h.seated() && now-h.heard <= SilentAfter &&
+	return p.usable(h) && p.met(h) && h.group == nil && !h.seated() && now-h.heard <= SilentAfter &&
 		(h.order == nil || h.order.Kind == Stage)
 }
 
--- a/pkg/formation/life.go
+++ b/pkg/formation/life.go
@@ -163,7 +163,7 @@
 	}
 	var orders []Order
 	for _, h := range p.sorted() {
-		if h.group != nil || !h.seated() || !mayOrder(now, h) || now-h.heard > SilentAfter {
+		if h.group != nil || !p.met(h) || !h.seated() || !mayOrder(now, h) || now-h.heard > SilentAfter {
 			continue
 		}
 		orders = append(orders, p.order(h, Order{
@@ -177,7 +177,7 @@
 func (p *Planner) adopt(now time.Duration) {
 	seats := map[int64][]*host{}
 	for _, h := range p.sorted() {
-		if h.group == nil && h.Seat != nil && p.groups[h.Seat.Epoch] == nil {
+		if h.group == nil && h.Seat != nil && h.seated() && p.groups[h.Seat.Epoch] == nil && p.met(h) && !h.dead {
 			seats[h.Seat.Epoch] = append(seats[h.Seat.Epoch], h)
 		}
 	}
--- a/pkg/formation/options.go
+++ b/pkg/formation/options.go
@@ -20,6 +20,9 @@
 	// adoptAfter is how long a new planner collects announcements before it
 	// judges groups that it did not form: two announcement intervals.
 	adoptAfter = 2500 * time.Millisecond
+	// meetWithin is when a new planner asks after hosts that have not announced
+	// themselves: one announcement interval and its way.
+	meetWithin = 1600 * time.Millisecond
 	// settleTime is the calm after the last new host before the first groups
 	// are formed, so that they are planned over whole domains.
 	settleTime = 400 * time.Millisecond
--- a/pkg/formation/planner.go
+++ b/pkg/formation/planner.go
@@ -129,11 +129,15 @@
 }
 
 // Silent returns hosts in groups that have not announced themselves for
-// SilentAfter and are not known to be dead.
+// SilentAfter, or since the leadership began, and are not known to be dead.
 func (p *Planner) Silent(now time.Duration) []fleet.Upstream {
 	var us []fleet.Upstream
 	for _, h := range p.sorted() {
-		if h.group != nil && !h.dead && h.State != fleet.Gone && now-h.heard > SilentAfter {
+		bound := SilentAfter
+		if !p.met(h) {
+			bound = meetWithin
+		}
+		if (h.group != nil || h.Seat != nil) && !h.dead && h.State != fleet.Gone && now-h.heard > bound {
 			us = append(us, h.Upstream)
 		}
 	}
@@ -201,9 +205,7 @@
 		return nil
 	}
 	p.dropHosts()
-	if now-p.cfg.Now >= adoptAfter || p.firstSeen != 0 && !p.anySeats() {
-		p.adopt(now)
-	}
+	p.adopt(now)
 	var orders []Order
 	for _, g := range p.sortedGroups() {
 		orders = append(orders, p.advance(now, g)...)
@@ -218,25 +220,19 @@
 	return orders
 }
 
-// anySeats tells whether a host reports a group.
-func (p *Planner) anySeats() bool {
-	for _, h := range p.hosts {
-		if h.Seat != nil {
-			return true
-		}
-	}
-	return false
-}
-
-// settled tells whether groups may be formed: hosts and groups of a former
-// leadership are known, and no new hosts come in at the start.
+// settled tells whether groups may be formed: at the start that is when no new
+// hosts come in any more.
 func (p *Planner) settled(now time.Duration) bool {
-	if p.firstSeen == 0 || p.anySeats() && now-p.cfg.Now < adoptAfter && len(p.groups) == 0 {
+	if p.firstSeen == 0 {
 		return false
 	}
 	return p.traffic || len(p.groups) > 0 || now-p.lastNew >= settleTime || now-p.firstSeen >= settleLimit
 }
 
+// met tells whether a host has announced itself in this leadership. What is
+// known of others may be older than the last orders of the former one.
+func (p *Planner) met(h *host) bool { return h.heard > p.cfg.Now }
+
 // dropHosts forgets hosts that are gone.
 func (p *Planner) dropHosts() {
 	for id, h := range p.hosts {
--- a/pkg/formation/rebalance.go
+++ b/pkg/formation/rebalance.go
@@ -28,7 +28,7 @@
 // one that the hosts were divided for, and hosts that die and leave others of
 // their group over.
 func (p *Planner) rebalance(now time.Duration) {
-	if !p.traffic || now-p.trafficSince < rebalanceAfter || now-p.rebalanced < rebalancePause {
+	if !p.traffic || now-p.trafficSince < rebalanceAfter || now-p.cfg.Now < adoptAfter || now-p.rebalanced < rebalancePause {
 		return
 	}
 	best := exchange{gain: rebalanceGain}
@@ -126,5 +126,11 @@
 			have[g.model]++
 		}
 	}
+	for _, h := range p.hosts {
+		// Groups of a former leadership that are not taken over yet.
+		if h.group == nil && h.Leads() && h.seated() && p.usable(h) && p.groups[h.Seat.Epoch] == nil {
+			have[modelOf(h.Seat.Group)]++
+		}
+	}
 	return have
 }
--- a/pkg/formation/stage.go
+++ b/pkg/formation/stage.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"sort"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/fleet"
@@ -19,7 +18,7 @@
 			break
 		}
 		m, ok := p.bestToStage(c, ms)
-		if !ok || !p.spareCopy(c) {
+		if !ok || c.group != nil && !p.spareCopy(c) {
 			continue
 		}
 		room--
@@ -34,7 +33,7 @@
 // stageable returns the hosts that should get other weights, those without any
 // first.
 func (p *Planner) stageable(now time.Duration) []*host {
-	var empty, second []*host
+	var empty, stranded, second []*host
 	for _, h := range p.sorted() {
 		if h.staging != "" && now >= h.stagedBy+stageSlack {
 			h.staging = "" // it did not report the weights in time
@@ -49,12 +48,14 @@
 			empty = append(empty, h)
 		case h.last != "" && (len(h.Staged) == 0 || h.holds(h.last)):
 			second = append(second, h)
+		case p.traffic && len(h.Staged) > 0 && p.stranded(now, h):
+			stranded = append(stranded, h)
 		}
 	}
 	if p.traffic && len(empty) > 0 {
 		return empty
 	}
-	return append(empty, second...)
+	return append(stranded, second...)
 }
 
 // spareCopy tells whether a host's weights may be replaced: enough others of
@@ -91,53 +92,66 @@
 // stageSlack is added to the time of a load that others slow down.
 const stageSlack = 10 * time.Second
 
-// modelAt returns the model that a free host has or is getting.
-func (p *Planner) modelAt(h *host) string {
-	if h.staging != "" {
-		return h.staging
-	}
-	if len(h.Staged) > 0 {
-		return h.Staged[len(h.Staged)-1]
+// bestToStage returns the model for a host: the one whose next group gains most,
+// by the part of that group's hosts that its domain then has free.
+func (p *Planner) bestToStage(h *host, ms []modelPlan) (modelPlan, bool) {
+	count := p.freeCopies(h)
+	have := p.groupCounts()
+	best, bestScore, ownScore := modelPlan{}, 0.0, 0.0
+	for _, m := range ms {
+		if m.GroupSize <= 0 || m.Name == h.last {
+			continue
+		}
+		part := float64(count[m.Name]%m.GroupSize+1) / float64(m.GroupSize)
+		score := gain(m, have[m.Name]+count[m.Name]/m.GroupSize) * part * part
+		if h.holds(m.Name) {
+			ownScore = score
+			continue
+		}
+		if score > bestScore {
+			best, bestScore = m, score
+		}
 	}
-	return h.last
+	return best, bestScore > restageGain*ownScore
 }
 
-// bestToStage returns the model for a host: not its last group's, first one
-// that lacks groups, then the one for which its domain then lacks the fewest
-// hosts.
-func (p *Planner) bestToStage(h *host, ms []modelPlan) (modelPlan, bool) {
+// restageGain is how much better weights must be than those that a host has:
+// a load takes half a minute's work of the weight store.
+const restageGain = 2.5
+
+// freeCopies counts the free hosts of a host's domain that can serve each
+// model, or soon will, without that host.
+func (p *Planner) freeCopies(h *host) map[string]int {
 	count := map[string]int{}
 	for _, other := range p.hosts {
-		if other != h && other.Domain == h.Domain && other.group == nil && p.usable(other) {
-			count[p.modelAt(other)]++
-		}
-	}
-	lacking := p.lacking(ms)
-	type option struct {
-		m       modelPlan
-		missing int
-		lacks   int
-	}
-	var options []option
-	for _, m := range ms {
-		if m.GroupSize <= 0 || m.Name == h.last || h.holds(m.Name) {
+		if other == h || other.Domain != h.Domain || other.group != nil || !p.usable(other) {
 			continue
 		}
-		options = append(options, option{m, m.GroupSize - count[m.Name]%m.GroupSize, max(lacking[m.Name], 0)})
-	}
-	if len(options) == 0 {
-		return modelPlan{}, false
-	}
-	sort.SliceStable(options, func(i, j int) bool {
-		a, b := options[i], options[j]
-		if (a.lacks > 0) != (b.lacks > 0) {
-			return a.lacks > 0
+		disk := p.onDisk(other)
+		if disk != "" {
+			count[disk]++
+		}
+		if other.last != "" && other.last != disk {
+			count[other.last]++
 		}
-		return a.missing < b.missing
-	})
-	return options[0].m, true
+	}
+	return count
 }
 
+// stranded tells whether a free host has waited for long, and its domain has
+// too few hosts for a group of its model.
+func (p *Planner) stranded(now time.Duration, h *host) bool {
+	if h.group != nil || now-h.freeSince < strandedAfter {
+		return false
+	}
+	m, known := p.service.Engine.Model(p.onDisk(h))
+	return !known || p.freeCopies(h)[m.Name]+1 < m.GroupSize
+}
+
+// strandedAfter is how long a free host keeps weights of which its domain has
+// too few copies: longer than a repair, shorter than a load.
+const strandedAfter = 3 * time.Second
+
 // loadRoom returns how many loads may start now. Before requests come loads
 // are quick and not bounded.
 func (p *Planner) loadRoom(now time.Duration) int {
