Choose the better of three heads drawn at random, and count unread prompts

Change: three heads drawn at random, the best of them taken; requests whose prompt is not read yet are counted apart and told to the others; a free host waits for the model that gains more; groups of one model stand together.

--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -19,6 +19,7 @@
 	WaitMS   int64  `json:"wait_ms"`
 
 	Running  map[string]int     `json:"running,omitempty"`  // own requests at each head, by ID
+	Unread   map[string]int     `json:"unread,omitempty"`   // those of them from which nothing has come yet
 	Load     map[string]float64 `json:"load,omitempty"`     // engine time that arriving requests need in a second, by model
 	Progress map[string]int64   `json:"progress,omitempty"` // ms since a head last sent something, where that is short
 	Arrivals bool               `json:"arrivals,omitempty"` // clients' requests have come
@@ -37,8 +38,9 @@
 	Departures []durable.Departure `json:"departures,omitempty"`
 	Upstreams  []fleet.Upstream    `json:"upstreams,omitempty"`
 	Running    map[string]int      `json:"running,omitempty"` // at each head, over all processes
-	Entries    int                 `json:"entries"`           // processes that serve clients
-	Peers      []string            `json:"peers"`             // host:port of the coordinators
+	Unread     map[string]int      `json:"unread,omitempty"`
+	Entries    int                 `json:"entries"` // processes that serve clients
+	Peers      []string            `json:"peers"`   // host:port of the coordinators
 }
 
 // FleetAnnounceResult names the leader's address for upstreams.
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -69,6 +69,7 @@
 		Index:    st.Index,
 		Peers:    c.peers(),
 		Running:  map[string]int{},
+		Unread:   map[string]int{},
 	}
 	if req.Session != l.session {
 		since = 0
@@ -93,6 +94,9 @@
 		for h, n := range p.last.Running {
 			result.Running[h] += n
 		}
+		for h, n := range p.last.Unread {
+			result.Unread[h] += n
+		}
 	}
 	return result, nil
 }
--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -66,23 +66,30 @@
 	var best *target
 	bestScore := 0.0
 	why := noUpstream
+	var able []*target
 	for _, t := range b.candidates(w) {
 		if r := b.refuses(now, t, w); r != noReason {
 			why = worseReason(why, r)
 			continue
 		}
-		score := b.score(t, w)
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
-		}
+		able = append(able, t)
 	}
-	if best == nil {
+	if len(able) == 0 {
 		return nil, why
 	}
+	// The better of two drawn at random: entry hosts that know the same old
+	// counts would all choose the same best one.
+	b.rand.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
+	for _, t := range able[:min(len(able), drawn)] {
+		if score := b.score(t, w); best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
 	if best.running == 0 {
 		best.busyFrom = now
 	}
 	best.running++
+	best.unread++
 	best.starts = append(best.starts, now)
 	return best, noReason
 }
@@ -159,15 +166,14 @@
 }
 
 // score rates an upstream: the requests there, by how slowly they run, and
-// what lately failed. The random part keeps entry hosts from choosing alike
-// between two syncs.
+// what lately failed.
 func (b *balancer) score(t *target, w wish) float64 {
 	slots := t.Slots
 	if w.service.Engine != nil {
 		slots = w.service.Engine.Slots
 	}
-	load := float64(t.total()+1) / float64(max(slots, 1))
-	score := load*max(t.slowness, 1) + errorCost*t.errorRate + spread*b.rand.Float64()
+	load := (float64(t.total()+1) + unreadCost*float64(t.unread+t.othersUn)) / float64(max(slots, 1))
+	score := load*max(t.slowness, 1) + errorCost*t.errorRate
 	if t.Zone != b.zone {
 		score += farCost
 	}
@@ -175,20 +181,34 @@
 }
 
 const (
+	// unreadCost is how much more a request counts whose prompt is not read
+	// yet: reading holds up all others at the upstream.
+	unreadCost = 1.5
 	// errorCost is the load that an upstream that fails everything seems to
 	// carry.
 	errorCost = 4.0
-	// spread is the width of the random part, in parts of an upstream's slots.
-	spread = 0.06
+	// drawn is the number of upstreams among which the best is chosen.
+	drawn = 3
 	// farCost is the load that a way to another failure domain is worth.
 	farCost = 0.02
 )
 
-// done takes a request off an upstream.
-func (b *balancer) done(t *target) {
+// done takes a request off an upstream; begun tells whether begin was called
+// for it.
+func (b *balancer) done(t *target, begun bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t.running--
+	if !begun {
+		t.unread--
+	}
+}
+
+// begin notes that the answer to a request has begun.
+func (b *balancer) begin(t *target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.unread--
 }
 
 // progress notes that something came from an upstream, after gap and where
@@ -254,25 +274,33 @@
 // progressTold is the age up to which a head's last byte is told.
 const progressTold = 2 * time.Second
 
-// told returns the own requests at each head, and how many milliseconds ago
-// each head last sent something.
-func (b *balancer) told(now time.Duration) (map[string]int, map[string]int64) {
+// told is what an entry host says of the heads that it uses, by ID.
+type told struct {
+	running  map[string]int
+	unread   map[string]int
+	progress map[string]int64 // ms since the head last sent something
+}
+
+// tell returns what this entry host knows of the heads that it uses.
+func (b *balancer) tell(now time.Duration) told {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	running := map[string]int{}
-	progress := map[string]int64{}
+	v := told{running: map[string]int{}, unread: map[string]int{}, progress: map[string]int64{}}
 	for id, t := range b.targets {
 		if !t.Leads() {
 			continue
 		}
 		if t.running > 0 {
-			running[id] = t.running
+			v.running[id] = t.running
+		}
+		if t.unread > 0 {
+			v.unread[id] = t.unread
 		}
 		if t.lastByte > 0 && now-t.lastByte < progressTold {
-			progress[id] = (now - t.lastByte).Milliseconds()
+			v.progress[id] = (now - t.lastByte).Milliseconds()
 		}
 	}
-	return running, progress
+	return v
 }
 
 // entryCount returns the number of entry hosts as last told.
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -99,7 +99,8 @@
 // syncOnce asks the leading coordinator for news.
 func (g *Gate) syncOnce(ctx context.Context, held *control.FleetSyncRequest) error {
 	now := g.now()
-	held.Running, held.Progress = g.balancer.told(now)
+	own := g.balancer.tell(now)
+	held.Running, held.Unread, held.Progress = own.running, own.unread, own.progress
 	held.Load, held.Arrivals = g.demand.rates(now)
 	calling, cancel := context.WithTimeout(ctx, syncWait+syncTimeout)
 	defer cancel()
@@ -111,7 +112,7 @@
 		g.putInForce(result.Document.Raw)
 	}
 	newer := result.Index >= held.Index && (result.Index != held.Index || result.Full)
-	for _, address := range g.balancer.take(g.now(), result, held.Running, newer) {
+	for _, address := range g.balancer.take(g.now(), result, own, newer) {
 		g.pool.Forget(address)
 	}
 	if result.Session != held.Session {
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -25,8 +25,9 @@
 			c.streamWithout(why)
 			return
 		}
+		s.begun = false
 		err := s.attempt(t)
-		g.balancer.done(t)
+		g.balancer.done(t, s.begun)
 		if err == nil {
 			return
 		}
@@ -66,6 +67,7 @@
 	call   *call
 	events events
 	lastAt time.Duration // when the last event was passed on
+	begun  bool          // events came from the present attempt
 }
 
 // attempt relays from one upstream until the stream's end; nil says that the
@@ -125,6 +127,10 @@
 		if n > 0 {
 			now := g.now()
 			whole, count := s.events.add(buf[:n])
+			if count > 0 && !s.begun {
+				s.begun = true
+				g.balancer.begin(t)
+			}
 			if count > 0 {
 				g.balancer.progress(now, t, now-last, s.expected(last == began))
 				w.moved()
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -13,7 +13,9 @@
 	missing time.Duration // since a settled leader did not name it; 0: it did
 
 	running  int // own requests
+	unread   int // own requests from which nothing has come yet
 	others   int // requests of other entry hosts, as last told
+	othersUn int // those of them from which nothing has come yet
 	lastByte time.Duration
 	busyFrom time.Duration   // when the first of the running requests was sent
 	starts   []time.Duration // own requests sent in the last second
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -7,10 +7,10 @@
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 )
 
-// take brings a coordinator's news into the balancer. own are the requests at
-// each head that were told with the question. It returns the addresses of
+// take brings a coordinator's news into the balancer. own is what was told with
+// the question. It returns the addresses of
 // upstreams that are gone.
-func (b *balancer) take(now time.Duration, result control.FleetSyncResult, own map[string]int, newer bool) []string {
+func (b *balancer) take(now time.Duration, result control.FleetSyncResult, own told, newer bool) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var left []string
@@ -40,7 +40,8 @@
 			delete(b.targets, id)
 			continue
 		}
-		t.others = max(result.Running[id]-own[id], 0)
+		t.others = max(result.Running[id]-own.running[id], 0)
+		t.othersUn = max(result.Unread[id]-own.unread[id], 0)
 	}
 	b.entries = max(result.Entries, 1)
 	return left
--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -25,7 +25,7 @@
 			return
 		}
 		a, err := c.tryWhole(t)
-		g.balancer.done(t)
+		g.balancer.done(t, false)
 		if err == nil && (a.status < 500 || c.route.Kind != catalog.Idempotent) {
 			g.balancer.answered(g.now(), t, a.status < 500)
 			c.passOn(a)
--- a/pkg/formation/form.go
+++ b/pkg/formation/form.go
@@ -118,13 +118,17 @@
 	mayLoad := !p.traffic
 	var best []*host
 	var bestTime time.Duration
-	bestLeft := 0
+	bestSame := 0
+
+	have := p.groupCounts()
+	ms := p.models()
+	same := p.groupsByDomain(m.Name)
 	for _, hs := range p.freeByDomain(now) {
 		var able []*host
 		times := map[string]time.Duration{}
 		for _, h := range hs {
 			d, ok := h.readyIn(now, m, mayLoad)
-			if !ok || h.order != nil {
+			if !ok || h.order != nil || p.traffic && p.kept(h, m, have, ms) {
 				continue
 			}
 			if p.traffic && d > m.WarmTime+waitForStaging {
@@ -139,14 +143,46 @@
 		sort.SliceStable(able, func(i, j int) bool { return times[able[i].ID] < times[able[j].ID] })
 		members := able[:m.GroupSize]
 		t := times[members[m.GroupSize-1].ID]
-		left := (len(hs) - m.GroupSize) % m.GroupSize
-		if best == nil || t < bestTime || t == bestTime && left < bestLeft {
-			best, bestTime, bestLeft = members, t, left
+		n := -same[hs[0].Domain]
+		if best == nil || t < bestTime || t == bestTime && n < bestSame {
+			best, bestTime, bestSame = members, t, n
 		}
 	}
 	return best, bestTime
 }
 
+// kept tells whether a free host is to wait for a group of a model that gains
+// more than m: its domain has the hosts for one, free or in groups that can be
+// given up for it.
+func (p *Planner) kept(h *host, m modelPlan, have map[string]int, ms []modelPlan) bool {
+	for _, other := range ms {
+		if other.Name == m.Name || !p.couldServe(h, other.Name) || gain(other, have[other.Name]) <= gain(m, have[m.Name]) {
+			continue
+		}
+		count := 0
+		for _, v := range p.hosts {
+			if v.Domain == h.Domain && p.couldServe(v, other.Name) {
+				count++
+			}
+		}
+		if count >= other.GroupSize {
+			return true
+		}
+	}
+	return false
+}
+
+// groupsByDomain counts a model's groups in each failure domain.
+func (p *Planner) groupsByDomain(model string) map[string]int {
+	counts := map[string]int{}
+	for _, g := range p.groups {
+		if g.model == model && g.phase != retiring && g.phase != draining {
+			counts[g.head().Domain]++
+		}
+	}
+	return counts
+}
+
 // waitForStaging is how long a group is held for a host whose staging ends
 // soon.
 const waitForStaging = 500 * time.Millisecond
--- a/pkg/formation/stage.go
+++ b/pkg/formation/stage.go
@@ -11,51 +11,115 @@
 // weights of a model other than its last group's and can serve either.
 func (p *Planner) stage(now time.Duration) []Order {
 	ms := p.models()
-	room := p.loadRoom(now)
+	have := p.groupCounts()
 	var orders []Order
-	for _, c := range p.stageable(now) {
-		if room <= 0 {
+	for room := p.loadRoom(now); room > 0; room-- {
+		h, m := p.bestLoad(now, ms, have)
+		if h == nil {
 			break
 		}
-		m, ok := p.bestToStage(c, ms)
-		if !ok || c.group != nil && !p.spareCopy(c) {
-			continue
-		}
-		room--
 		p.loads = append(p.loads, now)
-		c.staging = m.Name // counts for the next choice; the order's end corrects it
-		c.stagedBy = now + m.LoadTime
-		orders = append(orders, p.order(c, Order{Kind: Stage, Model: m.Name, Reason: "so that the host can serve it soon"}))
+		h.staging = m.Name // counts for the next choice; the order's end corrects it
+		h.stagedBy = now + m.LoadTime
+		orders = append(orders, p.order(h, Order{Kind: Stage, Model: m.Name, Reason: "so that the host can serve it soon"}))
 	}
 	return orders
 }
 
-// stageable returns the hosts that should get other weights, those without any
-// first.
+// bestLoad returns the host and model whose load is worth most.
+func (p *Planner) bestLoad(now time.Duration, ms []modelPlan, have map[string]int) (*host, modelPlan) {
+	var best *host
+	var bestModel modelPlan
+	bestScore := 0.0
+	for _, h := range p.stageable(now) {
+		for _, m := range ms {
+			if score := p.loadScore(now, h, m, ms, have); score > bestScore {
+				best, bestModel, bestScore = h, m, score
+			}
+		}
+	}
+	return best, bestModel
+}
+
+// loadScore rates a load: the gain of the model's next group, by the part of
+// that group's hosts that the domain then has.
+func (p *Planner) loadScore(now time.Duration, h *host, m modelPlan, ms []modelPlan, have map[string]int) float64 {
+	if m.GroupSize <= 0 || m.Name == h.last || h.holds(m.Name) {
+		return 0
+	}
+	score := p.partScore(h, m, have)
+	switch {
+	case len(h.Staged) == 0 && h.last == "":
+		return emptyGain * score
+	case h.last != "" && (len(h.Staged) == 0 || h.holds(h.last)):
+		if h.group != nil && !p.spareCopy(h) {
+			return 0
+		}
+		return secondGain * score
+	}
+	// The load takes the place of weights that are of no use now.
+	if h.group != nil || now-h.freeSince < strandedAfter {
+		return 0
+	}
+	for _, own := range ms {
+		if h.holds(own.Name) && score < restageGain*p.partScore(h, own, have) {
+			return 0
+		}
+	}
+	return score
+}
+
+const (
+	// emptyGain is how much more a load on a host without weights is worth.
+	emptyGain = 1.5
+	// secondGain is the same for a host that serves, and whose second weights
+	// may be of use later.
+	secondGain = 0.1
+	// restageGain is how much better weights must be than those that a host has:
+	// a load takes half a minute's work of the weight store.
+	restageGain = 2.5
+	// strandedAfter is how long a free host keeps weights of which its domain has
+	// too few copies: longer than a repair, shorter than a load.
+	strandedAfter = 3 * time.Second
+)
+
+// partScore is the gain of a model's next group by the part of it that a
+// host's domain has with that host.
+func (p *Planner) partScore(h *host, m modelPlan, have map[string]int) float64 {
+	count := 0
+	for _, other := range p.hosts {
+		if other != h && other.Domain == h.Domain && p.couldServe(other, m.Name) {
+			count++
+		}
+	}
+	part := float64(count%m.GroupSize+1) / float64(m.GroupSize)
+	return gain(m, have[m.Name]+count/m.GroupSize) * part * part
+}
+
+// couldServe tells whether a host that serves nothing, or another model, can
+// serve a model without a further load.
+func (p *Planner) couldServe(h *host, model string) bool {
+	if !p.usable(h) || h.group != nil && (h.group.model == model || h.group.phase != standing) {
+		return false
+	}
+	return h.last == model || p.onDisk(h) == model
+}
+
+// stageable returns the hosts that may get other weights.
 func (p *Planner) stageable(now time.Duration) []*host {
-	var empty, stranded, second []*host
+	var hs []*host
 	for _, h := range p.sorted() {
 		if h.staging != "" && now >= h.stagedBy+stageSlack {
 			h.staging = "" // it did not report the weights in time
 		}
-		if h.State != fleet.Ready || !mayOrder(now, h) || h.staging != "" || now-h.heard > SilentAfter {
+		if h.State != fleet.Ready || !p.met(h) || !mayOrder(now, h) || h.staging != "" || now-h.heard > SilentAfter || p.evacuated[h.Zone] {
 			continue
 		}
-		settled := h.group == nil && !h.seated() || h.group != nil && h.group.phase == standing
-		switch {
-		case !settled:
-		case len(h.Staged) == 0 && h.last == "" && p.traffic:
-			empty = append(empty, h)
-		case h.last != "" && (len(h.Staged) == 0 || h.holds(h.last)):
-			second = append(second, h)
-		case p.traffic && len(h.Staged) > 0 && p.stranded(now, h):
-			stranded = append(stranded, h)
+		if h.group == nil && !h.seated() && p.traffic || h.group != nil && h.group.phase == standing {
+			hs = append(hs, h)
 		}
 	}
-	if p.traffic && len(empty) > 0 {
-		return empty
-	}
-	return append(stranded, second...)
+	return hs
 }
 
 // spareCopy tells whether a host's weights may be replaced: enough others of
@@ -92,66 +156,6 @@
 // stageSlack is added to the time of a load that others slow down.
 const stageSlack = 10 * time.Second
 
-// bestToStage returns the model for a host: the one whose next group gains most,
-// by the part of that group's hosts that its domain then has free.
-func (p *Planner) bestToStage(h *host, ms []modelPlan) (modelPlan, bool) {
-	count := p.freeCopies(h)
-	have := p.groupCounts()
-	best, bestScore, ownScore := modelPlan{}, 0.0, 0.0
-	for _, m := range ms {
-		if m.GroupSize <= 0 || m.Name == h.last {
-			continue
-		}
-		part := float64(count[m.Name]%m.GroupSize+1) / float64(m.GroupSize)
-		score := gain(m, have[m.Name]+count[m.Name]/m.GroupSize) * part * part
-		if h.holds(m.Name) {
-			ownScore = score
-			continue
-		}
-		if score > bestScore {
-			best, bestScore = m, score
-		}
-	}
-	return best, bestScore > restageGain*ownScore
-}
-
-// restageGain is how much better weights must be than those that a host has:
-// a load takes half a minute's work of the weight store.
-const restageGain = 2.5
-
-// freeCopies counts the free hosts of a host's domain that can serve each
-// model, or soon will, without that host.
-func (p *Planner) freeCopies(h *host) map[string]int {
-	count := map[string]int{}
-	for _, other := range p.hosts {
-		if other == h || other.Domain != h.Domain || other.group != nil || !p.usable(other) {
-			continue
-		}
-		disk := p.onDisk(other)
-		if disk != "" {
-			count[disk]++
-		}
-		if other.last != "" && other.last != disk {
-			count[other.last]++
-		}
-	}
-	return count
-}
-
-// stranded tells whether a free host has waited for long, and its domain has
-// too few hosts for a group of its model.
-func (p *Planner) stranded(now time.Duration, h *host) bool {
-	if h.group != nil || now-h.freeSince < strandedAfter {
-		return false
-	}
-	m, known := p.service.Engine.Model(p.onDisk(h))
-	return !known || p.freeCopies(h)[m.Name]+1 < m.GroupSize
-}
-
-// strandedAfter is how long a free host keeps weights of which its domain has
-// too few copies: longer than a repair, shorter than a load.
-const strandedAfter = 3 * time.Second
-
 // loadRoom returns how many loads may start now. Before requests come loads
 // are quick and not bounded.
 func (p *Planner) loadRoom(now time.Duration) int {
