Count reading twice in the load that groups are divided by

Cause: streams of the large model waited for prompts (first event p75 517 ms) while the small model had groups to spare (p75 194 ms). Change: a second of reading counts as two of writing.

--- a/pkg/entry/demand.go
+++ b/pkg/entry/demand.go
@@ -26,6 +26,10 @@
 // when a request's cost is estimated.
 const usualBatch = 13
 
+// readWeight is how much more a second of reading counts than one of writing:
+// all other streams of the head pause meanwhile.
+const readWeight = 2
+
 // cost estimates the time of a group that a request needs, in seconds: the
 // prompt is read alone, the answer written together with usualBatch others.
 func cost(e *catalog.Engine, m catalog.Model, prompt, answer int) float64 {
@@ -34,7 +38,7 @@
 	if e.ReadPerS > 0 {
 		read = float64(prompt) / e.ReadPerS
 	}
-	return (read + float64(answer)*step) * m.Pace
+	return (readWeight*read + float64(answer)*step) * m.Pace
 }
 
 // arrived counts a request.
