Give hosts of a model with groups to spare the weights of the poorer one

Change: copies on disk are only kept where the own model gains as much; a free host waits for a model that gains four times as much.

--- a/pkg/formation/form.go
+++ b/pkg/formation/form.go
@@ -156,9 +156,13 @@
 // given up for it.
 func (p *Planner) kept(h *host, m modelPlan, have map[string]int, ms []modelPlan) bool {
 	for _, other := range ms {
-		if other.Name == m.Name || !p.couldServe(h, other.Name) || gain(other, have[other.Name]) <= gain(m, have[m.Name]) {
+		ratio := gain(other, have[other.Name]) / max(gain(m, have[m.Name]), leastGain)
+		if other.Name == m.Name || !p.couldServe(h, other.Name) || ratio <= 1 {
 			continue
 		}
+		if ratio > keepRatio {
+			return true
+		}
 		count := 0
 		for _, v := range p.hosts {
 			if v.Domain == h.Domain && p.couldServe(v, other.Name) {
@@ -172,6 +176,10 @@
 	return false
 }
 
+// keepRatio is how much more another model must gain for a host to wait for it
+// in a domain that has too few hosts for it yet.
+const keepRatio = 4
+
 // groupsByDomain counts a model's groups in each failure domain.
 func (p *Planner) groupsByDomain(model string) map[string]int {
 	counts := map[string]int{}
--- a/pkg/formation/stage.go
+++ b/pkg/formation/stage.go
@@ -52,10 +52,17 @@
 	case len(h.Staged) == 0 && h.last == "":
 		return emptyGain * score
 	case h.last != "" && (len(h.Staged) == 0 || h.holds(h.last)):
-		if h.group != nil && !p.spareCopy(h) {
-			return 0
+		own, known := planOf(ms, h.last)
+		if !known || h.group == nil {
+			return score
+		}
+		if gain(own, have[own.Name]) >= gain(m, have[m.Name]) {
+			if !p.spareCopy(h) {
+				return 0
+			}
+			return secondGain * score
 		}
-		return secondGain * score
+		return score
 	}
 	// The load takes the place of weights that are of no use now.
 	if h.group != nil || now-h.freeSince < strandedAfter {
