Tell of the upstreams known before a restart, and elect sooner

Change: coordinators write the known upstreams down each second as a hint and tell of them at once when they lead; followers wait 300 to 600 ms.

--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -55,6 +55,10 @@
 	// summaryInterval is how often the state of the groups is logged when it
 	// changed.
 	summaryInterval = time.Second
+	// electionTicks is how long a follower waits for a leader, in ticks of 50
+	// ms: 300 to 600 ms, three lost heartbeats at least. Each second without a
+	// leader is one in which no group is mended.
+	electionTicks = 6
 	// tendInterval is how often the leader looks after the quorum.
 	tendInterval = 500 * time.Millisecond
 	// voterSilence is how long a voter may be silent before a waiting
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -106,8 +106,9 @@
 
 // Run works until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) {
+	c.recall()
 	var work sync.WaitGroup
-	for _, duty := range []func(context.Context){c.member.run, c.decide, c.tend, c.follow} {
+	for _, duty := range []func(context.Context){c.member.run, c.decide, c.tend, c.follow, c.remember} {
 		work.Go(func() { duty(ctx) })
 	}
 	work.Wait()
--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -131,6 +131,8 @@
 		Applier:   store,
 		Logger:    m.c.cfg.Logger,
 		Members:   p.First,
+
+		ElectionTicks: electionTicks,
 	}
 	if _, err := os.Stat(filepath.Join(m.folder(p), "identity.json")); errors.Is(err, fs.ErrNotExist) {
 		cfg.Bootstrap = len(p.First) > 0
--- /dev/null
+++ b/pkg/entry/gate_test.go
@@ -0,0 +1,474 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+	"github.com/sesamemux/sesamemux/pkg/logging"
+	"github.com/sesamemux/sesamemux/pkg/memconn"
+)
+
+var testHeaders = Headers{
+	Attempt: "X-Attempt", Deadline: "X-Left", Model: "X-Model", Tokens: "X-Tokens", LastEvent: "Last-Event-Id",
+	Organisation: "X-Org", Incarnation: "X-Who", NotRun: "X-Not-Run", Signature: "X-Sig", Priority: "X-Prio",
+}
+
+func testSet() *catalog.Set {
+	route := func(name string, kind catalog.Kind, service string, attempts int) catalog.Route {
+		return catalog.Route{
+			Name: name, Host: "shop.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 4 * time.Second, Objective: 300 * time.Millisecond,
+			MaxAttempts: attempts, Resumable: kind == catalog.Stream, Backends: []catalog.Backend{{Service: service, Weight: 1}},
+		}
+	}
+	engine := &catalog.Engine{Slots: 4, Stride: 5, Step: 6 * time.Millisecond, ReadPerS: 46000, Models: []catalog.Model{{Name: "m", GroupSize: 1, Pace: 1}}}
+	return &catalog.Set{
+		Version: 1,
+		Routes: []catalog.Route{
+			route("once", catalog.AtMostOnce, "plain", 2),
+			route("again", catalog.Idempotent, "plain", 2),
+			route("stream", catalog.Stream, "models", 3),
+		},
+		Services:      []catalog.Service{{Name: "plain"}, {Name: "models", Engine: engine, ColdPerSecond: 8}},
+		Organisations: []catalog.Organisation{{Name: "acme", Keys: []string{"key-1"}}},
+		Limits:        catalog.Limits{BodyBytes: 1000},
+	}
+}
+
+// bench is a gate in front of stand-ins, all in memory and virtual time.
+type bench struct {
+	t       *testing.T
+	network *memconn.Network
+	gate    *Gate
+	mu      sync.Mutex
+	seen    map[string][]*http.Request // by upstream ID
+	bodies  map[string][]string
+}
+
+// answerFunc answers a request on a raw connection. It returns whether the
+// connection goes on.
+type answerFunc func(c net.Conn, r *http.Request, attempt string) bool
+
+func newBench(t *testing.T, upstreams map[string]answerFunc) *bench {
+	b := &bench{t: t, network: memconn.New(time.Millisecond), seen: map[string][]*http.Request{}, bodies: map[string][]string{}}
+	b.gate = New(Config{
+		Name: "e1", Zone: "z1", Peers: []string{"nobody:1"}, Headers: testHeaders,
+		Decode:     func([]byte) (*catalog.Set, error) { return testSet(), nil },
+		RetryRatio: 0.2, RetryBurst: 100, ColdFactor: 1, ColdSlack: 1,
+		Dial:        b.network.Dialer("e1"),
+		DialBackend: b.network.Dialer("e1"),
+		Clock:       clock.NewGo(),
+		Logger:      logging.Discard(),
+	})
+	b.gate.putInForce(nil)
+	t.Cleanup(func() {
+		b.gate.pool.Close()
+		b.gate.caller.Close()
+		b.gate.suspects.Close()
+		for id := range upstreams {
+			b.network.Kill(id)
+		}
+	})
+	var us []fleet.Upstream
+	for id, answer := range upstreams {
+		service := "plain"
+		u := fleet.Upstream{ID: id, Address: id + ":80", Zone: "z1", Born: 1, Sequence: 1, Slots: 4, State: fleet.Ready}
+		if strings.HasPrefix(id, "head") {
+			service = "models"
+			u.Seat = &fleet.Seat{Group: "m/1", Epoch: 1, State: fleet.SeatOpen}
+		}
+		u.Service = service
+		us = append(us, u)
+		b.serve(id, answer)
+	}
+	b.gate.balancer.take(b.gate.now(), control.FleetSyncResult{Full: true, Settled: true, Upstreams: us, Entries: 1}, told{}, true)
+	return b
+}
+
+func (b *bench) serve(id string, answer answerFunc) {
+	l := b.network.Listen(id, id+":80")
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.talk(id, c, answer)
+		}
+	}()
+}
+
+func (b *bench) talk(id string, c net.Conn, answer answerFunc) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.seen[id] = append(b.seen[id], r)
+		b.bodies[id] = append(b.bodies[id], string(body))
+		b.mu.Unlock()
+		if !answer(c, r, r.Header.Get(testHeaders.Attempt)) {
+			return
+		}
+	}
+}
+
+func (b *bench) total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, rs := range b.seen {
+		n += len(rs)
+	}
+	return n
+}
+
+// recorder is a ResponseWriter that can be flushed and tells a cut answer.
+type recorder struct {
+	status int
+	header http.Header
+	body   bytes.Buffer
+	cut    bool
+}
+
+func (r *recorder) Header() http.Header { return r.header }
+func (r *recorder) WriteHeader(s int)   { r.status = s }
+func (r *recorder) Flush()              {}
+func (r *recorder) Write(b []byte) (int, error) {
+	if r.status == 0 {
+		r.status = http.StatusOK
+	}
+	return r.body.Write(b)
+}
+
+// send plays one client's request.
+func (b *bench) send(method, path, body string, header map[string]string) *recorder {
+	r, err := http.NewRequestWithContext(context.Background(), method, "http://shop.example"+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.RequestURI = path
+	r.Host = "shop.example"
+	r.Header.Set(testHeaders.Attempt, "a-1")
+	r.Header.Set(testHeaders.Deadline, "3000")
+	r.Header.Set("Authorization", "Bearer key-1")
+	r.Header.Set(testHeaders.Model, "m")
+	r.Header.Set(testHeaders.Tokens, "100,50")
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	w := &recorder{header: http.Header{}}
+	func() {
+		defer func() {
+			if v := recover(); v != nil {
+				w.cut = v == http.ErrAbortHandler
+			}
+		}()
+		b.gate.ServeHTTP(w, r)
+	}()
+	return w
+}
+
+func whole(status int, extra, body string) answerFunc {
+	return func(c net.Conn, _ *http.Request, attempt string) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Attempt: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, attempt, extra, len(body), body)
+		return err == nil
+	}
+}
+
+func TestRequestPassesThroughUnchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, map[string]answerFunc{"p1": whole(201, "X-Sig: s1\r\nX-Other: o\r\n", "done")})
+		w := b.send("POST", "/once/a%2Fb?q=1&q=2", "payload", map[string]string{"X-Custom": "c", "X-Org": "forged", "Connection": "X-Hop", "X-Hop": "h"})
+		if w.status != 201 || w.body.String() != "done" || w.header.Get("X-Sig") != "s1" || w.header.Get("X-Other") != "o" {
+			t.Errorf("answer %d %q %v", w.status, w.body.String(), w.header)
+		}
+		r := b.seen["p1"][0]
+		if r.Method != "POST" || r.RequestURI != "/once/a%2Fb?q=1&q=2" || r.Host != "shop.example" || b.bodies["p1"][0] != "payload" {
+			t.Errorf("upstream got %s %s %s %q", r.Method, r.RequestURI, r.Host, b.bodies["p1"][0])
+		}
+		for name, want := range map[string]string{"X-Custom": "c", "X-Org": "acme", "X-Who": "p1", "Authorization": "", "X-Hop": "", "X-Attempt": "a-1"} {
+			if got := r.Header.Get(name); got != want {
+				t.Errorf("%s is %q, want %q", name, got, want)
+			}
+		}
+	})
+}
+
+func TestWhatIsNotAllowedReachesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, map[string]answerFunc{"p1": whole(200, "X-Sig: s\r\n", "x")})
+		for _, c := range []struct {
+			path, key, body string
+			want            int
+		}{
+			{"/none/1", "key-1", "", 404}, {"/once/1", "key-9", "", 401}, {"/once/1", "key-1", strings.Repeat("x", 1001), 413},
+		} {
+			if w := b.send("POST", c.path, c.body, map[string]string{"Authorization": "Bearer " + c.key}); w.status != c.want {
+				t.Errorf("%s with %s: %d, want %d", c.path, c.key, w.status, c.want)
+			}
+		}
+		if b.total() != 0 {
+			t.Errorf("%d requests reached upstreams", b.total())
+		}
+		b.gate.index.Store(nil)
+		if w := b.send("POST", "/once/1", "", nil); w.status != 503 || w.header.Get("Retry-After") == "" {
+			t.Errorf("without a document: %d", w.status)
+		}
+	})
+}
+
+// cutAfter writes the start of an answer and breaks the connection off.
+func cutAfter(text string) answerFunc {
+	return func(c net.Conn, _ *http.Request, attempt string) bool {
+		_, _ = fmt.Fprintf(c, text, attempt)
+		return false
+	}
+}
+
+func TestRequestThatMayHaveRunIsNotRepeated(t *testing.T) {
+	for name, answer := range map[string]answerFunc{
+		"no answer":                 cutAfter("%.0s"),
+		"cut in the head":           cutAfter("HTTP/1.1 200 OK\r\nX-Att%.0s"),
+		"cut in the body":           cutAfter("HTTP/1.1 200 OK\r\nX-Attempt: %s\r\nX-Sig: s\r\nContent-Length: 9\r\n\r\nhalf"),
+		"another request's answer":  cutAfter("HTTP/1.1 200 OK\r\nX-Attempt: other%.0s\r\nX-Sig: s\r\nContent-Length: 1\r\n\r\nx"),
+		"no signature":              cutAfter("HTTP/1.1 200 OK\r\nX-Attempt: %s\r\nContent-Length: 1\r\n\r\nx"),
+		"503 without word of it":    cutAfter("HTTP/1.1 503 No\r\nX-Attempt: %s\r\nContent-Length: 1\r\n\r\nx"),
+		"bytes that are no answer":  cutAfter("garbage%.0s\r\n\r\n"),
+		"encoded body":              cutAfter("HTTP/1.1 200 OK\r\nX-Attempt: %s\r\nX-Sig: s\r\nContent-Encoding: gzip\r\nContent-Length: 1\r\n\r\nx"),
+		"answer after the deadline": func(net.Conn, *http.Request, string) bool { time.Sleep(time.Minute); return false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, map[string]answerFunc{"p1": answer, "p2": answer})
+				w := b.send("POST", "/once/1", "book", nil)
+				if w.status != http.StatusBadGateway && w.status != http.StatusGatewayTimeout {
+					t.Errorf("answered %d", w.status)
+				}
+				if b.total() != 1 {
+					t.Errorf("sent %d times", b.total())
+				}
+				time.Sleep(2 * time.Minute) // stand-ins that sleep end
+			})
+		})
+	}
+}
+
+func TestRefusedRequestGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := true
+		var mu sync.Mutex
+		answer := func(c net.Conn, r *http.Request, attempt string) bool {
+			mu.Lock()
+			refuse := first
+			first = false
+			mu.Unlock()
+			if refuse {
+				return whole(503, "X-Not-Run: 1\r\n", "full")(c, r, attempt)
+			}
+			return whole(200, "X-Sig: s\r\n", "booked")(c, r, attempt)
+		}
+		b := newBench(t, map[string]answerFunc{"p1": answer, "p2": answer})
+		if w := b.send("POST", "/once/1", "book", nil); w.status != 200 || w.body.String() != "booked" {
+			t.Errorf("answered %d %q", w.status, w.body.String())
+		}
+	})
+}
+
+func TestAllRefuseIsAnsweredAtOnceWithTimeToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		full := whole(503, "X-Not-Run: 1\r\n", "full")
+		b := newBench(t, map[string]answerFunc{"p1": full, "p2": full})
+		before := time.Now()
+		w := b.send("POST", "/once/1", "book", nil)
+		if w.status != 503 || w.header.Get("Retry-After") == "" {
+			t.Errorf("answered %d, Retry-After %q", w.status, w.header.Get("Retry-After"))
+		}
+		if took := time.Since(before); took > 100*time.Millisecond {
+			t.Errorf("took %v of virtual time", took)
+		}
+	})
+}
+
+func TestFailureOfAnIdempotentRequestIsTriedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		n := 0
+		answer := func(c net.Conn, r *http.Request, attempt string) bool {
+			mu.Lock()
+			n++
+			k := n
+			mu.Unlock()
+			if k == 1 {
+				return whole(500, "X-Sig: bad\r\n", "oops")(c, r, attempt)
+			}
+			return whole(200, "X-Sig: good\r\n", "fine")(c, r, attempt)
+		}
+		b := newBench(t, map[string]answerFunc{"p1": answer, "p2": answer})
+		if w := b.send("GET", "/again/1", "", nil); w.status != 200 || w.header.Get("X-Sig") != "good" {
+			t.Errorf("answered %d %q", w.status, w.header.Get("X-Sig"))
+		}
+		n = -10
+		answerAll := whole(500, "X-Sig: bad\r\n", "oops")
+		b = newBench(t, map[string]answerFunc{"p1": answerAll, "p2": answerAll})
+		if w := b.send("GET", "/again/1", "", nil); w.status != 500 || w.header.Get("X-Sig") != "bad" || b.total() != 2 {
+			t.Errorf("answered %d %q after %d", w.status, w.header.Get("X-Sig"), b.total())
+		}
+	})
+}
+
+// streamFrom writes events from after Last-Event-Id up to last; after stop
+// events it does what end says.
+func streamFrom(last, stop int, sig string, end func(c net.Conn)) answerFunc {
+	return func(c net.Conn, r *http.Request, attempt string) bool {
+		from := 0
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt: %s\r\nX-Sig: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", attempt, sig)
+		for i := from + 1; i <= last; i++ {
+			if i-from > stop {
+				end(c)
+				return false
+			}
+			time.Sleep(20 * time.Millisecond)
+			chunk := fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i)
+			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(chunk), chunk); err != nil {
+				return false
+			}
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+func events10() string {
+	var s strings.Builder
+	for i := 1; i <= 10; i++ {
+		fmt.Fprintf(&s, "id: %d\ndata: e%d\n\n", i, i)
+	}
+	return s.String()
+}
+
+func TestStreamGoesOnElsewhereBehindTheLastWholeEvent(t *testing.T) {
+	for name, end := range map[string]func(net.Conn){
+		"reset":             func(c net.Conn) { _ = c.Close() },
+		"torn event":        func(c net.Conn) { _, _ = io.WriteString(c, "9\r\nid: 99\nda\r\n") },
+		"end in mid-event":  func(c net.Conn) { _, _ = io.WriteString(c, "9\r\nid: 99\nda\r\n0\r\n\r\n") },
+		"silence":           func(net.Conn) { time.Sleep(time.Minute) },
+		"bytes of no chunk": func(c net.Conn) { _, _ = io.WriteString(c, "zz\r\nid: 99\n\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				n := 0
+				answer := func(c net.Conn, r *http.Request, attempt string) bool {
+					mu.Lock()
+					n++
+					k := n
+					mu.Unlock()
+					if k == 1 {
+						return streamFrom(10, 4, "first", end)(c, r, attempt)
+					}
+					return streamFrom(10, 10, "second", nil)(c, r, attempt)
+				}
+				b := newBench(t, map[string]answerFunc{"head1": answer, "head2": answer})
+				before := time.Now()
+				w := b.send("POST", "/stream/1", "prompt", nil)
+				if w.cut || w.body.String() != events10() {
+					t.Errorf("cut %v, body %q", w.cut, w.body.String())
+				}
+				if w.header.Get("X-Sig") != "first" {
+					t.Errorf("signature %q, want the first upstream's", w.header.Get("X-Sig"))
+				}
+				if took := time.Since(before); took > silentHead+time.Second {
+					t.Errorf("took %v of virtual time", took)
+				}
+				time.Sleep(2 * time.Minute)
+			})
+		})
+	}
+}
+
+func TestStreamWithoutAnotherHeadEndsWithoutLookingWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, map[string]answerFunc{"head1": streamFrom(10, 4, "s", func(c net.Conn) { _ = c.Close() })})
+		w := b.send("POST", "/stream/1", "prompt", nil)
+		if !w.cut {
+			t.Errorf("the broken stream looks whole: %d %q", w.status, w.body.String())
+		}
+	})
+}
+
+func TestClientsLastEventIsHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, map[string]answerFunc{"head1": streamFrom(10, 10, "s", nil)})
+		w := b.send("POST", "/stream/1", "prompt", map[string]string{"Last-Event-Id": "8"})
+		if got := strings.Count(w.body.String(), "data:"); got != 2 {
+			t.Errorf("%d events after event 8 of 10", got)
+		}
+	})
+}
+
+// Load: more requests in a second than a cold upstream bears, over all entry
+// hosts.
+func TestColdBoundHoldsOverAllEntryHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, map[string]answerFunc{"head1": streamFrom(1, 1, "s", nil)})
+		b.gate.balancer.entries = 1
+		allowed := int((8.0*1 + 1) / float64(1+entriesToCome))
+		sent := 0
+		for range 20 {
+			if w := b.send("POST", "/stream/1", "p", nil); w.status == 200 {
+				sent++
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if sent > allowed {
+			t.Errorf("%d requests in a second, %d are this host's part", sent, allowed)
+		}
+	})
+}
+
+func TestGoneClientEndsTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan time.Time, 1)
+		b := newBench(t, map[string]answerFunc{"head1": func(c net.Conn, _ *http.Request, attempt string) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt: %s\r\nX-Sig: s\r\nTransfer-Encoding: chunked\r\n\r\n", attempt)
+			_, _ = c.Read(make([]byte, 1))
+			ended <- time.Now()
+			return false
+		}})
+		ctx, leave := context.WithCancel(context.Background())
+		r, _ := http.NewRequestWithContext(ctx, "POST", "http://shop.example/stream/1", strings.NewReader("p"))
+		r.RequestURI = "/stream/1"
+		r.Header.Set("Authorization", "Bearer key-1")
+		r.Header.Set(testHeaders.Attempt, "a")
+		r.Header.Set(testHeaders.Model, "m")
+		go b.gate.ServeHTTP(&recorder{header: http.Header{}}, r)
+		time.Sleep(100 * time.Millisecond)
+		left := time.Now()
+		leave()
+		if at := <-ended; at.Sub(left) > 100*time.Millisecond {
+			t.Errorf("the upstream worked on for %v", at.Sub(left))
+		}
+	})
+}
