--- a/pkg/coordinator/member.go
+++ b/pkg/coordinator/member.go
@@ -202,23 +202,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode the place")
 	}
-	files := disk.OS{}
-	if err := files.MkdirAll(m.c.cfg.DataDir); err != nil {
-		return eris.Wrap(err, "create the data folder")
-	}
-	name := filepath.Join(m.c.cfg.DataDir, placeName)
-	f, err := files.Create(name + ".tmp")
-	if err != nil {
-		return eris.Wrap(err, "write the place")
-	}
-	_, err = f.Write(raw)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return eris.Wrap(err, "write the place")
-	}
-	if err := files.Rename(name+".tmp", name); err != nil {
-		return eris.Wrap(err, "write the place")
-	}
-	return eris.Wrap(files.SyncDir(m.c.cfg.DataDir), "sync the data folder")
+	return eris.Wrap(writeWhole(m.c.cfg.DataDir, placeName, raw), "write the place")
 }
 
 // clear gives a place up; the next one has a folder of its own.
--- a/pkg/coordinator/recall.go
+++ b/pkg/coordinator/recall.go
@@ -21,8 +21,8 @@
 
 // remember writes the known upstreams down now and then. After a restart of
 // all coordinators the next leader tells the entry hosts of them at once,
-// without waiting for announcements. The file is a hint: it is not synced, and
-// what is not true any more is refused by the upstreams themselves.
+// without waiting for announcements. The file is a hint: what is not true any
+// more is refused by the upstreams themselves.
 func (c *Coordinator) remember(ctx context.Context) {
 	tick := time.NewTicker(recallInterval)
 	defer tick.Stop()
@@ -55,11 +55,7 @@
 	if err != nil {
 		return err
 	}
-	name := filepath.Join(c.cfg.DataDir, recallName)
-	if err := os.WriteFile(name+".tmp", raw, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(name+".tmp", name)
+	return writeWhole(c.cfg.DataDir, recallName, raw)
 }
 
 // recall reads the upstreams that were known before a restart.
