--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN ?= bin
 SEED ?= 1
-PROGRAMS := sesame-keeper sesame-gate sesamectl sesame-fake sesame-load sesame-bench
+PROGRAMS := sesame-keeper sesame-gate sesame-core sesame-entry sesamectl sesame-fake sesame-load sesame-bench
 LINT := $(GO) tool -modfile=tools/go.mod staticcheck
 
 # Tests listed in KNOWN-RED.txt, in lines "test NAME ...", are passed over.
@@ -20,7 +20,7 @@
 	$(TEST) -race ./...
 
 format-check:
-	@test -z "$$(gofmt -l cmd pkg)" || { gofmt -l cmd pkg; echo "run gofmt -w on the files above"; exit 1; }
+	@test -z "$$(gofmt -l cmd pkg platform)" || { gofmt -l cmd pkg platform; echo "run gofmt -w on the files above"; exit 1; }
 
 vet:
 	$(GO) vet ./...
--- a/pkg/coordinator/metrics.go
+++ b/pkg/coordinator/metrics.go
@@ -16,13 +16,13 @@
 	m := &Metrics{
 		Registry: prometheus.NewRegistry(),
 		Leading: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "sesamemux_coordinator_leading", Help: "1 while this coordinator leads."}),
+			Name: "sesame_coordinator_leading", Help: "1 while this coordinator leads."}),
 		Orders: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sesamemux_coordinator_orders_total", Help: "Orders to engine hosts by kind and outcome."}, []string{"order", "outcome"}),
+			Name: "sesame_coordinator_orders_total", Help: "Orders to engine hosts by kind and outcome."}, []string{"order", "outcome"}),
 		Suspicions: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sesamemux_coordinator_suspicions_total", Help: "Words of entry hosts that a head went silent."}),
+			Name: "sesame_coordinator_suspicions_total", Help: "Words of entry hosts that a head went silent."}),
 		Dead: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sesamemux_coordinator_dead_hosts_total", Help: "Hosts found dead by probes."}),
+			Name: "sesame_coordinator_dead_hosts_total", Help: "Hosts found dead by probes."}),
 	}
 	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.Dead)
 	return m
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -28,23 +28,23 @@
 	m := &Metrics{
 		Registry: prometheus.NewRegistry(),
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sesamemux_entry_requests_total", Help: "Clients' requests by route and outcome."}, []string{"route", "outcome"}),
+			Name: "sesame_entry_requests_total", Help: "Clients' requests by route and outcome."}, []string{"route", "outcome"}),
 		Duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "sesamemux_entry_request_seconds", Help: "Time of a request until its answer ended.", Buckets: secondsBuckets}, []string{"kind"}),
+			Name: "sesame_entry_request_seconds", Help: "Time of a request until its answer ended.", Buckets: secondsBuckets}, []string{"kind"}),
 		FirstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "sesamemux_entry_first_event_seconds", Help: "Time until the first event of a stream.", Buckets: secondsBuckets}, []string{"model"}),
+			Name: "sesame_entry_first_event_seconds", Help: "Time until the first event of a stream.", Buckets: secondsBuckets}, []string{"model"}),
 		Pause: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "sesamemux_entry_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: secondsBuckets}),
+			Name: "sesame_entry_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: secondsBuckets}),
 		Repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sesamemux_entry_repeats_total", Help: "Requests sent to a further upstream by cause."}, []string{"cause"}),
+			Name: "sesame_entry_repeats_total", Help: "Requests sent to a further upstream by cause."}, []string{"cause"}),
 		Syncs: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sesamemux_entry_syncs_total", Help: "Questions to the coordinators by outcome."}, []string{"outcome"}),
+			Name: "sesame_entry_syncs_total", Help: "Questions to the coordinators by outcome."}, []string{"outcome"}),
 		Suspected: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sesamemux_entry_suspected_heads_total", Help: "Heads of groups that went silent."}),
+			Name: "sesame_entry_suspected_heads_total", Help: "Heads of groups that went silent."}),
 		Suppressed: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sesamemux_entry_lines_suppressed_total", Help: "Log lines about requests beyond the bound."}),
+			Name: "sesame_entry_lines_suppressed_total", Help: "Log lines about requests beyond the bound."}),
 		Version: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "sesamemux_entry_document_version", Help: "Version of the document in force here."}),
+			Name: "sesame_entry_document_version", Help: "Version of the document in force here."}),
 	}
 	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.Pause, m.Repeats, m.Syncs, m.Suspected, m.Suppressed, m.Version)
 	return m
