Drop the unused memory of requests that break upstreams

Counting by connections alone would refuse sound requests during resets; it needs the coordinators, as suspect has.

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -19,7 +19,6 @@
 	r     *http.Request
 	ctx   context.Context
 	began time.Duration
-	now   time.Duration // of the last decision
 
 	index        *catalog.Index
 	route        *catalog.Route
@@ -29,7 +28,6 @@
 	promptTokens int
 	answerTokens int
 	body         []byte
-	print        string
 	until        time.Duration // the client's time and the route's, whichever ends first
 
 	tried    map[string]bool
@@ -175,16 +173,11 @@
 func (c *call) serve() {
 	g := c.gate
 	g.budget.arrived(c.service.Name, g.balancer.entryCount())
-	c.print = fingerprint(c.organisation, c.r.RequestURI, c.body)
 	if e := c.service.Engine; e != nil {
 		if m, ok := e.Model(c.model); ok {
 			g.demand.arrived(c.began, c.model, cost(e, m, c.promptTokens, c.answerTokens))
 		}
 	}
-	if g.crashes.refuses(c.began, c.print) {
-		c.refuse("it broke several upstreams", crashMemory)
-		return
-	}
 	if c.route.Kind == catalog.Stream {
 		c.serveStream()
 		return
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -23,7 +23,6 @@
 	demand   *demand
 	metrics  *Metrics
 	lines    *lines
-	crashes  *crashes
 
 	index    atomic.Pointer[catalog.Index]
 	stopping atomic.Bool
@@ -40,7 +39,6 @@
 		budget:   newBudget(cfg.RetryRatio, cfg.RetryBurst),
 		demand:   newDemand(),
 		metrics:  NewMetrics(),
-		crashes:  newCrashes(),
 	}
 	g.lines = &lines{logger: cfg.Logger, suppressed: g.metrics.Suppressed}
 	g.pool = upstream.NewPool(upstream.Options{
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -200,7 +200,6 @@
 		s.head(head)
 	}
 	c.gate.balancer.answered(c.gate.now(), t, true)
-	c.gate.crashes.ranWell(c.print)
 	c.outcome = served
 	return nil
 }
