Write the inputs of a choice into the line of a refused request

Change: the line of a request tells the age of the view and, where no upstream was chosen, how many there were, failed, and how many requests ran against their room.

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -37,6 +37,7 @@
 
 	outcome  outcome
 	reason   reason
+	inputs   string // of a choice that found no upstream
 	status   int
 	upstream string
 	cause    error
@@ -244,7 +245,8 @@
 		"request", c.r.Header.Get(c.gate.cfg.Headers.Attempt), "route", c.routeName(), "outcome", c.outcome, "status", c.status,
 		"reason", c.reason, "upstream", c.upstream, "sent", c.sent, "resumed", c.resumed, "model", c.model,
 		"ms", (now - c.began).Milliseconds(), "first_ms", max((c.firstAt-c.began).Milliseconds(), 0), "pause_ms", c.pause.Milliseconds(),
-		"left_ms", max(c.until-now, 0).Milliseconds(), "document", version, "cause", c.cause)
+		"left_ms", max(c.until-now, 0).Milliseconds(), "document", version,
+		"view_age_ms", (now - time.Duration(c.gate.synced.Load())).Milliseconds(), "inputs", c.inputs, "cause", c.cause)
 	if c.outcome == cutShort {
 		// The only way to tell the client that the answer is not whole.
 		panic(http.ErrAbortHandler)
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -25,6 +25,7 @@
 	lines    *lines
 
 	index    atomic.Pointer[catalog.Index]
+	synced   atomic.Int64 // when the last news came
 	stopping atomic.Bool
 	inFlight sync.WaitGroup
 }
@@ -115,6 +116,7 @@
 	for _, address := range g.balancer.take(g.now(), result, own, newer) {
 		g.pool.Forget(address)
 	}
+	g.synced.Store(int64(g.now()))
 	if result.Session != held.Session {
 		g.cfg.Logger.Info("leader followed", "session", result.Session, "before", held.Session, "upstreams", len(result.Upstreams), "index", result.Index)
 	}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -20,8 +20,10 @@
 	s := &streaming{call: c}
 	s.events.last = c.r.Header.Get(g.cfg.Headers.LastEvent)
 	for {
-		t, why := g.balancer.choose(g.now(), wish{service: c.service, model: c.model, tried: c.tried})
+		need := wish{service: c.service, model: c.model, tried: c.tried}
+		t, why := g.balancer.choose(g.now(), need)
 		if t == nil {
+			c.inputs = g.balancer.inputs(g.now(), need)
 			c.streamWithout(why)
 			return
 		}
--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -19,8 +19,10 @@
 	g := c.gate
 	var lastFailure *wholeAnswer
 	for {
-		t, why := g.balancer.choose(g.now(), wish{service: c.service, tried: c.tried})
+		need := wish{service: c.service, tried: c.tried}
+		t, why := g.balancer.choose(g.now(), need)
 		if t == nil {
+			c.inputs = g.balancer.inputs(g.now(), need)
 			c.wholeWithout(why, lastFailure)
 			return
 		}
