Make decisions and documents cheap for many hosts

Change: hosts are kept sorted, counts of hosts by domain and model are made once for each decision; documents are packed once for all. Also: a stream that began waits up to 1.5 s for a head and goes before new requests; an attempt without an event does not count as run.

--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -51,7 +51,7 @@
 	// that an event causes.
 	tickInterval = 100 * time.Millisecond
 	// eventPause gathers events that come close together into one decision.
-	eventPause = 5 * time.Millisecond
+	eventPause = 10 * time.Millisecond
 	// summaryInterval is how often the state of the groups is logged when it
 	// changed.
 	summaryInterval = time.Second
--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -56,6 +56,7 @@
 	service *catalog.Service
 	model   string // of an engine service
 	tried   map[string]bool
+	resumes bool // a stream that has begun goes on; it goes before new requests
 }
 
 // choose picks an upstream and counts the request there; done must be called
@@ -155,7 +156,11 @@
 	if slots == 0 {
 		slots = 1
 	}
-	return slots + max(slots/8, 1)
+	room := slots + max(slots/8, 1)
+	if w.resumes {
+		room += room / 4
+	}
+	return room
 }
 
 // startsAllowed is this host's part of the requests that a cold upstream
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -110,7 +110,11 @@
 		return err
 	}
 	if result.Document != nil {
-		g.putInForce(result.Document.Raw)
+		raw, err := result.Document.Unpack()
+		if err != nil {
+			return err
+		}
+		g.putInForce(raw)
 	}
 	newer := result.Index >= held.Index && (result.Index != held.Index || result.Full)
 	for _, address := range g.balancer.take(g.now(), result, own, newer) {
--- a/pkg/entry/gate_test.go
+++ b/pkg/entry/gate_test.go
@@ -410,11 +410,29 @@
 
 func TestStreamWithoutAnotherHeadEndsWithoutLookingWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, map[string]answerFunc{"head1": streamFrom(10, 4, "s", func(c net.Conn) { _ = c.Close() })})
+		first := streamFrom(10, 4, "s", func(c net.Conn) { _ = c.Close() })
+		b := newBench(t, map[string]answerFunc{"head1": func(c net.Conn, r *http.Request, attempt string) bool {
+			return r.Header.Get("Last-Event-Id") == "" && first(c, r, attempt)
+		}})
+		before := time.Now()
 		w := b.send("POST", "/stream/1", "prompt", nil)
-		if !w.cut {
+		if !w.cut || strings.Count(w.body.String(), "data:") != 4 {
 			t.Errorf("the broken stream looks whole: %d %q", w.status, w.body.String())
 		}
+		if took := time.Since(before); took > resumeWithin+time.Second {
+			t.Errorf("given up after %v of virtual time", took)
+		}
+	})
+}
+
+// Load: the only head breaks off; it is there again a moment later.
+func TestStreamWaitsAMomentForAHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, map[string]answerFunc{"head1": streamFrom(10, 4, "s", func(c net.Conn) { _ = c.Close() })})
+		w := b.send("POST", "/stream/1", "prompt", nil)
+		if w.cut || w.body.String() != events10() {
+			t.Errorf("cut %v, body %q", w.cut, w.body.String())
+		}
 	})
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -20,8 +20,11 @@
 	s := &streaming{call: c}
 	s.events.last = c.r.Header.Get(g.cfg.Headers.LastEvent)
 	for {
-		need := wish{service: c.service, model: c.model, tried: c.tried}
+		need := wish{service: c.service, model: c.model, tried: c.tried, resumes: c.headSent}
 		t, why := g.balancer.choose(g.now(), need)
+		if t == nil && s.mayWait() {
+			continue
+		}
 		if t == nil {
 			c.inputs = g.balancer.inputs(g.now(), need)
 			c.streamWithout(why)
@@ -33,7 +36,12 @@
 		if err == nil {
 			return
 		}
-		c.failedOnce(err)
+		if s.begun || !c.route.Repeatable() || proves(err) {
+			c.failedOnce(err)
+		} else {
+			// Work that may be repeated begins with its first event.
+			c.cause = err
+		}
 		if c.ctx.Err() != nil {
 			c.outcome = clientLeft
 			return
@@ -49,6 +57,30 @@
 	}
 }
 
+// mayWait waits a moment for an upstream that can go on with a stream; false
+// says that the client's patience with its silence is over.
+func (s *streaming) mayWait() bool {
+	c := s.call
+	if !c.headSent || c.gate.now()-s.lastAt > resumeWithin || c.left() < leastTime {
+		return false
+	}
+	select {
+	case <-c.ctx.Done():
+		return false
+	case <-time.After(resumePause):
+	}
+	clear(c.tried)
+	return true
+}
+
+const (
+	// resumeWithin is how long a stream may be silent before it is given up:
+	// clients leave after two seconds.
+	resumeWithin = 1500 * time.Millisecond
+	// resumePause is the time between two looks for an upstream.
+	resumePause = 50 * time.Millisecond
+)
+
 // streamWithout ends a request for which no further upstream is asked.
 func (c *call) streamWithout(why reason) {
 	switch {
--- a/pkg/formation/form.go
+++ b/pkg/formation/form.go
@@ -121,14 +121,14 @@
 	bestSame := 0
 
 	have := p.groupCounts()
-	ms := p.models()
+	rivals := p.rivals(m, have)
 	same := p.groupsByDomain(m.Name)
 	for _, hs := range p.freeByDomain(now) {
 		var able []*host
 		times := map[string]time.Duration{}
 		for _, h := range hs {
 			d, ok := h.readyIn(now, m, mayLoad)
-			if !ok || h.order != nil || p.traffic && p.kept(h, m, have, ms) {
+			if !ok || h.order != nil || p.traffic && p.kept(h, rivals) {
 				continue
 			}
 			if p.traffic && d > m.WarmTime+waitForStaging {
@@ -151,25 +151,30 @@
 	return best, bestTime
 }
 
-// kept tells whether a free host is to wait for a group of a model that gains
-// more than m: its domain has the hosts for one, free or in groups that can be
-// given up for it.
-func (p *Planner) kept(h *host, m modelPlan, have map[string]int, ms []modelPlan) bool {
-	for _, other := range ms {
-		ratio := gain(other, have[other.Name]) / max(gain(m, have[m.Name]), leastGain)
-		if other.Name == m.Name || !p.couldServe(h, other.Name) || ratio <= 1 {
-			continue
-		}
-		if ratio > keepRatio {
-			return true
-		}
-		count := 0
-		for _, v := range p.hosts {
-			if v.Domain == h.Domain && p.couldServe(v, other.Name) {
-				count++
-			}
+// rival is a model that gains more by one more group than another.
+type rival struct {
+	modelPlan
+	ratio float64 // of the gains
+}
+
+// rivals returns the models that gain more than m.
+func (p *Planner) rivals(m modelPlan, have map[string]int) []rival {
+	own := max(gain(m, have[m.Name]), leastGain)
+	var rs []rival
+	for _, other := range p.models() {
+		if ratio := gain(other, have[other.Name]) / own; other.Name != m.Name && ratio > 1 {
+			rs = append(rs, rival{other, ratio})
 		}
-		if count >= other.GroupSize {
+	}
+	return rs
+}
+
+// kept tells whether a free host is to wait for a group of a model that gains
+// more: its domain has the hosts for one, free or in groups that can be given
+// up for it, or the gain is far above.
+func (p *Planner) kept(h *host, rivals []rival) bool {
+	for _, r := range rivals {
+		if p.couldServe(h, r.Name) && (r.ratio > keepRatio || p.capableIn(h.Domain, r.Name) >= r.GroupSize) {
 			return true
 		}
 	}
--- a/pkg/formation/planner.go
+++ b/pkg/formation/planner.go
@@ -30,6 +30,7 @@
 	load    map[string]float64 // measured engine time by model
 
 	hosts     map[string]*host
+	byID      []*host          // see sorted; nil when it must be made anew
 	groups    map[int64]*group // by epoch
 	evacuated map[string]bool  // failure domains
 
@@ -41,6 +42,8 @@
 	loads     []time.Duration
 	busy      map[string]int // running requests by head, as gates count them
 
+	capable map[place]int // see capableIn; nil when it must be counted anew
+
 	trafficSince time.Duration
 	rebalanced   time.Duration // when a group last began to change its model
 }
@@ -87,6 +90,7 @@
 	if h == nil {
 		h = &host{freeSince: now}
 		p.hosts[u.ID] = h
+		p.byID = nil
 		p.lastNew = now
 		if p.firstSeen == 0 {
 			p.firstSeen = now
@@ -205,6 +209,7 @@
 		return nil
 	}
 	p.dropHosts()
+	p.capable = nil
 	p.adopt(now)
 	var orders []Order
 	for _, g := range p.sortedGroups() {
@@ -238,17 +243,22 @@
 	for id, h := range p.hosts {
 		if h.State == fleet.Gone && h.group == nil {
 			delete(p.hosts, id)
+			p.byID = nil
 		}
 	}
 }
 
+// sorted returns the hosts by ID. The slice is read-only.
 func (p *Planner) sorted() []*host {
-	hs := make([]*host, 0, len(p.hosts))
+	if p.byID != nil {
+		return p.byID
+	}
+	p.byID = make([]*host, 0, len(p.hosts))
 	for _, h := range p.hosts {
-		hs = append(hs, h)
+		p.byID = append(p.byID, h)
 	}
-	sort.Slice(hs, func(i, j int) bool { return hs[i].ID < hs[j].ID })
-	return hs
+	sort.Slice(p.byID, func(i, j int) bool { return p.byID[i].ID < p.byID[j].ID })
+	return p.byID
 }
 
 func (p *Planner) sortedGroups() []*group {
@@ -290,5 +300,6 @@
 	for _, h := range members {
 		h.group = g
 	}
+	p.capable = nil
 	return g
 }
--- a/pkg/formation/sim_test.go
+++ b/pkg/formation/sim_test.go
@@ -465,3 +465,27 @@
 		}
 	}
 }
+
+// BenchmarkTick is one decision over 171 hosts in 9 domains under load.
+func BenchmarkTick(b *testing.B) {
+	s := newSim(nil, 1,
+		catalog.Model{Name: "large", GroupSize: 8, Share: 0.67, Pace: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+		catalog.Model{Name: "small", GroupSize: 4, Share: 0.33, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond})
+	for i := range 171 {
+		s.add(fmt.Sprintf("d%d", i%9), fmt.Sprintf("z%d", i%3))
+	}
+	s.run(8 * time.Second)
+	s.planner.TrafficBegun(s.now)
+	s.planner.SetLoad(map[string]float64{"large": 16, "small": 15})
+	for i, h := range s.sorted() {
+		if i%10 == 0 {
+			s.kill(h)
+			s.planner.Dead(h.ID)
+		}
+	}
+	s.run(5 * time.Second)
+	b.ResetTimer()
+	for range b.N {
+		s.planner.Tick(s.now)
+	}
+}
--- a/pkg/formation/stage.go
+++ b/pkg/formation/stage.go
@@ -13,12 +13,18 @@
 	ms := p.models()
 	have := p.groupCounts()
 	var orders []Order
-	for room := p.loadRoom(now); room > 0; room-- {
-		h, m := p.bestLoad(now, ms, have)
+	room := p.loadRoom(now)
+	if room == 0 {
+		return nil
+	}
+	hosts := p.stageable(now)
+	for ; room > 0; room-- {
+		h, m := p.bestLoad(now, hosts, ms, have)
 		if h == nil {
 			break
 		}
 		p.loads = append(p.loads, now)
+		p.capable = nil
 		h.staging = m.Name // counts for the next choice; the order's end corrects it
 		h.stagedBy = now + m.LoadTime
 		orders = append(orders, p.order(h, Order{Kind: Stage, Model: m.Name, Reason: "so that the host can serve it soon"}))
@@ -27,11 +33,14 @@
 }
 
 // bestLoad returns the host and model whose load is worth most.
-func (p *Planner) bestLoad(now time.Duration, ms []modelPlan, have map[string]int) (*host, modelPlan) {
+func (p *Planner) bestLoad(now time.Duration, hosts []*host, ms []modelPlan, have map[string]int) (*host, modelPlan) {
 	var best *host
 	var bestModel modelPlan
 	bestScore := 0.0
-	for _, h := range p.stageable(now) {
+	for _, h := range hosts {
+		if h.order != nil || h.staging != "" {
+			continue
+		}
 		for _, m := range ms {
 			if score := p.loadScore(now, h, m, ms, have); score > bestScore {
 				best, bestModel, bestScore = h, m, score
@@ -93,16 +102,32 @@
 // partScore is the gain of a model's next group by the part of it that a
 // host's domain has with that host.
 func (p *Planner) partScore(h *host, m modelPlan, have map[string]int) float64 {
-	count := 0
-	for _, other := range p.hosts {
-		if other != h && other.Domain == h.Domain && p.couldServe(other, m.Name) {
-			count++
-		}
+	count := p.capableIn(h.Domain, m.Name)
+	if p.couldServe(h, m.Name) {
+		count--
 	}
 	part := float64(count%m.GroupSize+1) / float64(m.GroupSize)
 	return gain(m, have[m.Name]+count/m.GroupSize) * part * part
 }
 
+// place is a failure domain and a model.
+type place struct{ domain, model string }
+
+// capableIn counts the hosts of a domain that could serve a model.
+func (p *Planner) capableIn(domain, model string) int {
+	if p.capable == nil {
+		p.capable = map[place]int{}
+		for _, h := range p.hosts {
+			for _, m := range p.service.Engine.Models {
+				if p.couldServe(h, m.Name) {
+					p.capable[place{h.Domain, m.Name}]++
+				}
+			}
+		}
+	}
+	return p.capable[place{domain, model}]
+}
+
 // couldServe tells whether a host that serves nothing, or another model, can
 // serve a model without a further load.
 func (p *Planner) couldServe(h *host, model string) bool {
