Keep documents packed in the log, and count silent attempts as run

Change: the document is packed when it is received; every attempt that is not proved not to have run counts.

--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -32,7 +32,7 @@
 	Full     bool              `json:"full"`    // Upstreams are all that are known, not only changes
 	Revision uint64            `json:"revision"`
 	Index    uint64            `json:"index"`
-	Document *PackedDocument `json:"document,omitempty"`
+	Document *durable.Document `json:"document,omitempty"`
 	// Evacuated and Departures are set when Index is above the request's.
 	Evacuated  []string            `json:"evacuated,omitempty"`
 	Departures []durable.Departure `json:"departures,omitempty"`
--- a/pkg/coordinator/change.go
+++ b/pkg/coordinator/change.go
@@ -19,7 +19,11 @@
 	if err != nil {
 		return eris.Wrap(ErrInvalid, err.Error())
 	}
-	err = c.change(ctx, durable.Command{Document: &durable.Document{Version: set.Version, Raw: raw}})
+	d, err := durable.Pack(set.Version, raw)
+	if err != nil {
+		return err
+	}
+	err = c.change(ctx, durable.Command{Document: d})
 	c.cfg.Logger.Info("document received", "version", set.Version, "bytes", len(raw), "acknowledged", err == nil, "cause", err)
 	return err
 }
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -32,7 +32,6 @@
 	leads    *leadership // nil while another leads
 	registry *fleet.Registry
 	indexed  *catalog.Index          // of the document in force here
-	packed   *control.PackedDocument // of the newest document that was asked for
 	held     uint64                  // index of the durable state that the registry has
 	mirror   control.FleetSyncRequest
 
--- a/pkg/coordinator/decide.go
+++ b/pkg/coordinator/decide.go
@@ -47,7 +47,11 @@
 		return
 	}
 	if st.Document != nil && (c.indexed == nil || c.indexed.Set.Version < st.Document.Version) {
-		set, err := c.cfg.Decode(st.Document.Raw)
+		raw, err := st.Document.Raw()
+		var set *catalog.Set
+		if err == nil {
+			set, err = c.cfg.Decode(raw)
+		}
 		if err != nil {
 			c.cfg.Logger.Error("document in force can't be read", "version", st.Document.Version, "cause", err)
 			return
--- a/pkg/coordinator/quorum_test.go
+++ b/pkg/coordinator/quorum_test.go
@@ -127,7 +127,11 @@
 	for range 60 {
 		d, err := c.running[name].ReadDocument(context.Background())
 		if err == nil && d != nil {
-			if got = string(d.Raw); got == want {
+			raw, err := d.Raw()
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			if got = string(raw); got == want {
 				return
 			}
 			c.t.Fatalf("%s reads %s, want %s", name, got, want)
@@ -276,7 +280,7 @@
 		c.network.Split([]string{cut}, others)
 		c.put(others[0], "v4")
 		if d, err := c.running[cut].ReadDocument(context.Background()); err == nil {
-			t.Errorf("the one cut off reads %s", d.Raw)
+			t.Errorf("the one cut off reads version %d", d.Version)
 		}
 		c.network.HealAll()
 		c.reads(cut, "v4")
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
-	"github.com/sesamemux/sesamemux/pkg/durable"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 )
 
@@ -87,11 +86,7 @@
 		result.Departures = st.Departures
 	}
 	if st.Document != nil && st.Document.Version > req.Version {
-		packed, err := c.pack(st.Document)
-		if err != nil {
-			return control.FleetSyncResult{}, err
-		}
-		result.Document = packed
+		result.Document = st.Document
 	}
 	changes := c.registry.Since
 	if req.Entry {
@@ -116,19 +111,6 @@
 	return result, nil
 }
 
-// pack returns the packed form of the document in force, made once for all
-// processes. The caller holds the lock.
-func (c *Coordinator) pack(d *durable.Document) (*control.PackedDocument, error) {
-	if c.packed != nil && c.packed.Version == d.Version {
-		return c.packed, nil
-	}
-	packed, err := control.Pack(d)
-	if err == nil {
-		c.packed = packed
-	}
-	return packed, err
-}
-
 // revisionFor returns the newest revision that concerns a process. The caller
 // holds the lock.
 func (c *Coordinator) revisionFor(req control.FleetSyncRequest) uint64 {
--- a/pkg/durable/command.go
+++ b/pkg/durable/command.go
@@ -17,11 +17,5 @@
 	Depart   []Departure `json:"depart,omitempty"`
 }
 
-// Document is a set of objects as the operator sent it.
-type Document struct {
-	Version int64  `json:"version"`
-	Raw     []byte `json:"raw"`
-}
-
 // Encode returns the command's form in the log.
 func (c Command) Encode() ([]byte, error) { return json.Marshal(c) }
--- a/pkg/durable/store_test.go
+++ b/pkg/durable/store_test.go
@@ -17,7 +17,11 @@
 }
 
 func document(version int64, raw string) Command {
-	return Command{Document: &Document{Version: version, Raw: []byte(raw)}}
+	d, err := Pack(version, []byte(raw))
+	if err != nil {
+		panic(err)
+	}
+	return Command{Document: d}
 }
 
 func TestHighestVersionStaysAsItWasSent(t *testing.T) {
@@ -26,8 +30,9 @@
 	apply(t, s, 2, document(7, `{"version":7,"other":true}`))
 	apply(t, s, 3, document(5, `{"version":5}`))
 	st, _ := s.State()
-	if st.Document.Version != 7 || string(st.Document.Raw) != `{"version":7}` || st.Index != 1 {
-		t.Errorf("document %d %s at %d", st.Document.Version, st.Document.Raw, st.Index)
+	raw, err := st.Document.Raw()
+	if err != nil || st.Document.Version != 7 || string(raw) != `{"version":7}` || st.Index != 1 {
+		t.Errorf("document %d %s at %d: %v", st.Document.Version, raw, st.Index, err)
 	}
 	apply(t, s, 4, document(9, `{"version":9}`))
 	if st, _ = s.State(); st.Document.Version != 9 || st.Index != 4 {
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -110,7 +110,7 @@
 		return err
 	}
 	if result.Document != nil {
-		raw, err := result.Document.Unpack()
+		raw, err := result.Document.Raw()
 		if err != nil {
 			return err
 		}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -36,12 +36,7 @@
 		if err == nil {
 			return
 		}
-		if s.begun || !c.route.Repeatable() || proves(err) {
-			c.failedOnce(err)
-		} else {
-			// Work that may be repeated begins with its first event.
-			c.cause = err
-		}
+		c.failedOnce(err)
 		if c.ctx.Err() != nil {
 			c.outcome = clientLeft
 			return
