--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -31,8 +31,8 @@
 	mu       sync.Mutex
 	leads    *leadership // nil while another leads
 	registry *fleet.Registry
-	indexed  *catalog.Index          // of the document in force here
-	held     uint64                  // index of the durable state that the registry has
+	indexed  *catalog.Index // of the document in force here
+	held     uint64         // index of the durable state that the registry has
 	mirror   control.FleetSyncRequest
 
 	kick chan struct{} // an event wants a decision
--- a/pkg/entry/gate_test.go
+++ b/pkg/entry/gate_test.go
@@ -14,6 +14,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
@@ -41,6 +43,7 @@
 			route("once", catalog.AtMostOnce, "plain", 2),
 			route("again", catalog.Idempotent, "plain", 2),
 			route("stream", catalog.Stream, "models", 3),
+			route("twice", catalog.Stream, "models", 2),
 		},
 		Services:      []catalog.Service{{Name: "plain"}, {Name: "models", Engine: engine, ColdPerSecond: 8}},
 		Organisations: []catalog.Organisation{{Name: "acme", Keys: []string{"key-1"}}},
@@ -63,6 +66,10 @@
 type answerFunc func(c net.Conn, r *http.Request, attempt string) bool
 
 func newBench(t *testing.T, upstreams map[string]answerFunc) *bench {
+	return newLoggedBench(t, logging.Discard(), upstreams)
+}
+
+func newLoggedBench(t *testing.T, logger *log.Logger, upstreams map[string]answerFunc) *bench {
 	b := &bench{t: t, network: memconn.New(time.Millisecond), seen: map[string][]*http.Request{}, bodies: map[string][]string{}}
 	b.gate = New(Config{
 		Name: "e1", Zone: "z1", Peers: []string{"nobody:1"}, Headers: testHeaders,
@@ -71,7 +78,7 @@
 		Dial:        b.network.Dialer("e1"),
 		DialBackend: b.network.Dialer("e1"),
 		Clock:       clock.NewGo(),
-		Logger:      logging.Discard(),
+		Logger:      logger,
 	})
 	b.gate.putInForce(nil)
 	t.Cleanup(func() {
@@ -425,6 +432,20 @@
 	})
 }
 
+// Attempts that sent nothing may have begun to run: they count against the
+// attempts of the route (seen as BUDGET on trouble-3).
+func TestSilentAttemptsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func(net.Conn, *http.Request, string) bool { time.Sleep(time.Minute); return false }
+		b := newBench(t, map[string]answerFunc{"head1": silent, "head2": silent, "head3": silent, "head4": silent})
+		b.send("POST", "/twice/1", "prompt", nil)
+		if n := b.total(); n > 2 {
+			t.Errorf("sent to %d upstreams, the route allows 2", n)
+		}
+		time.Sleep(2 * time.Minute)
+	})
+}
+
 // Load: the only head breaks off; it is there again a moment later.
 func TestStreamWaitsAMomentForAHead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
