--- /dev/null
+++ b/soak/operator_test.go
@@ -0,0 +1,115 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// operator sends documents with rising versions and reads them back.
+type operator struct {
+	w       *world
+	client  *http.Client
+	problem func(string, ...any)
+
+	mu    sync.Mutex
+	acked int64
+	sent  map[int64][]byte
+	next  int64
+}
+
+func (o *operator) document(version int64) []byte {
+	routes := []map[string]any{}
+	for _, r := range []struct{ name, kind, service string }{
+		{"once", "non_idempotent", "plain"}, {"again", "idempotent", "plain"}, {"stream", "streaming", "engines"},
+	} {
+		routes = append(routes, map[string]any{
+			"name": r.name, "host": "soak.example", "path_prefix": "/" + r.name + "/", "route_type": r.kind, "timeout_ms": 3000,
+			"latency_goal_ms": 500, "priority": 1, "service": r.service, "max_attempts": 3, "resumable": r.kind == "streaming",
+		})
+	}
+	engine := map[string]any{
+		"slots": 8, "stride": 1, "step_ms": 20, "read_per_s": 46000, "loads_per_s": 4, "loads_at_once": 6, "form_ms": 50,
+		"models": []map[string]any{{"name": "m", "size": 2, "share": 1, "pace": 1, "load_s": 0.2, "warm_s": 0.1}},
+	}
+	raw, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{{"name": "plain"}, {"name": "engines", "engine": engine}},
+		"tenants":  []map[string]any{{"name": "t", "api_keys": []string{"soak-key"}}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// put sends the next version to a coordinator and notes an acknowledgement.
+func (o *operator) put(core int) bool {
+	o.mu.Lock()
+	o.next++
+	version := o.next
+	raw := o.document(version)
+	o.sent[version] = raw
+	o.mu.Unlock()
+	req, _ := http.NewRequest(http.MethodPut, o.w.coreURL(core)+"/api/config", bytes.NewReader(raw))
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+		o.problem("version %d was refused with %d", version, resp.StatusCode)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.acked = max(o.acked, version)
+	return true
+}
+
+// read asks a coordinator for the document and checks that it is none older
+// than what was acknowledged before.
+func (o *operator) read(core int) (int64, bool) {
+	o.mu.Lock()
+	acked := o.acked
+	o.mu.Unlock()
+	resp, err := o.client.Get(o.w.coreURL(core) + "/api/config")
+	if err != nil {
+		return 0, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return 0, false
+	}
+	var d struct{ Version int64 }
+	if err := json.Unmarshal(raw, &d); err != nil {
+		o.problem("document read back can't be read: %v", err)
+		return 0, false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if d.Version < acked {
+		o.problem("core %d reads version %d, %d was acknowledged", core, d.Version, acked)
+	}
+	if !bytes.Equal(raw, o.sent[d.Version]) {
+		o.problem("version %d is not what was sent under it", d.Version)
+	}
+	return d.Version, true
+}
+
+// until repeats something until it holds or the time is over.
+func until(d time.Duration, holds func() bool) error {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if holds() {
+			return nil
+		}
+	}
+	return fmt.Errorf("not within %v", d)
+}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,100 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// proxy stands in front of an upstream and spoils its connections.
+type proxy struct {
+	listener net.Listener
+	target   string
+	delayMS  atomic.Int64
+	muteUp   atomic.Bool // bytes towards the upstream vanish
+	muteDown atomic.Bool // bytes from the upstream vanish
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	l, err := net.Listen("tcp", "127.0.3.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.join(c)
+	}
+}
+
+func (p *proxy) join(c net.Conn) {
+	u, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[c], p.conns[u] = true, true
+	p.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go func() { p.copy(u, c, &p.muteUp); done <- struct{}{} }()
+	go func() { p.copy(c, u, &p.muteDown); done <- struct{}{} }()
+	<-done
+	_ = c.Close()
+	_ = u.Close()
+	<-done
+	p.mu.Lock()
+	delete(p.conns, c)
+	delete(p.conns, u)
+	p.mu.Unlock()
+}
+
+func (p *proxy) copy(to io.Writer, from io.Reader, mute *atomic.Bool) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !mute.Load() {
+			time.Sleep(time.Duration(p.delayMS.Load()) * time.Millisecond)
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// reset breaks all connections off.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) heal() {
+	p.delayMS.Store(0)
+	p.muteUp.Store(false)
+	p.muteDown.Store(false)
+}
--- /dev/null
+++ b/soak/upstream_test.go
@@ -0,0 +1,209 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const events = 8 // of a stream
+
+// ledger records what ran where.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int // by attempt ID
+}
+
+func (l *ledger) ran(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id]++
+}
+
+func (l *ledger) count(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+// upstream is a stand-in: a plain service, or an engine host that forms groups
+// of two.
+type upstream struct {
+	w       *world
+	id      string
+	service string
+	zone    string
+	domain  string
+	ledger  *ledger
+	proxy   *proxy
+	server  *http.Server
+	quit    chan struct{}
+	kick    chan struct{}
+
+	mu       sync.Mutex
+	sequence int
+	born     int64
+	staged   []string
+	group    map[string]any
+	members  []string
+	epoch    int64
+}
+
+func (w *world) addUpstream(t *testing.T, id, service, zone, domain string, l *ledger) *upstream {
+	listener, err := net.Listen("tcp", "127.0.4.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{
+		w: w, id: id, service: service, zone: zone, domain: domain, ledger: l, quit: make(chan struct{}), kick: make(chan struct{}, 1),
+		born: time.Now().UnixMilli(), proxy: newProxy(t, listener.Addr().String()),
+	}
+	u.server = &http.Server{Handler: u}
+	go func() { _ = u.server.Serve(listener) }()
+	go u.announce()
+	w.upstreams = append(w.upstreams, u)
+	return u
+}
+
+func (u *upstream) stop() {
+	close(u.quit)
+	_ = u.server.Close()
+	_ = u.proxy.listener.Close()
+	u.proxy.reset()
+}
+
+// announce sends heartbeats to any coordinator that takes them.
+func (u *upstream) announce() {
+	client := &http.Client{Timeout: time.Second}
+	for i := 0; ; i++ {
+		u.mu.Lock()
+		u.sequence++
+		body, _ := json.Marshal(map[string]any{
+			"service": u.service, "address": u.proxy.address(), "zone": u.zone, "slots": 8, "state": "ready", "warmup_left_ms": 0,
+			"sequence": u.sequence, "born": u.born, "domain": u.domain, "staged": u.staged, "group": u.group,
+		})
+		u.mu.Unlock()
+		req, _ := http.NewRequest(http.MethodPut, u.w.coreURL(i%3)+"/api/instances/"+u.id, bytes.NewReader(body))
+		wait := 400 * time.Millisecond
+		if resp, err := client.Do(req); err != nil || resp.StatusCode != 200 {
+			wait = 50 * time.Millisecond
+		} else {
+			_ = resp.Body.Close()
+		}
+		select {
+		case <-u.quit:
+			return
+		case <-u.kick:
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (u *upstream) changed() {
+	select {
+	case u.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != u.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case r.URL.Path == "/api/order":
+		w.WriteHeader(u.order(r))
+	case r.URL.Path == "/api/report":
+		_, _ = io.WriteString(w, "{}")
+	case u.domain != "":
+		u.stream(w, r)
+	default:
+		u.whole(w, r)
+	}
+}
+
+func (u *upstream) order(r *http.Request) int {
+	var o struct {
+		Op, Group, Model string
+		Epoch            int64
+		Members          []string
+	}
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		return http.StatusBadRequest
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	defer u.changed()
+	mine := u.group != nil && u.group["name"] == o.Group
+	switch {
+	case o.Op == "join" && o.Epoch < u.epoch:
+		return http.StatusPreconditionFailed
+	case o.Op == "join" && !mine:
+		rank := 0
+		for i, m := range o.Members {
+			if m == u.id {
+				rank = i
+			}
+		}
+		u.epoch, u.members, u.staged = o.Epoch, o.Members, []string{o.Model}
+		u.group = map[string]any{"name": o.Group, "epoch": o.Epoch, "rank": rank, "state": "ready"}
+	case o.Op == "open" && (!mine || u.group["rank"] != 0):
+		return http.StatusConflict
+	case o.Op == "open":
+		u.group = map[string]any{"name": o.Group, "epoch": o.Epoch, "rank": 0, "state": "open"}
+	case o.Op == "leave" && !mine:
+		return http.StatusConflict
+	case o.Op == "leave":
+		u.group = nil
+	case o.Op == "stage":
+		u.staged = []string{o.Model}
+	}
+	return http.StatusOK
+}
+
+func signature(id string) string { return "sig-" + id }
+
+func (u *upstream) whole(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	u.ledger.ran(id)
+	time.Sleep(5 * time.Millisecond)
+	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set("X-Response-Signature", signature(id))
+	_, _ = fmt.Fprintf(w, "answer to %s of %d bytes", id, len(body))
+}
+
+func (u *upstream) stream(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	u.mu.Lock()
+	open := u.group != nil && u.group["state"] == "open"
+	u.mu.Unlock()
+	w.Header().Set("X-Attempt-Id", id)
+	if !open {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	u.ledger.ran(id)
+	from, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
+	w.Header().Set("X-Response-Signature", signature(id))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := from + 1; i <= events; i++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", i, id, i); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
