Drain the group of a host that signed off instead of taking it apart

Change: signing off counts as leaving; only a host whose address another process has, or that does not answer, breaks its group. Test first: the sim's group of a host that signed off ended with requests running. Ruled out: the entry host (it closed after its route's attempts were used up).

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -51,6 +51,7 @@
 		}
 		if u.Born == known.Born {
 			u.State = worse(known.State, u.State)
+			u.SignedOff = known.SignedOff
 			u.Barred = known.Barred
 			if u.LastGroup == "" {
 				u.LastGroup = known.LastGroup
@@ -64,7 +65,10 @@
 		if owner.Born >= u.Born {
 			return false
 		}
-		r.change(owner, func(e *Entry) { e.State = Gone })
+		r.change(owner, func(e *Entry) {
+			e.State = Gone
+			e.SignedOff = false
+		})
 	}
 	r.owners[u.Address] = u.ID
 	if known == nil {
@@ -98,7 +102,10 @@
 	if e == nil || e.Born != born || worse(e.State, state) == e.State {
 		return false
 	}
-	r.change(e, func(e *Entry) { e.State = state })
+	r.change(e, func(e *Entry) {
+		e.State = state
+		e.SignedOff = state == Gone
+	})
 	return true
 }
 
--- a/pkg/fleet/upstream.go
+++ b/pkg/fleet/upstream.go
@@ -48,6 +48,9 @@
 	// LastGroup is the newest group that this incarnation was ready in. It is
 	// kept by those who listen; the upstream does not say it.
 	LastGroup string `json:"lg,omitempty"`
+	// SignedOff says that a Gone upstream took its leave: it serves what runs
+	// for a while longer. Otherwise another process has its address.
+	SignedOff bool `json:"so,omitempty"`
 	// Barred is set by the coordinator: the head's group is being taken
 	// apart and gets no new requests.
 	Barred bool `json:"x,omitempty"`
@@ -62,6 +65,10 @@
 	return u.Sequence > v.Sequence
 }
 
+// Leaving tells whether the upstream said that it ends, and may still serve
+// what runs.
+func (u *Upstream) Leaving() bool { return u.State == Draining || u.State == Gone && u.SignedOff }
+
 // Leads tells whether the upstream is the head of an open group.
 func (u *Upstream) Leads() bool {
 	return u.Seat != nil && u.Seat.Rank == 0 && u.Seat.State == SeatOpen
--- a/pkg/formation/life.go
+++ b/pkg/formation/life.go
@@ -41,7 +41,7 @@
 		switch {
 		case m.group != g:
 			return "a member was lost"
-		case m.State == fleet.Gone:
+		case m.State == fleet.Gone && !m.SignedOff:
 			return "member " + m.ID + " is gone"
 		case m.dead:
 			return "member " + m.ID + " does not answer"
@@ -92,11 +92,11 @@
 // a member said that it leaves.
 func (p *Planner) drainIfLeaving(now time.Duration, g *group) {
 	for _, m := range g.members {
-		if m.State == fleet.Draining {
+		if m.Leaving() {
 			g.phase = draining
 			g.since = now
 			g.deadline = now + drainLimit
-			g.reason = "member " + m.ID + " is draining"
+			g.reason = "member " + m.ID + " leaves"
 			return
 		}
 	}
--- a/pkg/formation/options.go
+++ b/pkg/formation/options.go
@@ -13,7 +13,7 @@
 	formSlack = 4 * time.Second
 	// drainLimit bounds how long running requests of a group may hold up its
 	// end; a draining member serves its head for 10 s at most.
-	drainLimit = 6 * time.Second
+	drainLimit = 9 * time.Second
 	// SilentAfter is the silence of a host after which it is probed: two
 	// announcements and their way.
 	SilentAfter = 2600 * time.Millisecond
--- a/pkg/formation/sim_test.go
+++ b/pkg/formation/sim_test.go
@@ -436,6 +436,32 @@
 	}
 }
 
+// A host that signs off without a notice serves on for a while (seen as LOST on
+// a mixed day: streams were cut as if it had died).
+func TestGroupOfAHostThatSignedOffEndsAfterItsRequests(t *testing.T) {
+	s := fleetOf48(t, 5)
+	s.planner.TrafficBegun(s.now)
+	for _, h := range s.sorted() {
+		if !h.Leads() || len(h.members) != 4 {
+			continue
+		}
+		s.planner.SetBusy(map[string]int{h.ID: 3})
+		member := s.hosts[h.members[2]]
+		member.State, member.SignedOff = fleet.Gone, true
+		s.beat(member)
+		s.run(3 * time.Second)
+		if !h.Leads() || !s.planner.Barred()[h.ID] {
+			t.Errorf("with running requests: leads %v, barred %v", h.Leads(), s.planner.Barred()[h.ID])
+		}
+		s.planner.SetBusy(nil)
+		s.run(2 * time.Second)
+		if h.Leads() && h.members[2] == member.ID {
+			t.Error("the group still stands")
+		}
+		return
+	}
+}
+
 func TestLoadsStayUnderTheCeiling(t *testing.T) {
 	s := fleetOf48(t, 6)
 	s.planner.TrafficBegun(s.now)
