--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KNOWN_RED := $(shell sed -n 's/^test \([^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 TEST := $(GO) test -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: build test lint format-check vet demo trial prove bench check-cgo
+.PHONY: build test lint format-check vet demo trial prove soak bench check-cgo
 
 build:
 	CGO_ENABLED=1 $(GO) build -o $(BIN)/ ./cmd/...
@@ -46,5 +46,11 @@
 	$(GO) test -c -o $(BIN)/prove.test ./pkg/prove/matrix
 	$(BIN)/prove.test -matrix -seed $(SEED) -test.timeout 20m
 
+# The real programs as processes under faults from outside; real time.
+SEEDS ?= 50
+FIRST ?= 100
+soak:
+	$(GO) test -count=1 -v -timeout 60m ./soak -seeds $(SEEDS) -first $(FIRST)
+
 bench: build
 	BIN=$(BIN) bash scripts/bench.sh
