--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -76,6 +76,9 @@
 	changeTimeout = 900 * time.Millisecond
 	// probeTimeout bounds one question to a host; a second try follows.
 	probeTimeout = 300 * time.Millisecond
+	// answerAge is how long the answer to a probe holds: several entry hosts
+	// suspect the same head within a short time.
+	answerAge = 400 * time.Millisecond
 	// orderTimeout bounds one order; hosts answer at once or late.
 	orderTimeout = time.Second
 	// entryAge is how long an entry host counts after its last sync.
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -55,6 +55,7 @@
 	changed chan struct{} // closed at news for other processes
 	orders  chan struct{} // places for open orders
 	probing map[string]bool
+	answers map[string]time.Duration // when a host last answered a probe
 	traffic bool
 	barred  map[string]bool
 
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/durable"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
@@ -59,6 +60,7 @@
 		changed: make(chan struct{}),
 		orders:  make(chan struct{}, openOrders),
 		probing: map[string]bool{},
+		answers: map[string]time.Duration{},
 		barred:  map[string]bool{},
 	}
 	// The upstreams are known from the former leader; each gets the time to
--- a/pkg/coordinator/probe.go
+++ b/pkg/coordinator/probe.go
@@ -33,7 +33,7 @@
 // does not answer twice while no entry host sees its group work, is dead. The
 // caller holds the lock.
 func (c *Coordinator) probe(ctx context.Context, l *leadership, u fleet.Upstream, reason string) {
-	if l.probing[u.ID] {
+	if at, answered := l.answers[u.ID]; l.probing[u.ID] || answered && c.now()-at < answerAge {
 		return
 	}
 	l.probing[u.ID] = true
@@ -46,6 +46,9 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(l.probing, u.ID)
+		if err == nil {
+			l.answers[u.ID] = c.now()
+		}
 		head := l.planner.HeadOf(u.ID)
 		works := err != nil && head != "" && c.worksSince(l, head, began)
 		c.cfg.Logger.Info("host probed", "host_id", u.ID, "reason", reason, "answers", err == nil, "cause", err, "group_works", works)
--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -265,15 +265,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	fresh := now >= t.suspectUntil
+	if fresh && t.suspectedAt > 0 && t.lastByte > t.suspectedAt {
+		t.alarms++
+	}
+	t.suspectedAt = now
 	t.suspectUntil = now + suspectFor
 	return fresh, t.silence(now)
 }
 
-// silence returns how long nothing came from an upstream.
-func (b *balancer) silence(now time.Duration, t *target) time.Duration {
+// silence returns how long nothing came from an upstream, and how long that may
+// be: the prompts that wait there are read first, and a head that was suspected
+// without cause gets more time.
+func (b *balancer) silence(now time.Duration, t *target, writes bool) (time.Duration, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return t.silence(now)
+	bound := silentHead
+	if !writes {
+		bound = silentFirst + time.Duration(t.unread+t.othersUn)*silentPrompt
+	}
+	return t.silence(now), bound << min(t.alarms, alarmsMost)
 }
 
 // progressTold is the age up to which a head's last byte is told.
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -250,8 +250,16 @@
 	_, _ = io.WriteString(c.w, text+"\n") // the client sees what is missing
 }
 
-// end counts the request and writes its line.
+// end counts the request and writes its line. An answer that began and is not
+// whole is broken off: there is no other way to tell the client.
 func (c *call) end() {
+	c.account()
+	if c.headSent && (c.outcome == cutShort || c.outcome == clientLeft) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *call) account() {
 	now := c.gate.now()
 	c.gate.metrics.ended(c, now-c.began)
 	if c.firstAt != 0 {
@@ -271,8 +279,4 @@
 		"ms", (now - c.began).Milliseconds(), "first_ms", max((c.firstAt-c.began).Milliseconds(), 0), "pause_ms", c.pause.Milliseconds(),
 		"left_ms", max(c.until-now, 0).Milliseconds(), "document", version,
 		"view_age_ms", (now - time.Duration(c.gate.synced.Load())).Milliseconds(), "inputs", c.inputs, "cause", c.cause)
-	if c.outcome == cutShort {
-		// The only way to tell the client that the answer is not whole.
-		panic(http.ErrAbortHandler)
-	}
 }
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -56,12 +56,17 @@
 	// silentFirst is the same for a head from which nothing has come on a
 	// stream yet: prompts of others may be read first.
 	silentFirst = 800 * time.Millisecond
+	// silentPrompt is added to it for each prompt that waits at the head.
+	silentPrompt = 40 * time.Millisecond
+	// alarmsMost bounds how often the time of a head that was suspected without
+	// cause doubles.
+	alarmsMost = 2
 	// silentStream is the silence of one stream of a head that sends others.
 	silentStream = 1200 * time.Millisecond
 	// watchPause is the time between two looks at a silent stream.
 	watchPause = 150 * time.Millisecond
 	// suspectFor is how long a head that went silent gets no new requests.
-	suspectFor = 1500 * time.Millisecond
+	suspectFor = time.Second
 	// backoffFirst and backoffMost bound the time without new requests after
 	// an upstream failed one; it doubles with each failure in a row.
 	backoffFirst = 200 * time.Millisecond
--- a/pkg/entry/gate_test.go
+++ b/pkg/entry/gate_test.go
@@ -446,6 +446,45 @@
 	})
 }
 
+// Load: many streams break off in one second, so that the lines about some of
+// them are not written (seen as ORDER on trouble-2).
+func TestBrokenStreamsNeverLookWholeHoweverManyThereAre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := streamFrom(10, 4, "s", func(c net.Conn) { _ = c.Close() })
+		b := newBench(t, map[string]answerFunc{"head1": func(c net.Conn, r *http.Request, attempt string) bool {
+			return r.Header.Get("Last-Event-Id") == "" && first(c, r, attempt)
+		}})
+		b.gate.lines.second = b.gate.now() + time.Hour
+		b.gate.lines.count = linesPerSecond
+		if w := b.send("POST", "/stream/1", "prompt", nil); !w.cut {
+			t.Errorf("the broken stream looks whole: %d %q", w.status, w.body.String())
+		}
+	})
+}
+
+// A client that left in the middle may still read: what it gets must not look
+// whole.
+func TestStreamOfAClientThatLeftDoesNotLookWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, map[string]answerFunc{"head1": streamFrom(100, 100, "s", nil)})
+		ctx, leave := context.WithCancel(context.Background())
+		r, _ := http.NewRequestWithContext(ctx, "POST", "http://shop.example/stream/1", strings.NewReader("p"))
+		r.RequestURI = "/stream/1"
+		r.Header.Set("Authorization", "Bearer key-1")
+		r.Header.Set(testHeaders.Attempt, "a")
+		r.Header.Set(testHeaders.Model, "m")
+		go func() { time.Sleep(100 * time.Millisecond); leave() }()
+		aborted := false
+		func() {
+			defer func() { aborted = recover() == http.ErrAbortHandler }()
+			b.gate.ServeHTTP(&recorder{header: http.Header{}}, r)
+		}()
+		if !aborted {
+			t.Error("the answer ends as if it were whole")
+		}
+	})
+}
+
 // Load: the only head breaks off; it is there again a moment later.
 func TestStreamWaitsAMomentForAHead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -244,14 +244,6 @@
 	gaveUp atomic.Bool
 }
 
-// bound returns the silence that the stream may show.
-func (w *watch) bound() time.Duration {
-	if w.writes.Load() {
-		return silentHead
-	}
-	return silentFirst
-}
-
 func (s *streaming) watch(t *target, cancel context.CancelFunc) *watch {
 	w := &watch{s: s, t: t, cancel: cancel}
 	w.last.Store(int64(s.call.gate.now()))
@@ -273,12 +265,12 @@
 	g := c.gate
 	now := g.now()
 	own := now - time.Duration(w.last.Load())
-	head := g.balancer.silence(now, w.t)
+	head, bound := g.balancer.silence(now, w.t, w.writes.Load())
 	switch {
-	case own < w.bound():
-		w.timer.Reset(w.bound() - own)
+	case own < bound:
+		w.timer.Reset(bound - own)
 		return
-	case head >= w.bound():
+	case head >= bound:
 		g.suspectHead(now, w.t, false)
 	case own < silentStream:
 		w.timer.Reset(watchPause)
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -21,6 +21,8 @@
 	starts   []time.Duration // own requests sent in the last second
 
 	suspectUntil time.Duration
+	suspectedAt  time.Duration // last time
+	alarms       int           // suspicions of this head after which it sent again
 	backoffUntil time.Duration
 	failures     int     // in a row
 	errorRate    float64 // smoothed share of failed answers
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -86,6 +86,7 @@
 	}
 	if u.Seat == nil || t.Seat == nil || *u.Seat != *t.Seat {
 		t.suspectUntil = 0
+		t.alarms = 0
 	}
 	t.Upstream = u
 	t.missing = 0
--- a/pkg/formation/options.go
+++ b/pkg/formation/options.go
@@ -27,7 +27,7 @@
 	// are formed, so that they are planned over whole domains.
 	settleTime = 500 * time.Millisecond
 	// settleLimit bounds that wait.
-	settleLimit = 2500 * time.Millisecond
+	settleLimit = 4500 * time.Millisecond
 	// loadShare is the part of the load ceiling that the planner uses; the
 	// rest is for loads that start late.
 	loadShare = 0.9
