Count a new coordinator's silence from its place; let a removed one find out

Change: the place counts as a first word; a learner without a leader asks the others, who tell it that it was removed. Test first: TestNewcomerIsNotTakenForSilent and TestCoordinatorRemovedWhileCutOffComesBack failed before.

--- a/pkg/coordinator/quorum_test.go
+++ b/pkg/coordinator/quorum_test.go
@@ -266,6 +266,46 @@
 	})
 }
 
+// A coordinator that was just given a place has not asked for news yet (seen on
+// the own day "control": it was removed at once, and after the next loss no
+// quorum was left).
+func TestNewcomerIsNotTakenForSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCore(t)
+		c.put("a", "v3")
+		time.Sleep(time.Minute)
+		leader := c.running[c.leader()]
+		if _, err := leader.join(context.Background(), control.FleetJoinRequest{Address: "d:1"}); err != nil {
+			t.Fatal(err)
+		}
+		if err := leader.tendOnce(context.Background(), leader.node.Load().node); err != nil {
+			t.Fatal(err)
+		}
+		if ms := c.membership(); len(ms.Members) != 4 {
+			t.Errorf("members %+v", ms.Members)
+		}
+	})
+}
+
+func TestCoordinatorRemovedWhileCutOffComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCore(t)
+		c.put("a", "v3")
+		c.start("d", false)
+		time.Sleep(5 * time.Second)
+		c.network.Split([]string{"d"}, []string{"a", "b", "c"})
+		time.Sleep(20 * time.Second)
+		if ms := c.membership(); len(ms.Members) != 3 {
+			t.Errorf("members while it is cut off: %+v", ms.Members)
+		}
+		c.network.HealAll()
+		time.Sleep(10 * time.Second)
+		if ms := c.membership(); len(ms.Members) != 4 {
+			t.Errorf("members after the cut: %+v", ms.Members)
+		}
+	})
+}
+
 func TestCoordinatorCutOffReadsNothingOld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCore(t)
--- a/pkg/coordinator/tend.go
+++ b/pkg/coordinator/tend.go
@@ -40,6 +40,12 @@
 		return control.FleetJoinResult{}, c.translate(err)
 	}
 	c.cfg.Logger.Info("replica added", "replica", id, "address", req.Address)
+	c.mu.Lock()
+	if c.leads != nil {
+		// Its silence counts from now.
+		c.note(c.leads, control.FleetSyncRequest{Process: req.Address})
+	}
+	c.mu.Unlock()
 	return control.FleetJoinResult{Replica: uint64(id), Cluster: c.member.cluster(), Peers: c.peers()}, nil
 }
 
--- a/pkg/raft/election.go
+++ b/pkg/raft/election.go
@@ -35,6 +35,8 @@
 		if c.removed(c.id) {
 			c.refused = RefusalRemoved
 		}
+		// It may have been removed while no message reached it.
+		c.greetAll()
 		return
 	}
 	if c.cfg.Unsafe.NoPreVote {
