Leave cold upstreams to some entry hosts where there are many

Change: where there are more entry hosts than requests in the bound, each sends one a second at most, and to an upstream that may be cold only if it is one of the few that draw it. Sites with fewer entry hosts keep their rule. Test first: 77 entry hosts sent 77 requests in a second, 32 are borne.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -32,6 +32,7 @@
 	mu       sync.Mutex
 	targets  map[string]*target
 	evacuate map[string]bool
+	name     string // of this entry host
 	zone     string
 	entries  int // entry hosts in all
 
@@ -43,6 +44,7 @@
 	return &balancer{
 		targets:    map[string]*target{},
 		evacuate:   map[string]bool{},
+		name:       cfg.Name,
 		zone:       cfg.Zone,
 		entries:    1,
 		coldFactor: cfg.ColdFactor,
@@ -138,7 +140,7 @@
 	switch {
 	case w.tried[t.ID], now < t.suspectUntil, now < t.backoffUntil:
 		return allFailing
-	case w.service.ColdPerSecond > 0 && t.startsNow(now) >= b.startsAllowed(w.service):
+	case !b.mayStart(now, t, w.service):
 		return coldBound
 	case t.total() >= b.room(t, w):
 		return allFull
@@ -163,13 +165,6 @@
 	return room
 }
 
-// startsAllowed is this host's part of the requests that a cold upstream
-// bears in a second. It holds for all: an upstream may turn cold unannounced.
-func (b *balancer) startsAllowed(s *catalog.Service) int {
-	all := s.ColdPerSecond*b.coldFactor + b.coldSlack
-	return max(int(all/float64(b.entries+entriesToCome)), 1)
-}
-
 // score rates an upstream: the requests there, by how slowly they run, and
 // what lately failed.
 func (b *balancer) score(t *target, w wish) float64 {
--- /dev/null
+++ b/pkg/entry/cold.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/catalog"
+)
+
+const (
+	// coldFor is how long an upstream counts as cold after it was first seen,
+	// came back, or its failure domain was taken back: longer than a warm-up and
+	// the way of the news.
+	coldFor = 12 * time.Second
+	// coldSubset is the part of the bound that is filled where each upstream is
+	// left to some of the entry hosts; the rest is for how hosts fall on it.
+	coldSubset = 0.75
+)
+
+// mayStart tells whether this entry host may send an upstream another request
+// now, so that all together stay within what a cold upstream bears in a second.
+// Where there are fewer entry hosts than requests in the bound, each keeps to its
+// part, whether the upstream is known to be cold or not. Where there are more,
+// each sends one a second at most, and to a cold upstream only if it is one of
+// the few that it is left to.
+func (b *balancer) mayStart(now time.Duration, t *target, s *catalog.Service) bool {
+	if s.ColdPerSecond <= 0 {
+		return true
+	}
+	part := (s.ColdPerSecond*b.coldFactor + b.coldSlack) / float64(b.entries+entriesToCome)
+	if part >= 1 {
+		return t.startsNow(now) < int(part)
+	}
+	return t.startsNow(now) < 1 && (now >= t.coldUntil || b.draws(t) < coldSubset*part)
+}
+
+// draws returns a number in [0,1) that this entry host has for an upstream.
+func (b *balancer) draws(t *target) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(b.name + "/" + t.ID))
+	return float64(h.Sum64()%(1<<32)) / math.Exp2(32)
+}
--- a/pkg/entry/gate_test.go
+++ b/pkg/entry/gate_test.go
@@ -527,6 +527,30 @@
 	})
 }
 
+// Load: 77 entry hosts send as much as they may to an upstream that came back
+// cold (seen as FAILBACK on the own day machines of the grown Colete Sul).
+func TestColdBoundHoldsWithMoreEntryHostsThanRequests(t *testing.T) {
+	service := &catalog.Service{Name: "plain", ColdPerSecond: 18}
+	allowed := 18*1.5 + 5
+	for upstream := range 200 {
+		starts := 0
+		for e := range 77 {
+			b := newBalancer(Config{Name: fmt.Sprintf("entry-%d", e), ColdFactor: 1.5, ColdSlack: 5})
+			b.entries = 77
+			u := fleet.Upstream{ID: fmt.Sprintf("u%d", upstream), Service: "plain", Slots: 50, State: fleet.Ready, Born: 1, Sequence: 1}
+			b.takeUpstream(time.Minute, u)
+			for range 3 {
+				if _, why := b.choose(time.Minute+time.Second, wish{service: service}); why == noReason {
+					starts++
+				}
+			}
+		}
+		if float64(starts) > allowed {
+			t.Errorf("upstream %d gets %d requests in a second, it bears %.0f", upstream, starts, allowed)
+		}
+	}
+}
+
 func TestGoneClientEndsTheWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ended := make(chan time.Time, 1)
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -20,6 +20,8 @@
 	busyFrom time.Duration   // when the first of the running requests was sent
 	starts   []time.Duration // own requests sent in the last second
 
+	coldUntil time.Duration // it may be cold until then
+
 	suspectUntil time.Duration
 	suspectedAt  time.Duration // last time
 	alarms       int           // suspicions of this head after which it sent again
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
@@ -17,9 +18,10 @@
 	named := map[string]bool{}
 	for _, u := range result.Upstreams {
 		named[u.ID] = true
-		b.takeUpstream(u)
+		b.takeUpstream(now, u)
 	}
 	if newer {
+		b.takenBack(now, result.Evacuated)
 		b.evacuate = map[string]bool{}
 		for _, zone := range result.Evacuated {
 			b.evacuate[zone] = true
@@ -65,11 +67,21 @@
 	return fleet.Draining
 }
 
-func (b *balancer) takeUpstream(u fleet.Upstream) {
+// takenBack notes that the upstreams of failure domains that are not evacuated
+// any more may be cold.
+func (b *balancer) takenBack(now time.Duration, evacuated []string) {
+	for _, t := range b.targets {
+		if b.evacuate[t.Zone] && !slices.Contains(evacuated, t.Zone) {
+			t.coldUntil = now + coldFor
+		}
+	}
+}
+
+func (b *balancer) takeUpstream(now time.Duration, u fleet.Upstream) {
 	t := b.targets[u.ID]
 	if t == nil {
 		if u.State != fleet.Gone {
-			b.targets[u.ID] = &target{Upstream: u, slowness: 1}
+			b.targets[u.ID] = &target{Upstream: u, slowness: 1, coldUntil: now + coldFor}
 		}
 		return
 	}
@@ -84,6 +96,9 @@
 		t.failures, t.errorRate, t.slowness = 0, 0, 1
 		t.suspectUntil, t.backoffUntil = 0, 0
 	}
+	if u.Born != t.Born || u.WarmupMS > 0 {
+		t.coldUntil = now + coldFor
+	}
 	if u.Seat == nil || t.Seat == nil || *u.Seat != *t.Seat {
 		t.suspectUntil = 0
 		t.alarms = 0
