Keep one copy of group names, draining, slots and the wanted mix

Cause: two packages cut a group's name for its model; a group began to drain in two places; slots of an upstream and the number of wanted groups were counted twice; a decision made the models and counts anew for each model; candidates were sorted and then shuffled; a WaitGroup of requests had nobody who waited. Change: fleet.GroupName and ModelOf, group.drain, slotsOf, Planner.wanted; counts are handed down; the sort and the WaitGroup are gone; two tests share a stand-in, their assertions are the same. An engine that declares no slots is now rated by the upstream's own. Conclusion: behaviour as before else.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -2,8 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sort"
-	"strings"
 	"sync"
 	"time"
 
@@ -72,7 +70,9 @@
 	var able []*target
 	for _, t := range b.candidates(w) {
 		if r := b.refuses(now, t, w); r != noReason {
-			why = worseReason(why, r)
+			if soonest[r] > soonest[why] {
+				why = r
+			}
 			continue
 		}
 		able = append(able, t)
@@ -80,7 +80,7 @@
 	if len(able) == 0 {
 		return nil, why
 	}
-	// The better of two drawn at random: entry hosts that know the same old
+	// The best of a few drawn at random: entry hosts that know the same old
 	// counts would all choose the same best one.
 	b.rand.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
 	for _, t := range able[:min(len(able), drawn)] {
@@ -97,45 +97,24 @@
 	return best, noReason
 }
 
-// worseReason keeps the reason that passes soonest.
-func worseReason(a, b reason) reason {
-	order := []reason{noUpstream, allFailing, coldBound, allFull}
-	rank := func(r reason) int {
-		for i, v := range order {
-			if v == r {
-				return i
-			}
-		}
-		return 0
-	}
-	if rank(b) > rank(a) {
-		return b
-	}
-	return a
-}
+// soonest orders the reasons: of two, the one that passes sooner is told.
+var soonest = map[reason]int{noUpstream: 0, allFailing: 1, coldBound: 2, allFull: 3}
 
-// candidates returns the upstreams that could serve a request at all, sorted.
+// candidates returns the upstreams that could serve a request at all.
 func (b *balancer) candidates(w wish) []*target {
 	var ts []*target
 	for _, t := range b.targets {
 		if t.Service != w.service.Name || t.State != fleet.Ready || t.Barred || b.evacuate[t.Zone] {
 			continue
 		}
-		if w.service.Engine != nil && (!t.Leads() || servedModel(t.Seat.Group) != w.model) {
+		if w.service.Engine != nil && (!t.Leads() || fleet.ModelOf(t.Seat.Group) != w.model) {
 			continue
 		}
 		ts = append(ts, t)
 	}
-	sort.Slice(ts, func(i, j int) bool { return ts[i].ID < ts[j].ID })
 	return ts
 }
 
-// servedModel returns the model that a group's name begins with.
-func servedModel(group string) string {
-	model, _, _ := strings.Cut(group, "/")
-	return model
-}
-
 func (b *balancer) refuses(now time.Duration, t *target, w wish) reason {
 	switch {
 	case w.tried[t.ID], now < t.suspectUntil, now < t.backoffUntil:
@@ -148,16 +127,18 @@
 	return noReason
 }
 
+// slotsOf returns how many requests run at once at an upstream, 1 or more.
+func slotsOf(t *target, w wish) int {
+	if w.service.Engine != nil && w.service.Engine.Slots > 0 {
+		return w.service.Engine.Slots
+	}
+	return max(t.Slots, 1)
+}
+
 // room returns how many requests may be at an upstream: what runs at once and
 // a few that wait there, so that no place stays empty while news travels.
 func (b *balancer) room(t *target, w wish) int {
-	slots := t.Slots
-	if w.service.Engine != nil && w.service.Engine.Slots > 0 {
-		slots = w.service.Engine.Slots
-	}
-	if slots == 0 {
-		slots = 1
-	}
+	slots := slotsOf(t, w)
 	room := slots + max(slots/4, 1)
 	if w.resumes {
 		room += room / 4
@@ -168,11 +149,7 @@
 // score rates an upstream: the requests there, by how slowly they run, and
 // what lately failed.
 func (b *balancer) score(t *target, w wish) float64 {
-	slots := t.Slots
-	if w.service.Engine != nil {
-		slots = w.service.Engine.Slots
-	}
-	load := (float64(t.total()+1) + unreadCost*float64(t.unread+t.othersUn)) / float64(max(slots, 1))
+	load := (float64(t.total()+1) + unreadCost*float64(t.unread+t.othersUn)) / float64(slotsOf(t, w))
 	score := load*max(t.slowness, 1) + errorCost*t.errorRate
 	if t.Zone != b.zone {
 		score += farCost
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -58,8 +58,6 @@
 
 // ServeHTTP takes a client's request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
 	c := &call{gate: g, w: w, r: r, ctx: r.Context(), began: g.now(), tried: map[string]bool{}}
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +28,6 @@
 	started  time.Duration
 	first    chan struct{} // closed when the first document is in force
 	stopping atomic.Bool
-	inFlight sync.WaitGroup
 }
 
 // New returns an entry host that does not run yet.
--- a/pkg/entry/gate_test.go
+++ b/pkg/entry/gate_test.go
@@ -367,6 +367,14 @@
 	}
 }
 
+// breaksForGood writes four events and breaks off; it resumes nothing.
+func breaksForGood() answerFunc {
+	first := streamFrom(10, 4, "s", func(c net.Conn) { _ = c.Close() })
+	return func(c net.Conn, r *http.Request, attempt string) bool {
+		return r.Header.Get("Last-Event-Id") == "" && first(c, r, attempt)
+	}
+}
+
 func events10() string {
 	var s strings.Builder
 	for i := 1; i <= 10; i++ {
@@ -417,10 +425,7 @@
 
 func TestStreamWithoutAnotherHeadEndsWithoutLookingWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		first := streamFrom(10, 4, "s", func(c net.Conn) { _ = c.Close() })
-		b := newBench(t, map[string]answerFunc{"head1": func(c net.Conn, r *http.Request, attempt string) bool {
-			return r.Header.Get("Last-Event-Id") == "" && first(c, r, attempt)
-		}})
+		b := newBench(t, map[string]answerFunc{"head1": breaksForGood()})
 		before := time.Now()
 		w := b.send("POST", "/stream/1", "prompt", nil)
 		if !w.cut || strings.Count(w.body.String(), "data:") != 4 {
@@ -450,10 +455,7 @@
 // them are not written (seen as ORDER on trouble-2).
 func TestBrokenStreamsNeverLookWholeHoweverManyThereAre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		first := streamFrom(10, 4, "s", func(c net.Conn) { _ = c.Close() })
-		b := newBench(t, map[string]answerFunc{"head1": func(c net.Conn, r *http.Request, attempt string) bool {
-			return r.Header.Get("Last-Event-Id") == "" && first(c, r, attempt)
-		}})
+		b := newBench(t, map[string]answerFunc{"head1": breaksForGood()})
 		b.gate.lines.second = b.gate.now() + time.Hour
 		b.gate.lines.count = linesPerSecond
 		if w := b.send("POST", "/stream/1", "prompt", nil); !w.cut {
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -9,8 +9,7 @@
 )
 
 // take brings a coordinator's news into the balancer. own is what was told with
-// the question. It returns the addresses of
-// upstreams that are gone.
+// the question. It returns the addresses of upstreams that are gone.
 func (b *balancer) take(now time.Duration, result control.FleetSyncResult, own told, newer bool) []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/fleet/upstream.go
+++ b/pkg/fleet/upstream.go
@@ -1,5 +1,10 @@
 package fleet
 
+import (
+	"strconv"
+	"strings"
+)
+
 // State is what an upstream says of itself.
 type State string
 
@@ -30,6 +35,20 @@
 	State SeatState `json:"s"`
 }
 
+// GroupName returns the name of a group: its model comes first, so that whoever
+// hears of a group knows what it serves.
+func GroupName(model string, epoch int64) string {
+	return model + nameSeparator + strconv.FormatInt(epoch, 10)
+}
+
+// ModelOf returns the model of a group.
+func ModelOf(groupName string) string {
+	model, _, _ := strings.Cut(groupName, nameSeparator)
+	return model
+}
+
+const nameSeparator = "/"
+
 // Upstream is one incarnation of a process that serves requests.
 type Upstream struct {
 	ID       string   `json:"id"`
--- a/pkg/formation/doc.go
+++ b/pkg/formation/doc.go
@@ -4,7 +4,7 @@
 // with hosts that die every few seconds, and failure domains that go dark.
 //
 // The planner is one state machine for one goroutine. What is seen goes in by
-// Observe, Ended and Suspect; orders come out of Tick. It has no sockets and
+// Observe, Ended and Dead; orders come out of Tick. It has no sockets and
 // reads no clock.
 //
 // Invariants:
--- a/pkg/formation/form.go
+++ b/pkg/formation/form.go
@@ -48,33 +48,22 @@
 // measured load needs some seconds to rise.
 const priorSpan = 2 * time.Second
 
-// lacking returns how many groups of each model are missing.
-func (p *Planner) lacking(ms []modelPlan) map[string]int {
-	hosts := 0
-	for _, h := range p.hosts {
-		if p.usable(h) {
-			hosts++
-		}
-	}
-	want := targets(ms, hosts)
-	for model, n := range p.groupCounts() {
-		want[model] -= n
-	}
-	return want
-}
-
 // Wanted returns how many groups each model should have in all.
 func (p *Planner) Wanted() map[string]int {
 	if p.service == nil || p.service.Engine == nil {
 		return nil
 	}
+	return p.wanted(p.models())
+}
+
+func (p *Planner) wanted(ms []modelPlan) map[string]int {
 	hosts := 0
 	for _, h := range p.hosts {
 		if p.usable(h) {
 			hosts++
 		}
 	}
-	return targets(p.models(), hosts)
+	return targets(ms, hosts)
 }
 
 // form plans new groups from free hosts. Before traffic hosts join without
@@ -84,8 +73,9 @@
 	ms := p.models()
 	for {
 		formed := false
-		for _, m := range p.byNeed(ms) {
-			if members, within := p.bestMembers(now, m); members != nil {
+		have := p.groupCounts()
+		for _, m := range p.byNeed(ms, have) {
+			if members, within := p.bestMembers(now, m, ms, have); members != nil {
 				p.newGroup(now, m, members, within)
 				formed = true
 				break
@@ -100,12 +90,11 @@
 // byNeed returns the models to which one more group is worth something, the
 // one first that has the most load for each group. Before traffic each gets
 // the groups of its part of the load.
-func (p *Planner) byNeed(ms []modelPlan) []modelPlan {
-	lacking := p.lacking(ms)
-	have := p.groupCounts()
+func (p *Planner) byNeed(ms []modelPlan, have map[string]int) []modelPlan {
+	want := p.wanted(ms)
 	var needy []modelPlan
 	for _, m := range ms {
-		if lacking[m.Name] > 0 || p.traffic && gain(m, have[m.Name]) > leastGain {
+		if want[m.Name] > have[m.Name] || p.traffic && gain(m, have[m.Name]) > leastGain {
 			needy = append(needy, m)
 		}
 	}
@@ -121,7 +110,7 @@
 
 // bestMembers returns the hosts of the failure domain that can serve a model
 // soonest, and when; nil when no domain has enough.
-func (p *Planner) bestMembers(now time.Duration, m modelPlan) ([]*host, time.Duration) {
+func (p *Planner) bestMembers(now time.Duration, m modelPlan, ms []modelPlan, have map[string]int) ([]*host, time.Duration) {
 	if m.GroupSize <= 0 {
 		return nil, 0
 	}
@@ -129,10 +118,7 @@
 	var best []*host
 	var bestTime time.Duration
 	bestLoss, bestFree := 0.0, 0
-
-	have := p.groupCounts()
-	rivals := p.rivals(m, have)
-	others := p.models()
+	rivals := rivals(m, ms, have)
 	for _, hs := range p.freeByDomain(now) {
 		var able []*host
 		times := map[string]time.Duration{}
@@ -153,7 +139,7 @@
 		sort.SliceStable(able, func(i, j int) bool { return times[able[i].ID] < times[able[j].ID] })
 		members := able[:m.GroupSize]
 		t := times[members[m.GroupSize-1].ID]
-		loss, free := lostGroups(others, m, len(hs)), len(hs)
+		loss, free := lostGroups(ms, m, len(hs)), len(hs)
 		if best == nil || t < bestTime || t == bestTime && (loss < bestLoss || loss == bestLoss && free < bestFree) {
 			best, bestTime, bestLoss, bestFree = members, t, loss, free
 		}
@@ -168,10 +154,10 @@
 }
 
 // rivals returns the models that gain more than m.
-func (p *Planner) rivals(m modelPlan, have map[string]int) []rival {
+func rivals(m modelPlan, ms []modelPlan, have map[string]int) []rival {
 	own := max(gain(m, have[m.Name]), leastGain)
 	var rs []rival
-	for _, other := range p.models() {
+	for _, other := range ms {
 		if ratio := gain(other, have[other.Name]) / own; other.Name != m.Name && ratio > 1 {
 			rs = append(rs, rival{other, ratio})
 		}
--- a/pkg/formation/group.go
+++ b/pkg/formation/group.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"strings"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/fleet"
@@ -50,11 +49,10 @@
 	return nil
 }
 
-// nameSeparator stands between model and number in a group's name, so that a
-// planner that takes over knows the model of a group it did not form.
-const nameSeparator = "/"
-
-func modelOf(groupName string) string {
-	model, _, _ := strings.Cut(groupName, nameSeparator)
-	return model
+// drain takes the group out of service while its running requests end.
+func (g *group) drain(now time.Duration, reason string) {
+	g.phase = draining
+	g.since = now
+	g.deadline = now + drainLimit
+	g.reason = reason
 }
--- a/pkg/formation/life.go
+++ b/pkg/formation/life.go
@@ -93,10 +93,7 @@
 func (p *Planner) drainIfLeaving(now time.Duration, g *group) {
 	for _, m := range g.members {
 		if m.Leaving() {
-			g.phase = draining
-			g.since = now
-			g.deadline = now + drainLimit
-			g.reason = "member " + m.ID + " leaves"
+			g.drain(now, "member "+m.ID+" leaves")
 			return
 		}
 	}
@@ -183,7 +180,7 @@
 	}
 	for epoch, hs := range seats {
 		name := hs[0].Seat.Group
-		model, known := p.service.Engine.Model(modelOf(name))
+		model, known := p.service.Engine.Model(fleet.ModelOf(name))
 		if !known || len(hs) != model.GroupSize {
 			continue
 		}
--- a/pkg/formation/planner.go
+++ b/pkg/formation/planner.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"fmt"
 	"sort"
 	"time"
 
@@ -105,7 +104,7 @@
 	}
 	h.Upstream = u
 	h.heard = heard
-	h.last = modelOf(u.LastGroup)
+	h.last = fleet.ModelOf(u.LastGroup)
 	if h.staging != "" && h.holds(h.staging) {
 		h.staging = ""
 	}
@@ -288,7 +287,7 @@
 
 func (p *Planner) newGroup(now time.Duration, m modelPlan, members []*host, within time.Duration) *group {
 	g := &group{
-		name:     fmt.Sprintf("%s%s%d", m.Name, nameSeparator, p.nextEpoch),
+		name:     fleet.GroupName(m.Name, p.nextEpoch),
 		epoch:    p.nextEpoch,
 		model:    m.Name,
 		members:  members,
--- a/pkg/formation/rebalance.go
+++ b/pkg/formation/rebalance.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/fleet"
 )
 
 const (
@@ -57,10 +59,7 @@
 	if best.from == nil {
 		return
 	}
-	best.from.phase = draining
-	best.from.since = now
-	best.from.deadline = now + drainLimit
-	best.from.reason = "its hosts are needed for " + best.to.Name
+	best.from.drain(now, "its hosts are needed for "+best.to.Name)
 	best.from.gives = map[string]int{best.to.Name: best.n, best.from.model: best.back}
 	p.rebalanced = now
 }
@@ -139,7 +138,7 @@
 	for _, h := range p.hosts {
 		// Groups of a former leadership that are not taken over yet.
 		if h.group == nil && h.Leads() && h.seated() && p.usable(h) && p.groups[h.Seat.Epoch] == nil {
-			have[modelOf(h.Seat.Group)]++
+			have[fleet.ModelOf(h.Seat.Group)]++
 		}
 	}
 	return have
--- a/pkg/formation/sim_test.go
+++ b/pkg/formation/sim_test.go
@@ -149,7 +149,7 @@
 	}
 	if h.Seat != nil && h.Seat.State == fleet.SeatJoining && s.now >= h.joinUntil {
 		h.Seat.State = fleet.SeatReady
-		h.last = modelOf(h.Seat.Group)
+		h.last = fleet.ModelOf(h.Seat.Group)
 		if len(h.Staged) == 0 {
 			h.Staged = []string{h.last}
 		}
@@ -270,7 +270,7 @@
 			whole = whole && o != nil && !o.dead && o.Seat != nil && o.Seat.Epoch == h.Seat.Epoch
 		}
 		if whole {
-			n[modelOf(h.Seat.Group)]++
+			n[fleet.ModelOf(h.Seat.Group)]++
 		}
 	}
 	return n
@@ -370,7 +370,7 @@
 			barred := s.planner.Barred()
 			n := 0
 			for _, h := range s.hosts {
-				if h.Leads() && !barred[h.ID] && modelOf(h.Seat.Group) == "large" {
+				if h.Leads() && !barred[h.ID] && fleet.ModelOf(h.Seat.Group) == "large" {
 					n++
 				}
 			}
