Move the soak into the folder that knows the infrastructure

Cause: its stand-ins speak the infrastructure's words, which nothing outside platform/ and deploy/ may know.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 SEEDS ?= 50
 FIRST ?= 100
 soak:
-	$(GO) test -count=1 -v -timeout 60m ./soak -seeds $(SEEDS) -first $(FIRST)
+	$(GO) test -count=1 -v -timeout 60m ./platform/soak -seeds $(SEEDS) -first $(FIRST)
 
 bench: build
 	BIN=$(BIN) bash scripts/bench.sh
