Place the requests of a model by one entry host

With the entry hosts' lines put together, the first event follows the tokens that the head has to read (in the median 160 to 450 ms up to 8,000 of them); but an entry host knew of 3 prompts fewer than there were, as what others told is up to 250 ms old and a prompt is read in 30.

Change: the leader names one entry host for each model that places all of the model's requests (coordinator/placers.go). The others ask it for a place and tell it when the answer began and ended (entry/placing.go, placer.go); it counts them in its own balancer, chooses the best of all heads by what they have to read, and lets half of the slots wait. An entry host that gets no answer within 60 ms chooses for itself for 400 ms. Of the bound for cold upstreams a placer has 0.3, those that choose themselves 0.4; the rest is for the moment with two placers. An entry host that starts believes upstreams that say they are warm.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -16,6 +16,7 @@
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/entry"
 	"github.com/sesamemux/sesamemux/pkg/introspect"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 	"github.com/sesamemux/sesamemux/platform"
 )
@@ -43,10 +44,12 @@
 	for _, a := range s.Seeds {
 		peers = append(peers, s.PeerAddress(a))
 	}
+	places := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort+3))
 	g := entry.New(entry.Config{
 		Name:        s.Host,
 		Zone:        s.FailureDomain,
 		Peers:       peers,
+		Places:      places,
 		Headers:     platform.Headers(),
 		Decode:      platform.CheckedManifest,
 		RetryRatio:  s.RetryRatio,
@@ -66,6 +69,12 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for health checks")
 	}
+	others, err := net.Listen("tcp", places)
+	if err != nil {
+		return eris.Wrap(err, "listen for other entry hosts")
+	}
+	server := rpc.NewServer(rpc.WithLogger(logger))
+	g.Register(server)
 	web := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: logger.StandardLog(),
@@ -79,6 +88,11 @@
 	group.Go(func() error { g.Run(running); return nil })
 	group.Go(func() error { return ignoreClosed(web.Serve(clients)) })
 	group.Go(func() error { return ignoreClosed(health.Serve(ready)) })
+	group.Go(func() error { return ignoreClosed(server.Serve(others)) })
+	context.AfterFunc(running, func() {
+		server.Close()
+		_ = others.Close()
+	})
 	group.Go(func() error { return introspect.HTTP(running, metrics, g.Metrics().Registry, g.Ready) })
 	group.Go(func() error {
 		defer stopped()
@@ -112,7 +126,7 @@
 }
 
 func ignoreClosed(err error) error {
-	if eris.Is(err, http.ErrServerClosed) {
+	if eris.Is(err, http.ErrServerClosed) || eris.Is(err, rpc.ErrClosed) {
 		return nil
 	}
 	return err
--- a/pkg/access/allow.go
+++ b/pkg/access/allow.go
@@ -35,6 +35,8 @@
 	control.MethodFleetChange:       {Keeper},
 	control.MethodFleetRead:         {Keeper},
 	control.MethodFleetJoin:         {Keeper},
+	control.MethodFleetPlace:        {Gate},
+	control.MethodFleetPlaced:       {Gate},
 	control.MethodKeeperReplace:     {Operator},
 	control.MethodKeeperStatus:      {Operator},
 	control.MethodQuarantineList:    {Operator},
--- a/pkg/access/rights_test.go
+++ b/pkg/access/rights_test.go
@@ -31,6 +31,8 @@
 	control.MethodFleetChange:   {Keeper},
 	control.MethodFleetRead:     {Keeper},
 	control.MethodFleetJoin:     {Keeper},
+	control.MethodFleetPlace:    {Gate},
+	control.MethodFleetPlaced:   {Gate},
 }
 
 func openLinks(t *testing.T, f Files) *Links {
--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -23,6 +23,7 @@
 	Load     map[string]float64 `json:"load,omitempty"`     // engine time that arriving requests need in a second, by model
 	Progress map[string]int64   `json:"progress,omitempty"` // ms since a head last sent something, where that is short
 	Arrivals bool               `json:"arrivals,omitempty"` // clients' requests have come
+	Places   string             `json:"places,omitempty"`   // host:port at which it places other entry hosts' requests
 }
 
 // FleetSyncResult is the news for one process.
@@ -41,6 +42,7 @@
 	Unread     map[string]int      `json:"unread,omitempty"`
 	Entries    int                 `json:"entries"` // processes that serve clients
 	Peers      []string            `json:"peers"`   // host:port of the coordinators
+	Placers    map[string]string   `json:"placers"` // host:port of the entry host that places a model's requests; nil: not decided yet
 }
 
 // FleetAnnounceResult names the leader's address for upstreams.
@@ -72,3 +74,30 @@
 	Cluster string   `json:"cluster"`
 	Peers   []string `json:"peers"`
 }
+
+// FleetPlaceRequest asks the entry host that places a model's requests for a
+// place at a head.
+type FleetPlaceRequest struct {
+	Process string   `json:"process"` // the asking entry host
+	Place   uint64   `json:"place"`   // number of the place, unique in the life of the asking process
+	Service string   `json:"service"`
+	Model   string   `json:"model"`
+	Tokens  int      `json:"tokens"`            // of the prompt
+	Resumes bool     `json:"resumes,omitempty"` // a stream that has begun goes on
+	Avoid   []string `json:"avoid,omitempty"`   // heads that were tried, or fail at the asking host
+	LeftMS  int64    `json:"left_ms"`           // time of the request; the place is free after it
+}
+
+// FleetPlaceResult is the place, or why there is none.
+type FleetPlaceResult struct {
+	Head   string `json:"head,omitempty"` // upstream ID
+	Reason string `json:"reason,omitempty"`
+}
+
+// FleetPlacedRequest tells what became of places.
+type FleetPlacedRequest struct {
+	Process string             `json:"process"`
+	Begun   []uint64           `json:"begun,omitempty"` // the first event came
+	Ended   []uint64           `json:"ended,omitempty"`
+	Slow    map[string]float64 `json:"slow,omitempty"` // time between events against the expected one, by head
+}
--- a/pkg/control/methods.go
+++ b/pkg/control/methods.go
@@ -36,6 +36,8 @@
 	MethodFleetChange   Method = "fleet.change"   // put a change by an operator in force
 	MethodFleetRead     Method = "fleet.read"     // the document in force
 	MethodFleetJoin     Method = "fleet.join"     // a coordinator without a replica asks to take part
+	MethodFleetPlace    Method = "fleet.place"    // an entry host asks the one that places a model's requests
+	MethodFleetPlaced   Method = "fleet.placed"   // what became of places; a notification
 )
 
 // Methods that every process serves.
--- a/pkg/coordinator/decide.go
+++ b/pkg/coordinator/decide.go
@@ -179,6 +179,7 @@
 	l.load = load
 	l.planner.SetLoad(load)
 	l.planner.SetBusy(busy)
+	c.updatePlacers(now, l)
 }
 
 // send carries out an order beside the decisions. The caller holds the lock.
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -76,6 +76,7 @@
 		Peers:    c.peers(),
 		Running:  map[string]int{},
 		Unread:   map[string]int{},
+		Placers:  l.placers,
 	}
 	if req.Session != l.session {
 		since = 0
--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
-	"github.com/sesamemux/sesamemux/pkg/fleet"
 )
 
 // reason says why no upstream was chosen.
@@ -55,13 +54,16 @@
 type wish struct {
 	service *catalog.Service
 	model   string // of an engine service
+	tokens  int    // of the prompt
 	tried   map[string]bool
+	places  bool // this entry host places all requests of the model
 	resumes bool // a stream that has begun goes on; it goes before new requests
 }
 
 // choose picks an upstream and counts the request there; done must be called
-// for it. Load: many callers at once on few heads, heads that die, cold ones.
-func (b *balancer) choose(now time.Duration, w wish) (*target, reason) {
+// for the place. Load: many callers at once on few heads, heads that die, cold
+// ones.
+func (b *balancer) choose(now time.Duration, w wish) (*place, reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var best *target
@@ -80,21 +82,18 @@
 	if len(able) == 0 {
 		return nil, why
 	}
-	// The best of a few drawn at random: entry hosts that know the same old
-	// counts would all choose the same best one.
 	b.rand.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
-	for _, t := range able[:min(len(able), drawn)] {
+	if !w.places {
+		// The best of a few drawn at random: entry hosts that know the same old
+		// counts would all choose the same best one.
+		able = able[:min(len(able), drawn)]
+	}
+	for _, t := range able {
 		if score := b.score(t, w); best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
 	}
-	if best.running == 0 {
-		best.busyFrom = now
-	}
-	best.running++
-	best.unread++
-	best.starts = append(best.starts, now)
-	return best, noReason
+	return b.hold(now, best, w.tokens), noReason
 }
 
 // soonest orders the reasons: of two, the one that passes sooner is told.
@@ -104,22 +103,18 @@
 func (b *balancer) candidates(w wish) []*target {
 	var ts []*target
 	for _, t := range b.targets {
-		if t.Service != w.service.Name || t.State != fleet.Ready || t.Barred || b.evacuate[t.Zone] {
-			continue
-		}
-		if w.service.Engine != nil && (!t.Leads() || fleet.ModelOf(t.Seat.Group) != w.model) {
-			continue
+		if b.serves(t, w) {
+			ts = append(ts, t)
 		}
-		ts = append(ts, t)
 	}
 	return ts
 }
 
 func (b *balancer) refuses(now time.Duration, t *target, w wish) reason {
 	switch {
-	case w.tried[t.ID], now < t.suspectUntil, now < t.backoffUntil:
+	case b.avoids(now, t, w):
 		return allFailing
-	case !b.mayStart(now, t, w.service):
+	case !b.mayStart(now, t, w):
 		return coldBound
 	case t.total() >= b.room(t, w):
 		return allFull
@@ -136,22 +131,27 @@
 }
 
 // room returns how many requests may be at an upstream: what runs at once and
-// a few that wait there, so that no place stays empty while news travels.
+// some that wait there. Counts that are late need a few for places not to stay
+// empty while news travels; where they are exact, more can wait without others
+// on top of them.
 func (b *balancer) room(t *target, w wish) int {
 	slots := slotsOf(t, w)
 	room := slots + max(slots/4, 1)
+	if w.places {
+		room = slots + max(slots/2, 1)
+	}
 	if w.resumes {
 		room += room / 4
 	}
 	return room
 }
 
-// score rates an upstream: the requests there, by how slowly they run, and
-// what lately failed.
+// score rates an upstream: the requests there, what it still has to read, how
+// slowly it runs, and what lately failed.
 func (b *balancer) score(t *target, w wish) float64 {
-	load := (float64(t.total()+1) + unreadCost*float64(t.unread+t.othersUn)) / float64(slotsOf(t, w))
+	load := (float64(t.total()+1) + unreadCost*t.unreadPrompts(w)) / float64(slotsOf(t, w))
 	score := load*max(t.slowness, 1) + errorCost*t.errorRate
-	if t.Zone != b.zone {
+	if t.Zone != b.zone && !w.places {
 		score += farCost
 	}
 	return score
@@ -170,24 +170,6 @@
 	farCost = 0.02
 )
 
-// done takes a request off an upstream; begun tells whether begin was called
-// for it.
-func (b *balancer) done(t *target, begun bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t.running--
-	if !begun {
-		t.unread--
-	}
-}
-
-// begin notes that the answer to a request has begun.
-func (b *balancer) begin(t *target) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t.unread--
-}
-
 // progress notes that something came from an upstream, after gap and where
 // want was expected; want 0 tells nothing of its speed.
 func (b *balancer) progress(now time.Duration, t *target, gap, want time.Duration) {
@@ -253,7 +235,7 @@
 	defer b.mu.Unlock()
 	bound := silentHead
 	if !writes {
-		bound = silentFirst + time.Duration(t.unread+t.othersUn)*silentPrompt
+		bound = silentFirst + time.Duration(t.unread())*silentPrompt
 	}
 	return t.silence(now), bound << min(t.alarms, alarmsMost)
 }
@@ -277,11 +259,11 @@
 		if !t.Leads() {
 			continue
 		}
-		if t.running > 0 {
-			v.running[id] = t.running
+		if n := t.own.requests - t.placed.requests + t.hosted.requests; n > 0 {
+			v.running[id] = n
 		}
-		if t.unread > 0 {
-			v.unread[id] = t.unread
+		if n := t.own.unread - t.placed.unread + t.hosted.unread; n > 0 {
+			v.unread[id] = n
 		}
 		if t.lastByte > 0 && now-t.lastByte < progressTold {
 			v.progress[id] = (now - t.lastByte).Milliseconds()
@@ -325,3 +307,31 @@
 	}
 	return false
 }
+
+// counter returns who counts a place besides this entry host, nil for nobody.
+func (b *balancer) counter(p *place) (*remotePlacer, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return p.remote, p.number
+}
+
+func (b *balancer) slownessOf(t *target) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return t.slowness
+}
+
+// toldSlow takes what other entry hosts measured of the heads' pace.
+func (b *balancer) toldSlow(slow map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range slow {
+		if t := b.targets[id]; t != nil {
+			t.slowness += toldGain * (s - t.slowness)
+		}
+	}
+}
+
+// toldGain smooths over what some entry hosts tell: each has smoothed its own
+// samples already.
+const toldGain = 0.2
--- a/pkg/entry/cold.go
+++ b/pkg/entry/cold.go
@@ -4,8 +4,6 @@
 	"hash/fnv"
 	"math"
 	"time"
-
-	"github.com/sesamemux/sesamemux/pkg/catalog"
 )
 
 const (
@@ -16,23 +14,38 @@
 	// coldSubset is the part of the bound that is filled where each upstream is
 	// left to some of the entry hosts; the rest is for how hosts fall on it.
 	coldSubset = 0.75
+	// placerPart is the part of the bound that the entry host that places a
+	// model's requests may fill. For a moment two may hold that they do.
+	placerPart = 0.3
 )
 
 // mayStart tells whether this entry host may send an upstream another request
 // now, so that all together stay within what a cold upstream bears in a second.
-// Where there are fewer entry hosts than requests in the bound, each keeps to its
-// part, whether the upstream is known to be cold or not. Where there are more,
-// each sends one a second at most, and to a cold upstream only if it is one of
-// the few that it is left to.
-func (b *balancer) mayStart(now time.Duration, t *target, s *catalog.Service) bool {
-	if s.ColdPerSecond <= 0 {
+// The entry host that places a model's requests has one part of the bound; the
+// rest is for those that can't reach it, and for one that takes its place. Where
+// there are fewer entry hosts than requests in the bound, each keeps to its part,
+// whether the upstream is known to be cold or not. Where there are more, each
+// sends one a second at most, and to a cold upstream only if it is one of the
+// few that it is left to.
+func (b *balancer) mayStart(now time.Duration, t *target, w wish) bool {
+	if w.service.ColdPerSecond <= 0 {
 		return true
 	}
-	part := (s.ColdPerSecond*b.coldFactor + b.coldSlack) / float64(b.entries+entriesToCome)
+	bound := w.service.ColdPerSecond*b.coldFactor + b.coldSlack
+	cold := now < t.coldUntil
+	switch {
+	case w.places && cold:
+		return float64(t.startsNow(now)+1) <= bound*placerPart
+	case w.places:
+		return float64(t.startsNow(now)+1) <= bound*coldSubset
+	case cold && w.service.Engine != nil:
+		bound *= 1 - 2*placerPart
+	}
+	part := bound / float64(b.entries+entriesToCome)
 	if part >= 1 {
 		return t.startsNow(now) < int(part)
 	}
-	return t.startsNow(now) < 1 && (now >= t.coldUntil || b.draws(t) < coldSubset*part)
+	return t.startsNow(now) < 1 && (!cold || b.draws(t) < coldSubset*part)
 }
 
 // draws returns a number in [0,1) that this entry host has for an upstream.
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -18,6 +18,8 @@
 	suspects *leader.Caller
 	pool     *upstream.Pool
 	balancer *balancer
+	placing  *placing
+	placer   *placer
 	budget   *budget
 	demand   *demand
 	metrics  *Metrics
@@ -37,6 +39,8 @@
 		caller:   leader.NewCaller(cfg.Peers, cfg.Dial),
 		suspects: leader.NewCaller(cfg.Peers, cfg.Dial),
 		balancer: newBalancer(cfg),
+		placing:  newPlacing(cfg),
+		placer:   newPlacer(),
 		budget:   newBudget(cfg.RetryRatio, cfg.RetryBurst),
 		demand:   newDemand(),
 		metrics:  NewMetrics(),
@@ -91,7 +95,9 @@
 			}
 		}
 		g.pool.Expire()
+		g.expire(g.now())
 	}
+	g.followPlacers(map[string]string{})
 	g.caller.Close()
 	g.suspects.Close()
 	g.pool.Close()
@@ -103,6 +109,10 @@
 	own := g.balancer.tell(now)
 	held.Running, held.Unread, held.Progress = own.running, own.unread, own.progress
 	held.Load, held.Arrivals = g.demand.rates(now)
+	held.Places = g.cfg.Places
+	if g.stopping.Load() {
+		held.Places = ""
+	}
 	wait := min(max(syncWait, time.Duration(g.balancer.entryCount())*syncWaitEach), syncWaitMost)
 	held.WaitMS = wait.Milliseconds()
 	calling, cancel := context.WithTimeout(ctx, wait+syncTimeout)
@@ -122,6 +132,7 @@
 	for _, address := range g.balancer.take(g.now(), result, own, newer) {
 		g.pool.Forget(address)
 	}
+	g.followPlacers(result.Placers)
 	g.synced.Store(int64(g.now()))
 	if result.Session != held.Session {
 		g.cfg.Logger.Info("leader followed", "session", result.Session, "before", held.Session, "upstreams", len(result.Upstreams), "index", result.Index)
--- a/pkg/entry/gate_test.go
+++ b/pkg/entry/gate_test.go
@@ -53,12 +53,13 @@
 
 // bench is a gate in front of stand-ins, all in memory and virtual time.
 type bench struct {
-	t       *testing.T
-	network *memconn.Network
-	gate    *Gate
-	mu      sync.Mutex
-	seen    map[string][]*http.Request // by upstream ID
-	bodies  map[string][]string
+	t         *testing.T
+	network   *memconn.Network
+	gate      *Gate
+	upstreams []fleet.Upstream
+	mu        sync.Mutex
+	seen      map[string][]*http.Request // by upstream ID
+	bodies    map[string][]string
 }
 
 // answerFunc answers a request on a raw connection. It returns whether the
@@ -71,20 +72,7 @@
 
 func newLoggedBench(t *testing.T, logger *log.Logger, upstreams map[string]answerFunc) *bench {
 	b := &bench{t: t, network: memconn.New(time.Millisecond), seen: map[string][]*http.Request{}, bodies: map[string][]string{}}
-	b.gate = New(Config{
-		Name: "e1", Zone: "z1", Peers: []string{"nobody:1"}, Headers: testHeaders,
-		Decode:     func([]byte) (*catalog.Set, error) { return testSet(), nil },
-		RetryRatio: 0.2, RetryBurst: 100, ColdFactor: 1, ColdSlack: 1,
-		Dial:        b.network.Dialer("e1"),
-		DialBackend: b.network.Dialer("e1"),
-		Clock:       clock.NewGo(),
-		Logger:      logger,
-	})
-	b.gate.putInForce(nil)
 	t.Cleanup(func() {
-		b.gate.pool.Close()
-		b.gate.caller.Close()
-		b.gate.suspects.Close()
 		for id := range upstreams {
 			b.network.Kill(id)
 		}
@@ -92,19 +80,48 @@
 	var us []fleet.Upstream
 	for id, answer := range upstreams {
 		service := "plain"
-		u := fleet.Upstream{ID: id, Address: id + ":80", Zone: "z1", Born: 1, Sequence: 1, Slots: 4, State: fleet.Ready}
+		u := fleet.Upstream{ID: id, Address: id + ":80", Zone: "z1", Born: 1, Sequence: 1, Slots: 4, State: fleet.Ready, Service: service}
 		if strings.HasPrefix(id, "head") {
-			service = "models"
-			u.Seat = &fleet.Seat{Group: "m/1", Epoch: 1, State: fleet.SeatOpen}
+			u = headRecord(id)
 		}
-		u.Service = service
 		us = append(us, u)
 		b.serve(id, answer)
 	}
-	b.gate.balancer.take(b.gate.now(), control.FleetSyncResult{Full: true, Settled: true, Upstreams: us, Entries: 1}, told{}, true)
+	b.upstreams = us
+	b.gate = b.newGate("e1", logger)
 	return b
 }
 
+// headRecord is the record of a head of the model m.
+func headRecord(id string) fleet.Upstream {
+	return fleet.Upstream{
+		ID: id, Address: id + ":80", Zone: "z1", Born: 1, Sequence: 1, Slots: 4, State: fleet.Ready, Service: "models",
+		Seat: &fleet.Seat{Group: "m/1", Epoch: 1, State: fleet.SeatOpen},
+	}
+}
+
+// newGate adds an entry host that knows all upstreams.
+func (b *bench) newGate(name string, logger *log.Logger) *Gate {
+	g := New(Config{
+		Name: name, Zone: "z1", Peers: []string{"nobody:1"}, Places: name + ":9", Headers: testHeaders,
+		Decode:     func([]byte) (*catalog.Set, error) { return testSet(), nil },
+		RetryRatio: 0.2, RetryBurst: 100, ColdFactor: 1, ColdSlack: 1,
+		Dial:        b.network.Dialer(name),
+		DialBackend: b.network.Dialer(name),
+		Clock:       clock.NewGo(),
+		Logger:      logger,
+	})
+	g.putInForce(nil)
+	b.t.Cleanup(func() {
+		g.followPlacers(map[string]string{})
+		g.pool.Close()
+		g.caller.Close()
+		g.suspects.Close()
+	})
+	g.balancer.take(g.now(), control.FleetSyncResult{Full: true, Settled: true, Upstreams: b.upstreams, Entries: 1}, told{}, true)
+	return g
+}
+
 func (b *bench) serve(id string, answer answerFunc) {
 	l := b.network.Listen(id, id+":80")
 	go func() {
@@ -170,6 +187,11 @@
 
 // send plays one client's request.
 func (b *bench) send(method, path, body string, header map[string]string) *recorder {
+	return b.sendTo(b.gate, method, path, body, header)
+}
+
+// sendTo plays one client's request to one of the entry hosts.
+func (b *bench) sendTo(g *Gate, method, path, body string, header map[string]string) *recorder {
 	r, err := http.NewRequestWithContext(context.Background(), method, "http://shop.example"+path, strings.NewReader(body))
 	if err != nil {
 		b.t.Fatal(err)
@@ -191,7 +213,7 @@
 				w.cut = v == http.ErrAbortHandler
 			}
 		}()
-		b.gate.ServeHTTP(w, r)
+		g.ServeHTTP(w, r)
 	}()
 	return w
 }
@@ -540,7 +562,7 @@
 			b := newBalancer(Config{Name: fmt.Sprintf("entry-%d", e), ColdFactor: 1.5, ColdSlack: 5})
 			b.entries = 77
 			u := fleet.Upstream{ID: fmt.Sprintf("u%d", upstream), Service: "plain", Slots: 50, State: fleet.Ready, Born: 1, Sequence: 1}
-			b.takeUpstream(time.Minute, u)
+			b.takeUpstream(time.Minute, u, false)
 			for range 3 {
 				if _, why := b.choose(time.Minute+time.Second, wish{service: service}); why == noReason {
 					starts++
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -14,6 +14,7 @@
 	FirstEvent *prometheus.HistogramVec
 	Pause      prometheus.Histogram
 	Repeats    *prometheus.CounterVec
+	Placements *prometheus.CounterVec
 	Syncs      *prometheus.CounterVec
 	Suspected  prometheus.Counter
 	Suppressed prometheus.Counter
@@ -37,6 +38,8 @@
 			Name: "sesame_entry_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: secondsBuckets}),
 		Repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_entry_repeats_total", Help: "Requests sent to a further upstream by cause."}, []string{"cause"}),
+		Placements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_entry_placements_total", Help: "Questions to the entry host that places a model's requests, by outcome."}, []string{"outcome"}),
 		Syncs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_entry_syncs_total", Help: "Questions to the coordinators by outcome."}, []string{"outcome"}),
 		Suspected: prometheus.NewCounter(prometheus.CounterOpts{
@@ -46,7 +49,7 @@
 		Version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sesame_entry_document_version", Help: "Version of the document in force here."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.Pause, m.Repeats, m.Syncs, m.Suspected, m.Suppressed, m.Version)
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.Pause, m.Repeats, m.Placements, m.Syncs, m.Suspected, m.Suppressed, m.Version)
 	return m
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -20,19 +20,19 @@
 	s := &streaming{call: c}
 	s.events.last = c.r.Header.Get(g.cfg.Headers.LastEvent)
 	for {
-		need := wish{service: c.service, model: c.model, tried: c.tried, resumes: c.headSent}
-		t, why := g.balancer.choose(g.now(), need)
-		if t == nil && s.mayWait() {
+		need := wish{service: c.service, model: c.model, tokens: c.promptTokens, tried: c.tried, resumes: c.headSent}
+		p, why := g.place(c.ctx, need, c.left())
+		if p == nil && s.mayWait() {
 			continue
 		}
-		if t == nil {
+		if p == nil {
 			c.inputs = g.balancer.inputs(g.now(), need)
 			c.streamWithout(why)
 			return
 		}
-		s.begun = false
-		err := s.attempt(t)
-		g.balancer.done(t, s.begun)
+		s.place, s.begun = p, false
+		err := s.attempt(p.target)
+		g.done(p)
 		if err == nil {
 			return
 		}
@@ -41,7 +41,7 @@
 			c.outcome = clientLeft
 			return
 		}
-		c.blame(t, err)
+		c.blame(p.target, err)
 		if !c.mayRepeat(err) {
 			c.streamWithout(c.reason)
 			return
@@ -96,7 +96,8 @@
 	call   *call
 	events events
 	lastAt time.Duration // when the last event was passed on
-	begun  bool          // events came from the present attempt
+	place  *place        // of the present attempt
+	begun  bool          // events came from it
 }
 
 // attempt relays from one upstream until the stream's end; nil says that the
@@ -158,7 +159,7 @@
 			whole, count := s.events.add(buf[:n])
 			if count > 0 && !s.begun {
 				s.begun = true
-				g.balancer.begin(t)
+				g.begin(s.place)
 			}
 			if count > 0 {
 				g.balancer.progress(now, t, now-last, s.expected(last == began))
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -12,10 +12,11 @@
 	fleet.Upstream
 	missing time.Duration // since a settled leader did not name it; 0: it did
 
-	running  int // own requests
-	unread   int // own requests from which nothing has come yet
-	others   int // requests of other entry hosts, as last told
-	othersUn int // those of them from which nothing has come yet
+	own      counts // requests of this entry host
+	placed   counts // those of them that another entry host counts
+	hosted   counts // requests of others that are counted here
+	others   int    // requests that other entry hosts count, as last told
+	othersUn int    // those of them from which nothing has come yet
 	lastByte time.Duration
 	busyFrom time.Duration   // when the first of the running requests was sent
 	starts   []time.Duration // own requests sent in the last second
@@ -32,7 +33,24 @@
 }
 
 // total returns the requests that run at the upstream.
-func (t *target) total() int { return t.running + t.others }
+func (t *target) total() int {
+	return t.own.requests - t.placed.requests + t.hosted.requests + t.others
+}
+
+// unread returns the requests there from which nothing has come yet.
+func (t *target) unread() int {
+	return t.own.unread - t.placed.unread + t.hosted.unread + t.othersUn
+}
+
+// unreadPrompts returns what the upstream has to read, in usual prompts. Of
+// requests that others count only the number is known.
+func (t *target) unreadPrompts(w wish) float64 {
+	if w.service.Engine == nil || w.service.Engine.UsualPrompt <= 0 {
+		return float64(t.unread())
+	}
+	tokens := t.own.tokens - t.placed.tokens + t.hosted.tokens
+	return float64(tokens)/float64(w.service.Engine.UsualPrompt) + float64(t.othersUn)
+}
 
 // startsNow returns the own requests sent within the last second.
 func (t *target) startsNow(now time.Duration) int {
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -17,7 +17,7 @@
 	named := map[string]bool{}
 	for _, u := range result.Upstreams {
 		named[u.ID] = true
-		b.takeUpstream(now, u)
+		b.takeUpstream(now, u, result.Full)
 	}
 	if newer {
 		b.takenBack(now, result.Evacuated)
@@ -36,7 +36,7 @@
 			t.missing = missingSince(now, t.missing, named[id])
 		}
 		gone := t.State == fleet.Gone || t.missing != 0 && result.Settled && now-t.missing > missingFor
-		if gone && t.running == 0 {
+		if gone && t.own.requests+t.hosted.requests == 0 {
 			left = append(left, t.Address)
 			delete(b.targets, id)
 			continue
@@ -76,12 +76,20 @@
 	}
 }
 
-func (b *balancer) takeUpstream(now time.Duration, u fleet.Upstream) {
+// takeUpstream brings the record of an upstream in. One that is new here counts
+// as cold, unless all are named and it says that it is warm: then it is this entry
+// host that is new.
+func (b *balancer) takeUpstream(now time.Duration, u fleet.Upstream, all bool) {
 	t := b.targets[u.ID]
 	if t == nil {
-		if u.State != fleet.Gone {
-			b.targets[u.ID] = &target{Upstream: u, slowness: 1, coldUntil: now + coldFor}
+		if u.State == fleet.Gone {
+			return
 		}
+		t = &target{Upstream: u, slowness: 1}
+		if !all || u.WarmupMS > 0 {
+			t.coldUntil = now + coldFor
+		}
+		b.targets[u.ID] = t
 		return
 	}
 	same := u.Born == t.Born && u.Sequence == t.Sequence
--- a/pkg/entry/whole.go
+++ b/pkg/entry/whole.go
@@ -20,14 +20,15 @@
 	var lastFailure *wholeAnswer
 	for {
 		need := wish{service: c.service, tried: c.tried}
-		t, why := g.balancer.choose(g.now(), need)
-		if t == nil {
+		p, why := g.balancer.choose(g.now(), need)
+		if p == nil {
 			c.inputs = g.balancer.inputs(g.now(), need)
 			c.wholeWithout(why, lastFailure)
 			return
 		}
+		t := p.target
 		a, err := c.tryWhole(t)
-		g.balancer.done(t, false)
+		g.balancer.done(p)
 		if err == nil && (a.status < 500 || c.route.Kind != catalog.Idempotent) {
 			g.balancer.answered(g.now(), t, a.status < 500)
 			c.passOn(a)
