Count a request's load at a full batch

A request's cost was taken at a batch of 13; groups of 34 slots write with half of that time for each token.

Change: the answer's part of a cost is taken at 0.8 of the slots.

--- a/pkg/entry/demand.go
+++ b/pkg/entry/demand.go
@@ -22,18 +22,19 @@
 
 func newDemand() *demand { return &demand{sum: map[string]float64{}} }
 
-// usualBatch is the number of requests among which a step's time is divided
-// when a request's cost is estimated.
-const usualBatch = 13
+// fullBatch is the part of the slots among which a step's time is divided when a
+// request's cost is estimated: what a group can do, not how it runs when calm.
+const fullBatch = 0.8
 
 // readWeight is how much more a second of reading counts than one of writing:
 // all other streams of the head pause meanwhile.
 const readWeight = 2
 
 // cost estimates the time of a group that a request needs, in seconds: the
-// prompt is read alone, the answer written together with usualBatch others.
+// prompt is read alone, the answer written together with those of a full batch.
 func cost(e *catalog.Engine, m catalog.Model, prompt, answer int) float64 {
-	step := (e.Step + usualBatch*e.PerRequest).Seconds() / usualBatch
+	batch := max(fullBatch*float64(e.Slots), 1)
+	step := (e.Step.Seconds() + batch*e.PerRequest.Seconds()) / batch
 	read := 0.0
 	if e.ReadPerS > 0 {
 		read = float64(prompt) / e.ReadPerS
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -182,6 +182,9 @@
 	}
 }
 
+// usualBatch is the number of requests that usually write together at a head.
+const usualBatch = 13
+
 // expected returns the time between events of an engine with a usual batch; 0
 // for the first event of an attempt, which waits for its prompt.
 func (s *streaming) expected(first bool) time.Duration {
