Believe what upstreams say of their warm-up

Cause: an upstream that an entry host had not known counted as cold for 12 s.

Change: an upstream is cold for the time that it says, and 3 s; one of a failure domain that was taken back for 12 s as before. The bound of starts in a second holds for warm ones too, as before.

--- a/pkg/entry/cold.go
+++ b/pkg/entry/cold.go
@@ -7,10 +7,12 @@
 )
 
 const (
-	// coldFor is how long an upstream counts as cold after it was first seen,
-	// came back, or its failure domain was taken back: longer than a warm-up and
-	// the way of the news.
+	// coldFor is how long an upstream counts as cold after its failure domain was
+	// taken back: longer than a warm-up and the way of the news.
 	coldFor = 12 * time.Second
+	// coldMargin is added to the time that an upstream says it stays cold: its
+	// word may be as old as two announcements.
+	coldMargin = 3 * time.Second
 	// coldSubset is the part of the bound that is filled where each upstream is
 	// left to some of the entry hosts; the rest is for how hosts fall on it.
 	coldSubset = 0.75
--- a/pkg/entry/gate_test.go
+++ b/pkg/entry/gate_test.go
@@ -561,8 +561,8 @@
 		for e := range 77 {
 			b := newBalancer(Config{Name: fmt.Sprintf("entry-%d", e), ColdFactor: 1.5, ColdSlack: 5})
 			b.entries = 77
-			u := fleet.Upstream{ID: fmt.Sprintf("u%d", upstream), Service: "plain", Slots: 50, State: fleet.Ready, Born: 1, Sequence: 1}
-			b.takeUpstream(time.Minute, u, false)
+			u := fleet.Upstream{ID: fmt.Sprintf("u%d", upstream), Service: "plain", Slots: 50, State: fleet.Ready, Born: 1, Sequence: 1, WarmupMS: 3000}
+			b.takeUpstream(time.Minute, u)
 			for range 3 {
 				if _, why := b.choose(time.Minute+time.Second, wish{service: service}); why == noReason {
 					starts++
--- a/pkg/entry/placing_test.go
+++ b/pkg/entry/placing_test.go
@@ -181,7 +181,7 @@
 				b.entries = entries
 				u := headRecord("head1")
 				u.WarmupMS = 3000
-				b.takeUpstream(time.Minute, u, false)
+				b.takeUpstream(time.Minute, u)
 				service.Engine.Slots = 1000
 				for range 100 {
 					if p, _ := b.choose(time.Minute+time.Second, wish{service: &service, model: "m", places: e < 2}); p != nil {
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -32,6 +32,13 @@
 	slowness     float64 // smoothed time between events against the expected one
 }
 
+// cold notes how long the upstream stays cold by its own word.
+func (t *target) cold(now time.Duration, u fleet.Upstream) {
+	if u.WarmupMS > 0 {
+		t.coldUntil = max(t.coldUntil, now+time.Duration(u.WarmupMS)*time.Millisecond+coldMargin)
+	}
+}
+
 // total returns the requests that run at the upstream.
 func (t *target) total() int {
 	return t.own.requests - t.placed.requests + t.hosted.requests + t.others
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -17,7 +17,7 @@
 	named := map[string]bool{}
 	for _, u := range result.Upstreams {
 		named[u.ID] = true
-		b.takeUpstream(now, u, result.Full)
+		b.takeUpstream(now, u)
 	}
 	if newer {
 		b.takenBack(now, result.Evacuated)
@@ -76,20 +76,16 @@
 	}
 }
 
-// takeUpstream brings the record of an upstream in. One that is new here counts
-// as cold, unless all are named and it says that it is warm: then it is this entry
-// host that is new.
-func (b *balancer) takeUpstream(now time.Duration, u fleet.Upstream, all bool) {
+// takeUpstream brings the record of an upstream in. An upstream says itself how
+// long it stays cold.
+func (b *balancer) takeUpstream(now time.Duration, u fleet.Upstream) {
 	t := b.targets[u.ID]
 	if t == nil {
-		if u.State == fleet.Gone {
-			return
+		if u.State != fleet.Gone {
+			t = &target{Upstream: u, slowness: 1}
+			t.cold(now, u)
+			b.targets[u.ID] = t
 		}
-		t = &target{Upstream: u, slowness: 1}
-		if !all || u.WarmupMS > 0 {
-			t.coldUntil = now + coldFor
-		}
-		b.targets[u.ID] = t
 		return
 	}
 	same := u.Born == t.Born && u.Sequence == t.Sequence
@@ -103,9 +99,7 @@
 		t.failures, t.errorRate, t.slowness = 0, 0, 1
 		t.suspectUntil, t.backoffUntil = 0, 0
 	}
-	if u.Born != t.Born || u.WarmupMS > 0 {
-		t.coldUntil = now + coldFor
-	}
+	t.cold(now, u)
 	if u.Seat == nil || t.Seat == nil || *u.Seat != *t.Seat {
 		t.suspectUntil = 0
 		t.alarms = 0
