Make one answer for all entry hosts that hold the same

Change: an answer is encoded once and given to all that hold the same for 1 ms for each process that follows.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -59,6 +59,7 @@
 	answers map[string]time.Duration // when a host last answered a probe
 	traffic bool
 	barred  map[string]bool
+	encoded map[newsKey]encodedNews
 	placers map[string]string // host:port of the entry host that places a model's requests; nil: not chosen yet
 
 	load    map[string]float64 // engine time that requests need in a second, by model
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -62,6 +62,7 @@
 		probing: map[string]bool{},
 		answers: map[string]time.Duration{},
 		barred:  map[string]bool{},
+		encoded: map[newsKey]encodedNews{},
 	}
 	// The upstreams are known from the former leader; each gets the time to
 	// announce itself here.
--- a/pkg/coordinator/quorum_test.go
+++ b/pkg/coordinator/quorum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -379,10 +380,14 @@
 		c.kill(first)
 		next := c.running[c.leader()]
 		req := control.FleetSyncRequest{Process: "e1", Entry: true, Version: -1}
-		result, err := next.sync(context.Background(), req)
+		raw, err := next.sync(context.Background(), req)
 		if err != nil {
 			t.Fatal(err)
 		}
+		var result control.FleetSyncResult
+		if err := json.Unmarshal(raw, &result); err != nil {
+			t.Fatal(err)
+		}
 		if len(result.Upstreams) != 1 || result.Upstreams[0].State != fleet.Draining {
 			t.Errorf("the next leader tells of %+v", result.Upstreams)
 		}
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 )
@@ -14,10 +17,14 @@
 	// syncPauseEach is added for each process that follows: what they all ask
 	// at once is work for one small host.
 	syncPauseEach = time.Millisecond
+	// newsSharedEach is for how long one answer is given to others that hold the
+	// same, for each process that follows: they ask within that time, and counts
+	// of requests are as old as that anyway.
+	newsSharedEach = time.Millisecond
 )
 
 // sync answers a process with what it does not have yet.
-func (c *Coordinator) sync(ctx context.Context, req control.FleetSyncRequest) (control.FleetSyncResult, error) {
+func (c *Coordinator) sync(ctx context.Context, req control.FleetSyncRequest) (json.RawMessage, error) {
 	deadline := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer deadline.Stop()
 	for {
@@ -25,7 +32,7 @@
 		l := c.leads
 		if l == nil {
 			c.mu.Unlock()
-			return control.FleetSyncResult{}, notLeader(c.leaderPeer())
+			return nil, notLeader(c.leaderPeer())
 		}
 		c.note(l, req)
 		news := req.Session != l.session || req.Revision != c.revisionFor(req) || req.Index != c.held
@@ -38,7 +45,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return control.FleetSyncResult{}, ctx.Err()
+			return nil, ctx.Err()
 		case <-deadline.C:
 			return c.news(req)
 		case <-changed:
@@ -58,13 +65,51 @@
 	p.last = req
 }
 
-func (c *Coordinator) news(req control.FleetSyncRequest) (control.FleetSyncResult, error) {
+// newsKey is what an answer depends on besides the moment.
+type newsKey struct {
+	session  string
+	revision uint64
+	index    uint64
+	version  int64
+	entry    bool
+}
+
+// encodedNews is an answer that others may be given too.
+type encodedNews struct {
+	at  time.Duration
+	raw json.RawMessage
+}
+
+// news returns what a process does not have yet. Processes that hold the same
+// ask at once after each change; one answer is made for all of them.
+func (c *Coordinator) news(req control.FleetSyncRequest) (json.RawMessage, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l, r := c.leads, c.node.Load()
 	if l == nil || r == nil {
-		return control.FleetSyncResult{}, notLeader("")
+		return nil, notLeader("")
+	}
+	key := newsKey{req.Session, req.Revision, req.Index, req.Version, req.Entry}
+	now := c.now()
+	shared := time.Duration(len(l.syncs)) * newsSharedEach
+	if e, ok := l.encoded[key]; ok && now-e.at < shared {
+		return e.raw, nil
+	}
+	for k, e := range l.encoded {
+		if now-e.at >= shared {
+			delete(l.encoded, k)
+		}
 	}
+	raw, err := json.Marshal(c.newsFor(l, r, req))
+	if err != nil {
+		return nil, eris.Wrap(err, "encode news")
+	}
+	l.encoded[key] = encodedNews{now, raw}
+	return raw, nil
+}
+
+// newsFor collects the news. The caller holds the lock.
+func (c *Coordinator) newsFor(l *leadership, r *running, req control.FleetSyncRequest) control.FleetSyncResult {
 	st, _ := r.store.State()
 	c.takeState(r.store)
 	since := req.Revision
@@ -109,7 +154,7 @@
 			result.Unread[h] += n
 		}
 	}
-	return result, nil
+	return result
 }
 
 // revisionFor returns the newest revision that concerns a process. The caller
