Let entry hosts fetch documents from any coordinator

The leader sent it to 77 entry hosts with its news, had no processor time for its followers until 22.2 s, and lost its leadership; each next leader went the same way (six leaderships in 9 s), and CONFIG broke.

Change: the news name the version alone. An entry host fetches the document from a coordinator drawn at random (fleet.document), which hands out what it holds.

Ruled out: a longer election time-out, which delays the way back after a real loss.

--- a/pkg/access/allow.go
+++ b/pkg/access/allow.go
@@ -34,6 +34,7 @@
 	control.MethodFleetSuspect:      {Gate},
 	control.MethodFleetChange:       {Keeper},
 	control.MethodFleetRead:         {Keeper},
+	control.MethodFleetDocument:     {Gate, Keeper},
 	control.MethodFleetJoin:         {Keeper},
 	control.MethodFleetPlace:        {Gate},
 	control.MethodFleetPlaced:       {Gate},
--- a/pkg/access/rights_test.go
+++ b/pkg/access/rights_test.go
@@ -30,6 +30,7 @@
 	control.MethodFleetSuspect:  {Gate},
 	control.MethodFleetChange:   {Keeper},
 	control.MethodFleetRead:     {Keeper},
+	control.MethodFleetDocument: {Gate, Keeper},
 	control.MethodFleetJoin:     {Keeper},
 	control.MethodFleetPlace:    {Gate},
 	control.MethodFleetPlaced:   {Gate},
--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -28,12 +28,14 @@
 
 // FleetSyncResult is the news for one process.
 type FleetSyncResult struct {
-	Session  string            `json:"session"`
-	Settled  bool              `json:"settled"` // the leader has heard all live upstreams; who is missing is gone
-	Full     bool              `json:"full"`    // Upstreams are all that are known, not only changes
-	Revision uint64            `json:"revision"`
-	Index    uint64            `json:"index"`
-	Document *durable.Document `json:"document,omitempty"`
+	Session  string `json:"session"`
+	Settled  bool   `json:"settled"` // the leader has heard all live upstreams; who is missing is gone
+	Full     bool   `json:"full"`    // Upstreams are all that are known, not only changes
+	Revision uint64 `json:"revision"`
+	Index    uint64 `json:"index"`
+	// Version is of the document in force, -1 when there is none. Any
+	// coordinator that holds it hands it out (fleet.document).
+	Version int64 `json:"version"`
 	// Evacuated and Departures are set when Index is above the request's.
 	Evacuated  []string            `json:"evacuated,omitempty"`
 	Departures []durable.Departure `json:"departures,omitempty"`
@@ -58,6 +60,11 @@
 	Refused  bool   `json:"refused"` // its address refused a connection
 }
 
+// FleetDocumentRequest asks a coordinator for a document that it may hold.
+type FleetDocumentRequest struct {
+	Version int64 `json:"version"` // least version
+}
+
 // FleetReadResult is the document in force, nil when there is none.
 type FleetReadResult struct {
 	Document *durable.Document `json:"document,omitempty"`
--- a/pkg/control/methods.go
+++ b/pkg/control/methods.go
@@ -35,6 +35,7 @@
 	MethodFleetSuspect  Method = "fleet.suspect"  // the head of a group went silent
 	MethodFleetChange   Method = "fleet.change"   // put a change by an operator in force
 	MethodFleetRead     Method = "fleet.read"     // the document in force
+	MethodFleetDocument Method = "fleet.document" // a document that this coordinator holds, from a version on
 	MethodFleetJoin     Method = "fleet.join"     // a coordinator without a replica asks to take part
 	MethodFleetPlace    Method = "fleet.place"    // an entry host asks the one that places a model's requests
 	MethodFleetPlaced   Method = "fleet.placed"   // what became of places; a notification
--- a/pkg/coordinator/change.go
+++ b/pkg/coordinator/change.go
@@ -106,6 +106,20 @@
 	return control.FleetReadResult{Document: st.Document}, nil
 }
 
+// document hands out the document that this replica holds, if it is of a version
+// or newer; all that is committed may be told.
+func (c *Coordinator) document(_ context.Context, req control.FleetDocumentRequest) (control.FleetReadResult, error) {
+	r := c.node.Load()
+	if r == nil {
+		return control.FleetReadResult{}, nil
+	}
+	st, _ := r.store.State()
+	if st.Document == nil || st.Document.Version < req.Version {
+		return control.FleetReadResult{}, nil
+	}
+	return control.FleetReadResult{Document: st.Document}, nil
+}
+
 // callLeader finds the leader among the other coordinators and calls it.
 func (c *Coordinator) callLeader(ctx context.Context, method control.Method, params, result any) error {
 	if peer := c.leaderPeer(); peer != "" && peer != c.cfg.Peer {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -154,6 +154,7 @@
 	rpc.Handle(s, string(control.MethodFleetSuspect), c.suspected)
 	rpc.Handle(s, string(control.MethodFleetChange), c.changed)
 	rpc.Handle(s, string(control.MethodFleetRead), c.read)
+	rpc.Handle(s, string(control.MethodFleetDocument), c.document)
 	rpc.Handle(s, string(control.MethodFleetJoin), c.join)
 }
 
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -70,7 +70,6 @@
 	session  string
 	revision uint64
 	index    uint64
-	version  int64
 	entry    bool
 }
 
@@ -89,7 +88,7 @@
 	if l == nil || r == nil {
 		return nil, notLeader("")
 	}
-	key := newsKey{req.Session, req.Revision, req.Index, req.Version, req.Entry}
+	key := newsKey{req.Session, req.Revision, req.Index, req.Entry}
 	now := c.now()
 	shared := time.Duration(len(l.syncs)) * newsSharedEach
 	if e, ok := l.encoded[key]; ok && now-e.at < shared {
@@ -118,6 +117,7 @@
 		Settled:  c.now()-l.since > settleAge,
 		Revision: c.revisionFor(req),
 		Index:    st.Index,
+		Version:  -1,
 		Peers:    c.peers(),
 		Running:  map[string]int{},
 		Unread:   map[string]int{},
@@ -131,8 +131,8 @@
 		result.Evacuated = st.Evacuated
 		result.Departures = st.Departures
 	}
-	if st.Document != nil && st.Document.Version > req.Version {
-		result.Document = st.Document
+	if st.Document != nil {
+		result.Version = st.Document.Version
 	}
 	changes := c.registry.Since
 	if req.Entry {
@@ -224,8 +224,6 @@
 	c.mirror.Session = result.Session
 	c.mirror.Revision = result.Revision
 	c.mirror.Index = result.Index
-	if result.Document != nil {
-		c.mirror.Version = result.Document.Version
-	}
+	c.mirror.Version = result.Version
 	c.member.learn(result.Peers)
 }
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,17 +14,18 @@
 
 // Gate is an entry host.
 type Gate struct {
-	cfg      Config
-	caller   *leader.Caller
-	suspects *leader.Caller
-	pool     *upstream.Pool
-	balancer *balancer
-	placing  *placing
-	placer   *placer
-	budget   *budget
-	demand   *demand
-	metrics  *Metrics
-	lines    *lines
+	cfg       Config
+	caller    *leader.Caller
+	suspects  *leader.Caller
+	pool      *upstream.Pool
+	balancer  *balancer
+	documents *documents
+	placing   *placing
+	placer    *placer
+	budget    *budget
+	demand    *demand
+	metrics   *Metrics
+	lines     *lines
 
 	index    atomic.Pointer[catalog.Index]
 	synced   atomic.Int64 // when the last news came
@@ -35,15 +37,16 @@
 // New returns an entry host that does not run yet.
 func New(cfg Config) *Gate {
 	g := &Gate{
-		cfg:      cfg,
-		caller:   leader.NewCaller(cfg.Peers, cfg.Dial),
-		suspects: leader.NewCaller(cfg.Peers, cfg.Dial),
-		balancer: newBalancer(cfg),
-		placing:  newPlacing(cfg),
-		placer:   newPlacer(),
-		budget:   newBudget(cfg.RetryRatio, cfg.RetryBurst),
-		demand:   newDemand(),
-		metrics:  NewMetrics(),
+		cfg:       cfg,
+		caller:    leader.NewCaller(cfg.Peers, cfg.Dial),
+		suspects:  leader.NewCaller(cfg.Peers, cfg.Dial),
+		balancer:  newBalancer(cfg),
+		documents: newDocuments(),
+		placing:   newPlacing(cfg),
+		placer:    newPlacer(),
+		budget:    newBudget(cfg.RetryRatio, cfg.RetryBurst),
+		demand:    newDemand(),
+		metrics:   NewMetrics(),
 	}
 	g.started = g.now()
 	g.first = make(chan struct{})
@@ -81,6 +84,8 @@
 func (g *Gate) Run(ctx context.Context) {
 	held := control.FleetSyncRequest{Process: g.cfg.Name, Zone: g.cfg.Zone, Entry: true, Version: -1}
 	reached := false
+	var fetching sync.WaitGroup
+	fetching.Go(func() { g.documents.run(ctx, g) })
 	for ctx.Err() == nil {
 		err := g.syncOnce(ctx, &held)
 		if (err == nil) != reached {
@@ -97,6 +102,7 @@
 		g.pool.Expire()
 		g.expire(g.now())
 	}
+	fetching.Wait()
 	g.followPlacers(map[string]string{})
 	g.caller.Close()
 	g.suspects.Close()
@@ -121,13 +127,7 @@
 	if err := g.caller.CallOnce(calling, control.MethodFleetSync, *held, &result); err != nil {
 		return err
 	}
-	if result.Document != nil {
-		raw, err := result.Document.Raw()
-		if err != nil {
-			return err
-		}
-		g.putInForce(raw)
-	}
+	g.documents.wanted(result.Version, result.Peers)
 	newer := result.Index >= held.Index && (result.Index != held.Index || result.Full)
 	for _, address := range g.balancer.take(g.now(), result, own, newer) {
 		g.pool.Forget(address)
