Give groups up and form them by one measure; keep spares for hosts that die

Hosts that whole groups left over (3 of 19 of a domain) had no weights until requests came, so that a death in a group of 8 cost a load of 16 s. Several small groups of a domain were never given up for one large group together.

Change: one measure, the gain of one more group, by which a host is worth the same whichever model it serves; an exchange takes up to four groups of a domain; hosts of groups that end count for the group that they were given up for; free hosts get weights before requests come, as spares where a domain has groups that can lose a host (spareScore).

--- a/pkg/formation/form.go
+++ b/pkg/formation/form.go
@@ -88,8 +88,9 @@
 }
 
 // byNeed returns the models to which one more group is worth something, the
-// one first that has the most load for each group. Before traffic each gets
-// the groups of its part of the load.
+// one first that gains most: the same measure by which groups are given up for
+// others. Before traffic each gets the groups of its part of the
+// load.
 func (p *Planner) byNeed(ms []modelPlan, have map[string]int) []modelPlan {
 	want := p.wanted(ms)
 	var needy []modelPlan
@@ -99,7 +100,7 @@
 		}
 	}
 	sort.SliceStable(needy, func(i, j int) bool {
-		return needy[i].weight/float64(have[needy[i].Name]+1) > needy[j].weight/float64(have[needy[j].Name]+1)
+		return gain(needy[i], have[needy[i].Name]) > gain(needy[j], have[needy[j].Name])
 	})
 	return needy
 }
--- a/pkg/formation/model_plan.go
+++ b/pkg/formation/model_plan.go
@@ -9,18 +9,18 @@
 }
 
 // targets divides a number of hosts between the models: whole groups, each
-// next one to the model with the most load for each group it has.
+// next one to the model that gains most by it.
 func targets(models []modelPlan, hosts int) map[string]int {
 	want := map[string]int{}
 	for {
 		best := -1
-		bestLoad := 0.0
+		bestGain := 0.0
 		for i, m := range models {
 			if m.GroupSize <= 0 || m.GroupSize > hosts {
 				continue
 			}
-			if load := m.weight / float64(want[m.Name]+1); best < 0 || load > bestLoad {
-				best, bestLoad = i, load
+			if g := gain(m, want[m.Name]); best < 0 || g > bestGain {
+				best, bestGain = i, g
 			}
 		}
 		if best < 0 {
--- a/pkg/formation/planner.go
+++ b/pkg/formation/planner.go
@@ -195,14 +195,21 @@
 	}
 }
 
+// loadTime returns how long a load of a model takes now.
 func (p *Planner) loadTime(model string) time.Duration {
 	if p.service == nil || p.service.Engine == nil {
 		return 0
 	}
 	m, _ := p.service.Engine.Model(model)
+	if !p.traffic {
+		return m.LoadTime / quickLoads
+	}
 	return m.LoadTime
 }
 
+// quickLoads is how much less time a load takes before requests come.
+const quickLoads = 10
+
 // Tick moves all groups on and returns the orders that are due.
 func (p *Planner) Tick(now time.Duration) []Order {
 	if p.service == nil || p.service.Engine == nil {
--- a/pkg/formation/rebalance.go
+++ b/pkg/formation/rebalance.go
@@ -1,6 +1,8 @@
 package formation
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/fleet"
@@ -17,20 +19,20 @@
 	rebalanceGain = 0.12
 )
 
-// exchange is one group given up for another of a different model in the same
-// failure domain.
+// exchange is some groups of a failure domain given up for others of a different
+// model there.
 type exchange struct {
-	from *group
+	from []*group
 	to   modelPlan
 	n    int // groups won
 	back int // groups of the same model that its other hosts can form
 	gain float64
 }
 
-// rebalance gives up a group where its hosts, with the free ones of the
-// domain, are worth more as another model's. Load: a mix that differs from the
-// one that the hosts were divided for, and hosts that die and leave others of
-// their group over.
+// rebalance gives up groups where their hosts, with the free ones of the domain,
+// are worth more as another model's. Load: a mix that differs from the one that
+// the hosts were divided for, and hosts that die and leave others of their group
+// over.
 func (p *Planner) rebalance(now time.Duration) {
 	if !p.traffic || now-p.trafficSince < rebalanceAfter || now-p.cfg.Now < adoptAfter || now-p.rebalanced < rebalancePause {
 		return
@@ -39,56 +41,82 @@
 	ms := p.models()
 	have := p.groupCounts()
 	fast := p.fastHosts(now)
+	standing := p.standingByDomain()
+	for _, domain := range slices.Sorted(maps.Keys(standing)) {
+		for _, from := range ms {
+			groups := standing[domain][from.Name]
+			for k := 1; k <= min(len(groups), exchangeMost); k++ {
+				for _, to := range ms {
+					if to.Name == from.Name {
+						continue
+					}
+					if x := p.exchange(groups[:k], from, to, have, fast[domain][to.Name]); x.gain > best.gain {
+						best = x
+					}
+				}
+			}
+		}
+	}
+	for i, g := range best.from {
+		g.drain(now, "its hosts are needed for "+best.to.Name)
+		if i == 0 {
+			g.gives = map[string]int{best.to.Name: best.n, g.model: best.back}
+		}
+		p.rebalanced = now
+	}
+}
+
+// exchangeMost bounds the groups that are given up at once: enough for a group of
+// four times their size.
+const exchangeMost = 4
+
+// standingByDomain returns the groups that may be given up, by failure domain of
+// the fabric and model, the least busy first.
+func (p *Planner) standingByDomain() map[string]map[string][]*group {
+	standingGroups := map[string]map[string][]*group{}
 	for _, g := range p.sortedGroups() {
 		if g.phase != standing || p.evacuated[g.head().Zone] {
 			continue
 		}
-		from, known := planOf(ms, g.model)
-		if !known {
-			continue
-		}
-		for _, to := range ms {
-			if to.Name == g.model {
-				continue
-			}
-			if x := p.exchange(g, from, to, have, fast); x.gain > best.gain {
-				best = x
-			}
+		domain := g.head().Domain
+		if standingGroups[domain] == nil {
+			standingGroups[domain] = map[string][]*group{}
 		}
+		standingGroups[domain][g.model] = append(standingGroups[domain][g.model], g)
 	}
-	if best.from == nil {
-		return
+	for _, byModel := range standingGroups {
+		for _, gs := range byModel {
+			slices.SortStableFunc(gs, func(a, b *group) int { return p.busy[a.head().ID] - p.busy[b.head().ID] })
+		}
 	}
-	best.from.drain(now, "its hosts are needed for "+best.to.Name)
-	best.from.gives = map[string]int{best.to.Name: best.n, best.from.model: best.back}
-	p.rebalanced = now
+	return standingGroups
 }
 
-// exchange rates giving up a group for groups of another model.
-func (p *Planner) exchange(g *group, from, to modelPlan, have map[string]int, fast map[string]map[string]int) exchange {
-	domain := g.head().Domain
-	able := 0
-	for _, h := range g.members {
-		if h.holds(to.Name) {
-			able++
+// exchange rates giving up groups of one model for groups of another, where spare
+// free hosts of the domain can serve that one at once.
+func (p *Planner) exchange(groups []*group, from, to modelPlan, have map[string]int, spare int) exchange {
+	able, hosts := 0, 0
+	for _, g := range groups {
+		hosts += len(g.members)
+		for _, h := range g.members {
+			if h.holds(to.Name) {
+				able++
+			}
 		}
 	}
-	spare := fast[domain][to.Name]
-	n := (spare + able) / to.GroupSize
-	if n == 0 {
-		return exchange{}
-	}
 	// Free hosts alone form groups without an exchange.
-	n -= spare / to.GroupSize
+	n := (spare+able)/to.GroupSize - spare/to.GroupSize
 	if n <= 0 {
 		return exchange{}
 	}
-	// What is left of the group's own hosts can serve its model again.
-	used := min(max(n*to.GroupSize-spare, 0), len(g.members))
-	back := (len(g.members) - used) / from.GroupSize
+	// What is left of the groups' own hosts can serve their model again.
+	used := min(max((spare/to.GroupSize+n)*to.GroupSize-spare, 0), hosts)
+	back := (hosts - used) / from.GroupSize
 	won := value(to, have[to.Name]+n) - value(to, have[to.Name])
-	lost := value(from, have[from.Name]) - value(from, have[from.Name]-1+back)
-	return exchange{from: g, to: to, n: n, back: back, gain: won - lost}
+	lost := value(from, have[from.Name]) - value(from, have[from.Name]-len(groups)+back)
+	// A host is worth the same whichever model it serves.
+	lost *= float64(from.GroupSize) / float64(to.GroupSize)
+	return exchange{from: groups, to: to, n: n, back: back, gain: won - lost}
 }
 
 // fastHosts counts, by domain and model, the free hosts that can serve a model
--- a/pkg/formation/sim_test.go
+++ b/pkg/formation/sim_test.go
@@ -215,7 +215,7 @@
 	case Stage:
 		m, _ := s.service.Engine.Model(o.Model)
 		h.staging = o.Model
-		h.stageUntil = s.now + m.LoadTime
+		h.stageUntil = s.now + s.planner.loadTime(m.Name)
 	}
 	return Done
 }
--- a/pkg/formation/stage.go
+++ b/pkg/formation/stage.go
@@ -26,7 +26,7 @@
 		p.loads = append(p.loads, now)
 		p.capable = nil
 		h.staging = m.Name // counts for the next choice; the order's end corrects it
-		h.stagedBy = now + m.LoadTime
+		h.stagedBy = now + p.loadTime(m.Name)
 		orders = append(orders, p.order(h, Order{Kind: Stage, Model: m.Name, Reason: "so that the host can serve it soon"}))
 	}
 	return orders
@@ -56,7 +56,7 @@
 	if m.GroupSize <= 0 || m.Name == h.last || h.holds(m.Name) {
 		return 0
 	}
-	score := p.partScore(h, m, have)
+	score := p.weightsScore(h, m, have)
 	switch {
 	case len(h.Staged) == 0 && h.last == "":
 		return emptyGain * score
@@ -78,7 +78,7 @@
 		return 0
 	}
 	for _, own := range ms {
-		if h.holds(own.Name) && score < restageGain*p.partScore(h, own, have) {
+		if h.holds(own.Name) && score < restageGain*p.weightsScore(h, own, have) {
 			return 0
 		}
 	}
@@ -99,27 +99,66 @@
 	strandedAfter = 3 * time.Second
 )
 
+// weightsScore rates a model's weights on a host: as a part of the next group, or
+// as a spare.
+func (p *Planner) weightsScore(h *host, m modelPlan, have map[string]int) float64 {
+	return max(p.partScore(h, m, have), p.spareScore(h, m, have))
+}
+
 // partScore is the gain of a model's next group by the part of it that a
 // host's domain has with that host.
 func (p *Planner) partScore(h *host, m modelPlan, have map[string]int) float64 {
 	count := p.capableIn(h.Domain, m.Name)
-	if p.couldServe(h, m.Name) {
+	if p.couldServe(h, m.Name) && count > 0 {
 		count--
 	}
 	part := float64(count%m.GroupSize+1) / float64(m.GroupSize)
 	return gain(m, have[m.Name]+count/m.GroupSize) * part * part
 }
 
+// spareScore is the worth of weights on a free host that can take the place of
+// one that dies: what a group of the model gains, by the size of its groups, their
+// number in the domain, and how many hosts are there for that already.
+func (p *Planner) spareScore(h *host, m modelPlan, have map[string]int) float64 {
+	if h.group != nil {
+		return 0
+	}
+	groups, spares, largest := 0, 0, 0
+	for _, g := range p.groups {
+		if g.model == m.Name && g.head().Domain == h.Domain && g.phase != draining && g.phase != retiring {
+			groups++
+		}
+	}
+	for _, o := range p.hosts {
+		if o != h && o.Domain == h.Domain && o.group == nil && p.couldServe(o, m.Name) {
+			spares++
+		}
+	}
+	for _, o := range p.service.Engine.Models {
+		largest = max(largest, o.GroupSize)
+	}
+	lost := gain(m, max(have[m.Name]-1, 0))
+	size := float64(m.GroupSize) / float64(largest) // how many hosts can be struck, and how many are then idle
+	return spareGain * lost * float64(groups) / float64(1+spares) * size * size
+}
+
+// spareGain is what a spare is worth against a host that completes a group: some
+// of the groups of a domain lose a host before the next load there is over.
+const spareGain = 0.5
+
 // place is a failure domain and a model.
 type place struct{ domain, model string }
 
-// capableIn counts the hosts of a domain that could serve a model.
+// capableIn counts the hosts of a domain that could serve a model: free ones, and
+// those of groups that are worth less than one more of the model's.
 func (p *Planner) capableIn(domain, model string) int {
 	if p.capable == nil {
 		p.capable = map[place]int{}
+		ms := p.models()
+		have := p.groupCounts()
 		for _, h := range p.hosts {
-			for _, m := range p.service.Engine.Models {
-				if p.couldServe(h, m.Name) {
+			for _, m := range ms {
+				if p.couldServe(h, m.Name) && p.mayGiveUp(h, m, ms, have) {
 					p.capable[place{h.Domain, m.Name}]++
 				}
 			}
@@ -128,10 +167,23 @@
 	return p.capable[place{domain, model}]
 }
 
+// mayGiveUp tells whether a host's group, if it is in one, may be given up for one
+// of another model.
+func (p *Planner) mayGiveUp(h *host, m modelPlan, ms []modelPlan, have map[string]int) bool {
+	if h.group == nil || h.group.phase != standing {
+		return true
+	}
+	own, known := planOf(ms, h.group.model)
+	return !known || gain(own, max(have[own.Name]-1, 0)) < gain(m, have[m.Name])
+}
+
 // couldServe tells whether a host that serves nothing, or another model, can
 // serve a model without a further load.
 func (p *Planner) couldServe(h *host, model string) bool {
-	if !p.usable(h) || h.group != nil && (h.group.model == model || h.group.phase != standing) {
+	if !p.usable(h) {
+		return false
+	}
+	if g := h.group; g != nil && (g.phase == forming || g.phase == opening || g.phase == standing && g.model == model) {
 		return false
 	}
 	return h.last == model || p.onDisk(h) == model
@@ -147,7 +199,7 @@
 		if h.State != fleet.Ready || !p.met(h) || !mayOrder(now, h) || h.staging != "" || now-h.heard > SilentAfter || p.evacuated[h.Zone] {
 			continue
 		}
-		if h.group == nil && !h.seated() && p.traffic || h.group != nil && h.group.phase == standing {
+		if h.group == nil && !h.seated() || h.group != nil && h.group.phase == standing {
 			hs = append(hs, h)
 		}
 	}
