--- a/pkg/formation/rebalance.go
+++ b/pkg/formation/rebalance.go
@@ -16,7 +16,7 @@
 	rebalanceAfter = 1200 * time.Millisecond
 	// rebalanceGain is the least gain for a change, in groups' worth of load:
 	// it pays for the seconds in which the hosts serve nobody.
-	rebalanceGain = 0.12
+	rebalanceGain = 0.3
 )
 
 // exchange is some groups of a failure domain given up for others of a different
