Keep the queue short while requests are refused

Change: after a refusal because all heads are full only an eighth of the slots may wait for half a second, at the entry host that places. Bursts that a queue carries still get it.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -34,6 +34,7 @@
 	entries  int // entry hosts in all
 
 	coldFactor, coldSlack float64
+	lastFull              map[string]time.Duration // by model that this entry host places: when a request was refused as one too many
 	rand                  *rand.Rand
 }
 
@@ -44,6 +45,7 @@
 		name:       cfg.Name,
 		zone:       cfg.Zone,
 		entries:    1,
+		lastFull:   map[string]time.Duration{},
 		coldFactor: cfg.ColdFactor,
 		coldSlack:  cfg.ColdSlack,
 		rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -80,6 +82,9 @@
 		able = append(able, t)
 	}
 	if len(able) == 0 {
+		if why == allFull && w.places && !w.resumes {
+			b.lastFull[w.model] = now
+		}
 		return nil, why
 	}
 	b.rand.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
@@ -116,7 +121,7 @@
 		return allFailing
 	case !b.mayStart(now, t, w):
 		return coldBound
-	case t.total() >= b.room(t, w):
+	case t.total() >= b.room(now, t, w):
 		return allFull
 	}
 	return noReason
@@ -132,13 +137,17 @@
 
 // room returns how many requests may be at an upstream: what runs at once and
 // some that wait there. Counts that are late need a few for places not to stay
-// empty while news travels; where they are exact, more can wait without others
-// on top of them.
-func (b *balancer) room(t *target, w wish) int {
+// empty while news travels. Where they are exact, many may wait while a burst
+// passes; when that was not enough, few, until there is room again: in a queue
+// that stays long all requests are late, and no more of them are served.
+func (b *balancer) room(now time.Duration, t *target, w wish) int {
 	slots := slotsOf(t, w)
 	room := slots + max(slots/4, 1)
 	if w.places {
 		room = slots + max(slots/2, 1)
+		if b.overloaded(now, w) {
+			room = slots + max(slots/8, 1)
+		}
 	}
 	if w.resumes {
 		room += room / 4
@@ -146,6 +155,17 @@
 	return room
 }
 
+// overloaded tells whether requests for a model were refused lately because all
+// heads were full.
+func (b *balancer) overloaded(now time.Duration, w wish) bool {
+	at, ever := b.lastFull[w.model]
+	return ever && now-at < overloadFor
+}
+
+// overloadFor is how long after the last refusal few requests may wait: longer
+// than a full queue takes to be served.
+const overloadFor = 500 * time.Millisecond
+
 // score rates an upstream: the requests there, what it still has to read, how
 // slowly it runs, and what lately failed.
 func (b *balancer) score(t *target, w wish) float64 {
--- a/pkg/entry/inputs.go
+++ b/pkg/entry/inputs.go
@@ -15,7 +15,7 @@
 	running, room, failing, tried := 0, 0, 0, 0
 	for _, t := range ts {
 		running += t.total()
-		room += b.room(t, w)
+		room += b.room(now, t, w)
 		switch {
 		case w.tried[t.ID]:
 			tried++
--- a/pkg/entry/placing_test.go
+++ b/pkg/entry/placing_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/logging"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
 )
@@ -195,3 +196,54 @@
 		}
 	})
 }
+
+// queueingHead serves some streams at once, the others in turn.
+func queueingHead(slots, events int) answerFunc {
+	places := make(chan struct{}, slots)
+	answer := streamFrom(events, events, "s", nil)
+	return func(c net.Conn, r *http.Request, attempt string) bool {
+		places <- struct{}{}
+		defer func() { <-places }()
+		return answer(c, r, attempt)
+	}
+}
+
+// Load: twice what a head serves, for ten seconds. What it serves is served in
+// time, and it is never idle; a queue that stays full would make all late.
+func TestRequestsAreInTimeWhileManyAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, events = 20, 50 // of 20 ms each
+		b := newPlacedBench(t, 1, map[string]answerFunc{"head1": queueingHead(slots, events)})
+		set := testSet()
+		set.Services[1].Engine.Slots = slots
+		set.Services[1].ColdPerSecond = 0
+		b.gate.index.Store(catalog.NewIndex(set))
+		var mu sync.Mutex
+		served, inTime, refused := 0, 0, 0
+		var sent sync.WaitGroup
+		for range 400 {
+			sent.Go(func() {
+				began := time.Now()
+				w := b.sendTo(b.gate, "POST", "/stream/1", "p", nil)
+				took := time.Since(began)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case w.status != http.StatusOK:
+					refused++
+				case took <= events*20*time.Millisecond+300*time.Millisecond:
+					served++
+					inTime++
+				default:
+					served++
+				}
+			})
+			time.Sleep(25 * time.Millisecond)
+		}
+		sent.Wait()
+		if served < 160 || inTime < served*6/10 {
+			t.Errorf("%d served, %d of them in time, %d refused", served, inTime, refused)
+		}
+		time.Sleep(time.Minute)
+	})
+}
