--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -37,6 +37,7 @@
 
 	outcome  outcome
 	reason   reason
+	placer   string // address of the entry host that chose the upstream; empty: this one
 	inputs   string // of a choice that found no upstream
 	status   int
 	upstream string
@@ -273,7 +274,7 @@
 	}
 	c.gate.cfg.Logger.Info("request ended",
 		"request", c.r.Header.Get(c.gate.cfg.Headers.Attempt), "route", c.routeName(), "outcome", c.outcome, "status", c.status,
-		"reason", c.reason, "upstream", c.upstream, "sent", c.sent, "resumed", c.resumed, "model", c.model,
+		"reason", c.reason, "upstream", c.upstream, "placer", c.placer, "sent", c.sent, "resumed", c.resumed, "model", c.model,
 		"ms", (now - c.began).Milliseconds(), "first_ms", max((c.firstAt-c.began).Milliseconds(), 0), "pause_ms", c.pause.Milliseconds(),
 		"left_ms", max(c.until-now, 0).Milliseconds(), "document", version,
 		"view_age_ms", (now - time.Duration(c.gate.synced.Load())).Milliseconds(), "inputs", c.inputs, "cause", c.cause)
--- a/pkg/entry/placing.go
+++ b/pkg/entry/placing.go
@@ -85,23 +85,34 @@
 }
 
 // place finds an upstream for a request: by the entry host that places its
-// model's requests, or here when that is this one or does not answer.
-func (g *Gate) place(ctx context.Context, w wish, left time.Duration) (*place, reason) {
+// model's requests, or here when that is this one or does not answer. It also
+// returns the address of the entry host that decided, empty for this one.
+func (g *Gate) place(ctx context.Context, w wish, left time.Duration) (*place, reason, string) {
 	remote, here := g.placing.of(w.model)
 	now := g.now()
 	w.places = here
-	if remote == nil || !remote.asked(now) {
-		return g.balancer.choose(now, w)
+	if remote != nil && remote.asked(now) {
+		p, why, answered := g.placeBy(ctx, remote, w, left)
+		if answered {
+			return p, why, remote.address
+		}
 	}
+	p, why := g.balancer.choose(now, w)
+	return p, why, ""
+}
+
+// placeBy asks another entry host for a place; false says that there was no answer
+// that can be used.
+func (g *Gate) placeBy(ctx context.Context, remote *remotePlacer, w wish, left time.Duration) (*place, reason, bool) {
 	number := g.placing.nextNumber()
 	calling, cancel := context.WithTimeout(ctx, min(placeTimeout, left))
 	defer cancel()
 	var result control.FleetPlaceResult
 	err := remote.client.Call(calling, string(control.MethodFleetPlace), control.FleetPlaceRequest{
 		Process: g.cfg.Name, Place: number, Service: w.service.Name, Model: w.model, Tokens: w.tokens,
-		Resumes: w.resumes, Avoid: g.avoid(now, w), LeftMS: left.Milliseconds(),
+		Resumes: w.resumes, Avoid: g.avoid(g.now(), w), LeftMS: left.Milliseconds(),
 	}, &result)
-	now = g.now()
+	now := g.now()
 	if err != nil {
 		if ctx.Err() == nil {
 			remote.failed(now)
@@ -110,21 +121,21 @@
 				"for_ms", placerPause.Milliseconds(), "cause", err)
 		}
 		remote.end(number, "", 0) // it may have been given all the same
-		return g.balancer.choose(now, w)
+		return nil, noReason, false
 	}
 	if result.Head == "" {
 		g.metrics.Placements.WithLabelValues("refused").Inc()
-		return nil, reason(result.Reason)
+		return nil, reason(result.Reason), true
 	}
 	p := g.balancer.accept(now, result.Head, w, remote, number)
 	if p == nil {
 		g.metrics.Placements.WithLabelValues("unusable").Inc()
 		remote.end(number, "", 0)
-		return g.balancer.choose(now, w)
+		return nil, noReason, false
 	}
 	g.metrics.Placements.WithLabelValues("given").Inc()
 	remote.hold(p)
-	return p, noReason
+	return p, noReason, true
 }
 
 // avoid returns the heads that a request must not go to.
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -21,7 +21,8 @@
 	s.events.last = c.r.Header.Get(g.cfg.Headers.LastEvent)
 	for {
 		need := wish{service: c.service, model: c.model, tokens: c.promptTokens, tried: c.tried, resumes: c.headSent}
-		p, why := g.place(c.ctx, need, c.left())
+		p, why, placer := g.place(c.ctx, need, c.left())
+		c.placer = placer
 		if p == nil && s.mayWait() {
 			continue
 		}
