Keep one order of states and one builder of coded errors

Cause: entry repeated fleet's order of states in two places, and one of them let an upstream that is gone be draining again; coordinator repeated keeper's builder of JSON-RPC errors.

Change: fleet.Later, durable.Departure.State and control.Coded in their place.

--- a/pkg/coordinator/decide.go
+++ b/pkg/coordinator/decide.go
@@ -6,7 +6,6 @@
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/durable"
-	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/formation"
 )
 
@@ -62,11 +61,7 @@
 	changed := st.Index != c.held
 	c.held = st.Index
 	for _, d := range st.Departures {
-		state := fleet.Draining
-		if d.Gone {
-			state = fleet.Gone
-		}
-		if c.registry.Depart(d.ID, d.Born, state) {
+		if c.registry.Depart(d.ID, d.Born, d.State()) {
 			c.observe(d.ID)
 			changed = true
 		}
--- a/pkg/coordinator/errors.go
+++ b/pkg/coordinator/errors.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
@@ -20,12 +19,7 @@
 )
 
 func notLeader(address string) error {
-	e := &jsonrpc2.Error{Code: control.CodeNotLeader, Message: "this coordinator does not lead"}
-	if raw, err := json.Marshal(control.NotLeader{Leader: address}); err == nil {
-		data := json.RawMessage(raw)
-		e.Data = &data
-	}
-	return e
+	return control.Coded(control.CodeNotLeader, "this coordinator does not lead", control.NotLeader{Leader: address})
 }
 
 // translate turns an error of the replicated log into one for other processes.
--- a/pkg/durable/command.go
+++ b/pkg/durable/command.go
@@ -1,5 +1,7 @@
 package durable
 
+import "github.com/sesamemux/sesamemux/pkg/fleet"
+
 import "encoding/json"
 
 // Departure is an incarnation that drains or has signed off.
@@ -9,6 +11,14 @@
 	Gone bool   `json:"gone,omitempty"` // false: it drains
 }
 
+// State is the state that the notice puts an incarnation in.
+func (d Departure) State() fleet.State {
+	if d.Gone {
+		return fleet.Gone
+	}
+	return fleet.Draining
+}
+
 // Command is one change. Exactly one field is set.
 type Command struct {
 	Document *Document   `json:"document,omitempty"`
--- a/pkg/entry/view.go
+++ b/pkg/entry/view.go
@@ -27,7 +27,7 @@
 		}
 		for _, d := range result.Departures {
 			if t := b.targets[d.ID]; t != nil && t.Born == d.Born {
-				t.State = departed(t.State, d.Gone)
+				t.State = fleet.Later(t.State, d.State())
 			}
 		}
 	}
@@ -58,14 +58,6 @@
 	return since
 }
 
-// departed returns the state after a notice; it never goes back.
-func departed(s fleet.State, gone bool) fleet.State {
-	if gone || s == fleet.Gone {
-		return fleet.Gone
-	}
-	return fleet.Draining
-}
-
 // takenBack notes that the upstreams of failure domains that are not evacuated
 // any more may be cold.
 func (b *balancer) takenBack(now time.Duration, evacuated []string) {
@@ -92,8 +84,8 @@
 	if !same && !u.Newer(&t.Upstream) {
 		return
 	}
-	if u.Born == t.Born && t.State != fleet.Ready && u.State == fleet.Ready {
-		u.State = t.State
+	if u.Born == t.Born {
+		u.State = fleet.Later(t.State, u.State)
 	}
 	if u.Born != t.Born {
 		t.failures, t.errorRate, t.slowness = 0, 0, 1
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -50,7 +50,7 @@
 			return false
 		}
 		if u.Born == known.Born {
-			u.State = worse(known.State, u.State)
+			u.State = Later(known.State, u.State)
 			u.SignedOff = known.SignedOff
 			u.Barred = known.Barred
 			if u.LastGroup == "" {
@@ -86,20 +86,11 @@
 	return changed
 }
 
-// worse returns the later state of an incarnation's life: it never goes back.
-func worse(a, b State) State {
-	rank := map[State]int{Ready: 0, Draining: 1, Gone: 2}
-	if rank[a] > rank[b] {
-		return a
-	}
-	return b
-}
-
 // Depart marks an incarnation as draining or gone. It tells whether others must
 // hear of it.
 func (r *Registry) Depart(id string, born int64, state State) bool {
 	e := r.entries[id]
-	if e == nil || e.Born != born || worse(e.State, state) == e.State {
+	if e == nil || e.Born != born || Later(e.State, state) == e.State {
 		return false
 	}
 	r.change(e, func(e *Entry) {
--- a/pkg/fleet/upstream.go
+++ b/pkg/fleet/upstream.go
@@ -128,3 +128,12 @@
 	}
 	return false
 }
+
+// Later returns the later state of an incarnation's life: it never goes back.
+func Later(a, b State) State {
+	rank := map[State]int{Ready: 0, Draining: 1, Gone: 2}
+	if rank[a] > rank[b] {
+		return a
+	}
+	return b
+}
--- a/pkg/keeper/errors.go
+++ b/pkg/keeper/errors.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/replica"
@@ -14,22 +12,7 @@
 
 // notLeader is the answer of a keeper that does not lead.
 func notLeader(address string) error {
-	return coded(control.CodeNotLeader, "this keeper does not lead", control.NotLeader{Leader: address})
-}
-
-// coded builds an error of the JSON-RPC interface.
-func coded(code int64, message string, data any) error {
-	e := &jsonrpc2.Error{Code: code, Message: message}
-	if data == nil {
-		return e
-	}
-	raw, err := json.Marshal(data)
-	if err != nil {
-		return e
-	}
-	r := json.RawMessage(raw)
-	e.Data = &r
-	return e
+	return control.Coded(control.CodeNotLeader, "this keeper does not lead", control.NotLeader{Leader: address})
 }
 
 // translate turns an error of the replicated log into one of the interface.
@@ -41,9 +24,9 @@
 	case eris.As(err, &other):
 		return notLeader(k.leaderAddress())
 	case eris.Is(err, replica.ErrUnknownOutcome), eris.Is(err, context.DeadlineExceeded), eris.Is(err, context.Canceled):
-		return coded(control.CodeUnknown, "it may or may not have taken effect; ask again with the same change ID", nil)
+		return control.Coded(control.CodeUnknown, "it may or may not have taken effect; ask again with the same change ID", nil)
 	case eris.Is(err, replica.ErrStopped):
-		return coded(control.CodeUnavailable, "the keeper is stopping", nil)
+		return control.Coded(control.CodeUnavailable, "the keeper is stopping", nil)
 	default:
 		return err
 	}
--- a/pkg/keeper/sender.go
+++ b/pkg/keeper/sender.go
@@ -30,7 +30,7 @@
 	case id.Role == access.Gate && id.Name == string(req.Gate.Name) && !req.Relayed:
 		return nil
 	}
-	return coded(control.CodeDenied, fmt.Sprintf("%s has no right to the lease of gate %s", id, req.Gate.Name), nil)
+	return control.Coded(control.CodeDenied, fmt.Sprintf("%s has no right to the lease of gate %s", id, req.Gate.Name), nil)
 }
 
 // operatorName returns the name that a change is kept under: the one in the
