--- a/pkg/entry/gate_test.go
+++ b/pkg/entry/gate_test.go
@@ -194,7 +194,8 @@
 func (b *bench) sendTo(g *Gate, method, path, body string, header map[string]string) *recorder {
 	r, err := http.NewRequestWithContext(context.Background(), method, "http://shop.example"+path, strings.NewReader(body))
 	if err != nil {
-		b.t.Fatal(err)
+		b.t.Error(err)
+		return &recorder{header: http.Header{}}
 	}
 	r.RequestURI = path
 	r.Host = "shop.example"
--- a/pkg/formation/sim_test.go
+++ b/pkg/formation/sim_test.go
@@ -280,15 +280,20 @@
 
 func fleetOf48(t *testing.T, seed uint64) *sim {
 	s := newSim(t, seed, twoModels()...)
-	for d := range 6 {
-		for range 8 {
-			s.add(fmt.Sprintf("d%d", d), fmt.Sprintf("z%d", d/2))
-		}
-	}
+	s.addDomains(6, 8, 2)
 	s.run(8 * time.Second)
 	return s
 }
 
+// addDomains adds fabric domains with a number of hosts each, some to a zone.
+func (s *sim) addDomains(domains, hosts, toZone int) {
+	for d := range domains {
+		for range hosts {
+			s.add(fmt.Sprintf("d%d", d), fmt.Sprintf("z%d", d/toZone))
+		}
+	}
+}
+
 func TestAllHostsServeBeforeTraffic(t *testing.T) {
 	s := fleetOf48(t, 1)
 	if n := s.standing(); n["large"]*4+n["small"]*2 < 46 || n["large"] < 7 || n["small"] < 7 {
--- a/pkg/formation/spare_test.go
+++ b/pkg/formation/spare_test.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -19,11 +18,7 @@
 // largeDomains is a fleet whose domains hold more hosts than whole groups take.
 func largeDomains(t *testing.T, seed uint64) *sim {
 	s := newSim(t, seed, largeModels()...)
-	for d := range 9 {
-		for range 19 {
-			s.add(fmt.Sprintf("d%d", d), fmt.Sprintf("z%d", d/3))
-		}
-	}
+	s.addDomains(9, 19, 3)
 	s.run(10 * time.Second)
 	return s
 }
@@ -78,11 +73,7 @@
 // three large of nine on Colete Sul).
 func TestSmallGroupsAreGivenUpTogether(t *testing.T) {
 	s := newSim(t, 1, twoModels()...)
-	for d := range 6 {
-		for range 8 {
-			s.add(fmt.Sprintf("d%d", d), fmt.Sprintf("z%d", d/2))
-		}
-	}
+	s.addDomains(6, 8, 2)
 	s.service.Engine.Models[0].Share, s.service.Engine.Models[1].Share = 0.1, 0.9
 	s.run(8 * time.Second)
 	before := s.standing()
