Name the ports for our own processes in one place

Cause: three programs' offsets from the first own port stood as numbers in two programs, and a range that was too short was only found when a listener failed.

--- a/cmd/sesame-core/main.go
+++ b/cmd/sesame-core/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -65,7 +64,6 @@
 	server := rpc.NewServer(rpc.WithLogger(logger))
 	c.Register(server)
 	web := &http.Server{Handler: platform.Operators(c, logger), ReadHeaderTimeout: headerTimeout, ErrorLog: logger.StandardLog()}
-	metrics := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort+1))
 
 	// Others are answered until the coordinator has handed its leadership over.
 	serving, stopped := context.WithCancel(context.WithoutCancel(ctx))
@@ -82,7 +80,7 @@
 	work.Go(func() error { return ignoreClosed(server.Serve(peers), running) })
 	work.Go(func() error { return ignoreClosed(web.Serve(operators), running) })
 	work.Go(func() error {
-		return introspect.HTTP(running, metrics, c.Metrics().Registry, func() (bool, string) { return true, "" })
+		return introspect.HTTP(running, s.CoreMetricsListen(), c.Metrics().Registry, func() (bool, string) { return true, "" })
 	})
 	work.Go(func() error {
 		<-running.Done()
--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -44,12 +43,11 @@
 	for _, a := range s.Seeds {
 		peers = append(peers, s.PeerAddress(a))
 	}
-	places := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort+3))
 	g := entry.New(entry.Config{
 		Name:        s.Host,
 		Zone:        s.FailureDomain,
 		Peers:       peers,
-		Places:      places,
+		Places:      s.PlacesListen(),
 		Headers:     platform.Headers(),
 		Decode:      platform.CheckedManifest,
 		RetryRatio:  s.RetryRatio,
@@ -69,7 +67,7 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for health checks")
 	}
-	others, err := net.Listen("tcp", places)
+	others, err := net.Listen("tcp", s.PlacesListen())
 	if err != nil {
 		return eris.Wrap(err, "listen for other entry hosts")
 	}
@@ -80,7 +78,6 @@
 		ErrorLog: logger.StandardLog(),
 	}
 	health := &http.Server{Handler: readiness(g), ReadHeaderTimeout: headerTimeout, ErrorLog: logger.StandardLog()}
-	metrics := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort+2))
 
 	// The duties go on after a stop until the last client has its answer.
 	work, stopped := context.WithCancel(context.WithoutCancel(ctx))
@@ -93,7 +90,7 @@
 		server.Close()
 		_ = others.Close()
 	})
-	group.Go(func() error { return introspect.HTTP(running, metrics, g.Metrics().Registry, g.Ready) })
+	group.Go(func() error { return introspect.HTTP(running, s.EntryMetricsListen(), g.Metrics().Registry, g.Ready) })
 	group.Go(func() error {
 		defer stopped()
 		select {
