Name the parts of the slots that may wait, and keep places in one file

Cause: read as a newcomer: room held bare fractions, a comment told of a time that had changed, and what this entry host counts was added up in three places.

Change: named constants, target.counted, the placers' functions in place.go. Behaviour stays.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -141,20 +141,35 @@
 // passes; when that was not enough, few, until there is room again: in a queue
 // that stays long all requests are late, and no more of them are served.
 func (b *balancer) room(now time.Duration, t *target, w wish) int {
-	slots := slotsOf(t, w)
-	room := slots + max(slots/4, 1)
-	if w.places {
-		room = slots + max(slots/2, 1)
-		if b.overloaded(now, w) {
-			room = slots + max(slots/8, 1)
-		}
+	part := waitByLateCounts
+	switch {
+	case w.places && b.overloaded(now, w):
+		part = waitInOverload
+	case w.places:
+		part = waitInBurst
 	}
+	slots := slotsOf(t, w)
+	room := slots + max(int(part*float64(slots)), 1)
 	if w.resumes {
-		room += room / 4
+		room += int(resumeRoom * float64(room))
 	}
 	return room
 }
 
+const (
+	// waitByLateCounts, waitInBurst and waitInOverload are the parts of the slots
+	// that may wait at a head: half of them take a second or so to be served,
+	// which still leaves a late answer, an eighth less than an objective.
+	waitByLateCounts = 0.25
+	waitInBurst      = 0.5
+	waitInOverload   = 0.125
+	// resumeRoom is the part of the room that streams which go on have beyond it.
+	resumeRoom = 0.25
+	// overloadFor is how long after a refusal few requests may wait; each further
+	// refusal prolongs it.
+	overloadFor = 500 * time.Millisecond
+)
+
 // overloaded tells whether requests for a model were refused lately because all
 // heads were full.
 func (b *balancer) overloaded(now time.Duration, w wish) bool {
@@ -162,10 +177,6 @@
 	return ever && now-at < overloadFor
 }
 
-// overloadFor is how long after the last refusal few requests may wait: longer
-// than a full queue takes to be served.
-const overloadFor = 500 * time.Millisecond
-
 // score rates an upstream: the requests there, what it still has to read, how
 // slowly it runs, and what lately failed.
 func (b *balancer) score(t *target, w wish) float64 {
@@ -279,11 +290,12 @@
 		if !t.Leads() {
 			continue
 		}
-		if n := t.own.requests - t.placed.requests + t.hosted.requests; n > 0 {
-			v.running[id] = n
+		here := t.counted()
+		if here.requests > 0 {
+			v.running[id] = here.requests
 		}
-		if n := t.own.unread - t.placed.unread + t.hosted.unread; n > 0 {
-			v.unread[id] = n
+		if here.unread > 0 {
+			v.unread[id] = here.unread
 		}
 		if t.lastByte > 0 && now-t.lastByte < progressTold {
 			v.progress[id] = (now - t.lastByte).Milliseconds()
@@ -327,31 +339,3 @@
 	}
 	return false
 }
-
-// counter returns who counts a place besides this entry host, nil for nobody.
-func (b *balancer) counter(p *place) (*remotePlacer, uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return p.remote, p.number
-}
-
-func (b *balancer) slownessOf(t *target) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return t.slowness
-}
-
-// toldSlow takes what other entry hosts measured of the heads' pace.
-func (b *balancer) toldSlow(slow map[string]float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for id, s := range slow {
-		if t := b.targets[id]; t != nil {
-			t.slowness += toldGain * (s - t.slowness)
-		}
-	}
-}
-
-// toldGain smooths over what some entry hosts tell: each has smoothed its own
-// samples already.
-const toldGain = 0.2
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -116,3 +116,31 @@
 func (b *balancer) avoids(now time.Duration, t *target, w wish) bool {
 	return w.tried[t.ID] || now < t.suspectUntil || now < t.backoffUntil
 }
+
+// counter returns who counts a place besides this entry host, nil for nobody.
+func (b *balancer) counter(p *place) (*remotePlacer, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return p.remote, p.number
+}
+
+func (b *balancer) slownessOf(t *target) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return t.slowness
+}
+
+// toldSlow takes what other entry hosts measured of the heads' pace.
+func (b *balancer) toldSlow(slow map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range slow {
+		if t := b.targets[id]; t != nil {
+			t.slowness += toldGain * (s - t.slowness)
+		}
+	}
+}
+
+// toldGain smooths over what some entry hosts tell: each has smoothed its own
+// samples already.
+const toldGain = 0.2
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -40,14 +40,19 @@
 }
 
 // total returns the requests that run at the upstream.
-func (t *target) total() int {
-	return t.own.requests - t.placed.requests + t.hosted.requests + t.others
+func (t *target) total() int { return t.counted().requests + t.others }
+
+// counted returns the requests that this entry host counts.
+func (t *target) counted() counts {
+	return counts{
+		requests: t.own.requests - t.placed.requests + t.hosted.requests,
+		unread:   t.own.unread - t.placed.unread + t.hosted.unread,
+		tokens:   t.own.tokens - t.placed.tokens + t.hosted.tokens,
+	}
 }
 
 // unread returns the requests there from which nothing has come yet.
-func (t *target) unread() int {
-	return t.own.unread - t.placed.unread + t.hosted.unread + t.othersUn
-}
+func (t *target) unread() int { return t.counted().unread + t.othersUn }
 
 // unreadPrompts returns what the upstream has to read, in usual prompts. Of
 // requests that others count only the number is known.
@@ -55,8 +60,7 @@
 	if w.service.Engine == nil || w.service.Engine.UsualPrompt <= 0 {
 		return float64(t.unread())
 	}
-	tokens := t.own.tokens - t.placed.tokens + t.hosted.tokens
-	return float64(tokens)/float64(w.service.Engine.UsualPrompt) + float64(t.othersUn)
+	return float64(t.counted().tokens)/float64(w.service.Engine.UsualPrompt) + float64(t.othersUn)
 }
 
 // startsNow returns the own requests sent within the last second.
