End a process though nobody reads its output

Cause: found by a test that was missing: the queue in front of standard output never held up writers, but its Close waited for a blocked reader for ever, so that a stop ran into the grace time.

Change: Close waits 500 ms.

Figures: TestBlockedReaderStopsNobody ended in a deadlock before; passes with the race detector.

--- a/pkg/logging/queue.go
+++ b/pkg/logging/queue.go
@@ -4,6 +4,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // queuedLines bounds the lines that wait for a slow reader of the output.
@@ -59,8 +60,16 @@
 // Lost returns the number of lines that were dropped.
 func (q *Queue) Lost() uint64 { return q.lost.Load() }
 
-// Close writes the lines that wait. Nothing may be written afterwards.
+// Close writes the lines that wait, for closeWait at most: nobody may read them.
+// Nothing may be written afterwards.
 func (q *Queue) Close() {
 	q.once.Do(func() { close(q.lines) })
-	<-q.done
+	select {
+	case <-q.done:
+	case <-time.After(closeWait):
+	}
 }
+
+// closeWait is how long the end of a process waits for a reader of its output;
+// short against the grace time of a stop.
+const closeWait = 500 * time.Millisecond
--- /dev/null
+++ b/pkg/logging/queue_test.go
@@ -0,0 +1,52 @@
+package logging
+
+import (
+	"bytes"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	out     bytes.Buffer
+}
+
+func (w *blockedWriter) Write(b []byte) (int, error) {
+	<-w.release
+	return w.out.Write(b)
+}
+
+// Load: more lines than the queue holds while nobody reads the output. Writers go
+// on at once, what is lost is counted, and the process can end.
+func TestBlockedReaderStopsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &blockedWriter{release: make(chan struct{})}
+		q := NewQueue(w)
+		synctest.Wait()
+		began := time.Now()
+		const lines = 3 * queuedLines
+		for range lines {
+			if _, err := q.Write([]byte("line\n")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(began); took != 0 {
+			t.Errorf("%d lines took %v", lines, took)
+		}
+		if lost := q.Lost(); lost == 0 || lost > lines-queuedLines {
+			t.Errorf("%d of %d lines lost, the queue holds %d", lost, lines, queuedLines)
+		}
+		began = time.Now()
+		q.Close()
+		if took := time.Since(began); took > closeWait {
+			t.Errorf("the end took %v", took)
+		}
+		close(w.release)
+		synctest.Wait()
+		if got := uint64(bytes.Count(w.out.Bytes(), []byte("\n"))); got+q.Lost() != lines {
+			t.Errorf("%d lines written and %d lost of %d", got, q.Lost(), lines)
+		}
+	})
+}
