Drop the document's version from the question for news

Cause: since documents are fetched by themselves nothing reads the version that a process says it holds; giving a place back took the balancer's lock three times.

Change: the field goes; done returns the slowness that is told to the placer. Behaviour stays.

--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -15,7 +15,6 @@
 	Session  string `json:"session"`  // of the last answer; a leadership
 	Revision uint64 `json:"revision"` // of the upstreams held, in that session
 	Index    uint64 `json:"index"`    // of the durable state held
-	Version  int64  `json:"version"`  // of the document held; -1: none
 	WaitMS   int64  `json:"wait_ms"`
 
 	Running  map[string]int     `json:"running,omitempty"`  // own requests at each head, by ID
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -83,7 +83,7 @@
 		metrics:   NewMetrics(),
 		kick:      make(chan struct{}, 1),
 	}
-	c.mirror = control.FleetSyncRequest{Process: cfg.Peer, Zone: cfg.Zone, Version: -1}
+	c.mirror = control.FleetSyncRequest{Process: cfg.Peer, Zone: cfg.Zone}
 	c.member = &member{c: c}
 	return c
 }
--- a/pkg/coordinator/quorum_test.go
+++ b/pkg/coordinator/quorum_test.go
@@ -379,7 +379,7 @@
 		}
 		c.kill(first)
 		next := c.running[c.leader()]
-		req := control.FleetSyncRequest{Process: "e1", Entry: true, Version: -1}
+		req := control.FleetSyncRequest{Process: "e1", Entry: true}
 		raw, err := next.sync(context.Background(), req)
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -224,6 +224,5 @@
 	c.mirror.Session = result.Session
 	c.mirror.Revision = result.Revision
 	c.mirror.Index = result.Index
-	c.mirror.Version = result.Version
 	c.member.learn(result.Peers)
 }
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -83,7 +83,7 @@
 
 // Run follows the coordinators until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
-	held := control.FleetSyncRequest{Process: g.cfg.Name, Zone: g.cfg.Zone, Entry: true, Version: -1}
+	held := control.FleetSyncRequest{Process: g.cfg.Name, Zone: g.cfg.Zone, Entry: true}
 	reached := false
 	var fetching sync.WaitGroup
 	fetching.Go(func() { g.documents.run(ctx, g) })
@@ -141,9 +141,6 @@
 	held.Session = result.Session
 	held.Revision = result.Revision
 	held.Index = max(held.Index, result.Index)
-	if x := g.index.Load(); x != nil {
-		held.Version = x.Set.Version
-	}
 	for _, p := range result.Peers {
 		g.caller.Learn(p)
 		g.suspects.Learn(p)
--- a/pkg/entry/place.go
+++ b/pkg/entry/place.go
@@ -82,18 +82,19 @@
 	}
 }
 
-// done takes a request off its upstream.
-func (b *balancer) done(p *place) {
+// done takes a request off its upstream, and returns how slow that is.
+func (b *balancer) done(p *place) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p.hosted {
 		p.target.hosted.ended(p.tokens, p.begun)
-		return
+		return p.target.slowness
 	}
 	p.target.own.ended(p.tokens, p.begun)
 	if p.remote != nil {
 		p.target.placed.ended(p.tokens, p.begun)
 	}
+	return p.target.slowness
 }
 
 // takeOver counts a place here that another entry host counted.
@@ -124,12 +125,6 @@
 	return p.remote, p.number
 }
 
-func (b *balancer) slownessOf(t *target) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return t.slowness
-}
-
 // toldSlow takes what other entry hosts measured of the heads' pace.
 func (b *balancer) toldSlow(slow map[string]float64) {
 	b.mu.Lock()
--- a/pkg/entry/placing.go
+++ b/pkg/entry/placing.go
@@ -158,8 +158,8 @@
 // done gives a place back.
 func (g *Gate) done(p *place) {
 	r, n := g.balancer.counter(p)
-	g.balancer.done(p)
+	slowness := g.balancer.done(p)
 	if r != nil {
-		r.end(n, p.target.ID, g.balancer.slownessOf(p.target))
+		r.end(n, p.target.ID, slowness)
 	}
 }
