Log which request an upstream broke off and whether it ended

Arrivals of one request could not be joined, and a broken attempt did not say whether its upstream had ended or only closed a connection.

Change: a line "upstream broke off a request" with the fingerprint of the request (organisation, host, path, body), the incarnation, its state and the executions so far; sesame_entry_broken_attempts_total by state.

Ruled out: judging by the error alone; a reset of an upstream that lives and one that has ended look the same.

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -47,6 +47,7 @@
 			c.outcome = clientLeft
 			return
 		}
+		c.inspectFailure(t, err)
 		if !c.mayRepeat(err) {
 			c.endBuffered(c.reason, lastFailure)
 			return
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
 // call is one client request in progress.
@@ -30,6 +31,7 @@
 	body         []byte
 	deadline     time.Duration // the earlier of the client's and the route's
 
+	fingerprint        view.Fingerprint // see requestFingerprint
 	tried              map[string]bool
 	sent               int  // upstreams to which the request was written
 	possibleExecutions int  // upstreams that may have run the request
@@ -275,7 +277,7 @@
 		version = c.index.Set.Version
 	}
 	c.gateway.cfg.Logger.Info("request ended",
-		"request", c.r.Header.Get(c.gateway.cfg.Headers.Attempt), "route", c.routeName(), "outcome", c.outcome, "status", c.status,
+		"request", c.r.Header.Get(c.gateway.cfg.Headers.Attempt), "fingerprint", c.fingerprint, "route", c.routeName(), "outcome", c.outcome, "status", c.status,
 		"reason", c.reason, "upstream", c.upstream, "placer", c.placer, "sent", c.sent, "resumed", c.resumed, "model", c.model,
 		"ms", (now - c.began).Milliseconds(), "first_ms", max((c.firstEventAt-c.began).Milliseconds(), 0), "pause_ms", c.longestPause.Milliseconds(),
 		"left_ms", max(c.deadline-now, 0).Milliseconds(), "document", version,
--- /dev/null
+++ b/pkg/entry/failed_attempt.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/suspect"
+	"github.com/sesamemux/sesamemux/pkg/upstream"
+	"github.com/sesamemux/sesamemux/pkg/view"
+)
+
+// requestFingerprint identifies what the client asks for. It is the same for each arrival of the
+// request, at every entry host.
+func (c *call) requestFingerprint() view.Fingerprint {
+	if c.fingerprint == "" {
+		c.fingerprint = suspect.ExactFingerprint(c.organisation, c.r.Host, c.r.RequestURI, c.body)
+	}
+	return c.fingerprint
+}
+
+// brokeOff reports whether an attempt failed because its upstream stopped sending.
+func brokeOff(err error) bool {
+	return eris.Is(err, upstream.ErrConnectionLost) || eris.Is(err, upstream.ErrStalled) || eris.Is(err, errAbandoned)
+}
+
+// inspectFailure finds out whether the upstream of a failed attempt has ended, and logs it.
+func (c *call) inspectFailure(t *target, err error) {
+	if !brokeOff(err) {
+		return
+	}
+	g := c.gateway
+	state := g.ends.check(g.now(), incarnation{t.ID, t.StartedMS}, t.Address)
+	g.metrics.BrokenAttempts.WithLabelValues(string(state)).Inc()
+	if g.requestLog.allow(g.now(), false) {
+		g.cfg.Logger.Info("upstream broke off a request", "request", c.r.Header.Get(g.cfg.Headers.Attempt), "fingerprint", c.requestFingerprint(),
+			"organisation", c.organisation, "upstream", t.ID, "born", t.StartedMS, "upstream_state", state, "executions", c.possibleExecutions,
+			"most", c.route.MaxAttempts, "answer_begun", c.headerSent, "cause", err)
+	}
+}
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -23,6 +23,7 @@
 	placers         *placerDirectory
 	hosted          *hostedPlacements
 	budget          *retryBudget
+	ends            *endChecker
 	demand          *demand
 	metrics         *Metrics
 	requestLog      *requestLog
@@ -46,6 +47,7 @@
 		placers:         newPlacerDirectory(cfg),
 		hosted:          newHostedPlacements(),
 		budget:          newRetryBudget(cfg.RetryRatio, cfg.RetryBurst),
+		ends:            newEndChecker(cfg.DialBackend),
 		demand:          newDemand(),
 		metrics:         NewMetrics(),
 	}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -14,6 +14,7 @@
 	FirstEvent      *prometheus.HistogramVec
 	StreamPause     prometheus.Histogram
 	Retries         *prometheus.CounterVec
+	BrokenAttempts  *prometheus.CounterVec
 	Placements      *prometheus.CounterVec
 	Syncs           *prometheus.CounterVec
 	SuspectedHeads  prometheus.Counter
@@ -38,6 +39,8 @@
 			Name: "sesame_entry_pause_seconds", Help: "Longest pause between events of a stream.", Buckets: secondsBuckets}),
 		Retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_entry_repeats_total", Help: "Requests sent to a further upstream by cause."}, []string{"cause"}),
+		BrokenAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_entry_broken_attempts_total", Help: "Requests that an upstream broke off, by whether its process had ended."}, []string{"upstream"}),
 		Placements: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_entry_placements_total", Help: "Questions to the entry host that places a model's requests, by outcome."}, []string{"outcome"}),
 		Syncs: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -49,7 +52,7 @@
 		DocumentVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sesame_entry_document_version", Help: "Version of the document in force here."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.Placements, m.Syncs, m.SuspectedHeads, m.SuppressedLines, m.DocumentVersion)
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Placements, m.Syncs, m.SuspectedHeads, m.SuppressedLines, m.DocumentVersion)
 	return m
 }
 
--- a/pkg/entry/request_log_test.go
+++ b/pkg/entry/request_log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,15 +15,21 @@
 // docs/OPERATIONS.md describes how to find the cause of a failed request from its ID. The tests
 // below reproduce its three cases and check that the log line contains the fields it relies on.
 
-// requestLine returns the log line of a request.
+// requestLine returns the log line of the end of a request.
 func requestLine(t *testing.T, out *bytes.Buffer, id string) string {
+	t.Helper()
+	return requestLineWith(t, out, id, "request ended")
+}
+
+// requestLineWith returns the first log line of a request with the given message.
+func requestLineWith(t *testing.T, out *bytes.Buffer, id, message string) string {
 	t.Helper()
 	for line := range strings.Lines(out.String()) {
-		if strings.Contains(line, "request="+id+" ") {
+		if strings.Contains(line, "request="+id+" ") && strings.Contains(line, `msg="`+message+`"`) {
 			return line
 		}
 	}
-	t.Fatalf("no log line of request %s in:\n%s", id, out)
+	t.Fatalf("no line %q of request %s in:\n%s", message, id, out)
 	return ""
 }
 
@@ -68,3 +75,38 @@
 		assertFields(t, requestLine(t, &out, "a-1"), "outcome=unknown", "status=502", "upstream=p1", "sent=1", "cause=")
 	})
 }
+
+const brokeOffLine = "upstream broke off a request"
+
+func TestLogTellsAnEndedUpstreamFromABrokenConnection(t *testing.T) {
+	for state, ends := range map[string]bool{"ended": true, "alive": false} {
+		t.Run(state, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var out bytes.Buffer
+				var b *harness
+				b = newLoggedHarness(t, logging.New(&out, logging.Options{Process: "entry"}), map[string]answerFunc{"p1": func(net.Conn, *http.Request, string) bool {
+					if ends {
+						b.network.Kill("p1")
+					}
+					return false
+				}})
+				b.send("POST", "/once/1", "first", map[string]string{testHeaders.Attempt: "a-1"})
+				lines := requestLineWith(t, &out, "a-1", brokeOffLine)
+				assertFields(t, lines, "upstream=p1", "born=1", "upstream_state="+state, "executions=1")
+				_, fingerprint, _ := strings.Cut(lines, "fingerprint=")
+				fingerprint, _, _ = strings.Cut(fingerprint, " ")
+				out.Reset()
+				time.Sleep(maxBackoff)
+				b.send("POST", "/once/1", "first", map[string]string{testHeaders.Attempt: "a-2"})
+				time.Sleep(maxBackoff)
+				b.send("POST", "/once/1", "other", map[string]string{testHeaders.Attempt: "a-3"})
+				if !ends && !strings.Contains(requestLineWith(t, &out, "a-2", brokeOffLine), fingerprint) {
+					t.Errorf("the second arrival of the request has another fingerprint than %s:\n%s", fingerprint, &out)
+				}
+				if !ends && strings.Contains(requestLineWith(t, &out, "a-3", brokeOffLine), fingerprint) {
+					t.Errorf("another request has fingerprint %s", fingerprint)
+				}
+			})
+		})
+	}
+}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -42,6 +42,7 @@
 			return
 		}
 		c.recordUpstreamFailure(p.target, err)
+		c.inspectFailure(p.target, err)
 		if !c.mayRepeat(err) {
 			c.endStream(c.reason)
 			return
@@ -174,7 +175,7 @@
 			return s.completed(t, resp.Header)
 		}
 		if err == io.EOF {
-			return eris.New("stream ended in the middle of an event")
+			return eris.Wrap(upstream.ErrConnectionLost, "stream ended in the middle of an event")
 		}
 		if err != nil {
 			return err
--- a/pkg/suspect/fingerprint.go
+++ b/pkg/suspect/fingerprint.go
@@ -19,8 +19,18 @@
 // the path and the body count. JSON is brought into a canonical form, so that white space, the
 // order of keys, the notation of numbers and request IDs make no difference.
 func Fingerprint(organisation, path string, body []byte) view.Fingerprint {
+	return hashParts([]byte(organisation), []byte(path), canonical(body))
+}
+
+// ExactFingerprint identifies a request by its organisation, host, path with query, and body,
+// byte for byte. It serves where the format of bodies is not known.
+func ExactFingerprint(organisation, host, path string, body []byte) view.Fingerprint {
+	return hashParts([]byte(organisation), []byte(host), []byte(path), body)
+}
+
+func hashParts(parts ...[]byte) view.Fingerprint {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(organisation), []byte(path), canonical(body)} {
+	for _, part := range parts {
 		var n [8]byte
 		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
 		h.Write(n[:])
