--- /dev/null
+++ b/pkg/entry/fleet_test.go
@@ -0,0 +1,456 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/coordinator"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+	"github.com/sesamemux/sesamemux/pkg/formation"
+	"github.com/sesamemux/sesamemux/pkg/logging"
+	"github.com/sesamemux/sesamemux/pkg/memconn"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
+)
+
+const (
+	restartTime  = 3 * time.Second        // from the crash of an upstream until it is back
+	announceTime = 400 * time.Millisecond // between announcements of an upstream
+)
+
+// testFleet is a deployment with real coordinators and entry hosts, simulated upstreams, an
+// in-memory network and virtual time. A request whose body starts with "crash" ends each upstream
+// that runs it.
+type testFleet struct {
+	t       *testing.T
+	network *memconn.Network
+	rand    *rand.Rand
+	cores   []*coreProcess
+	entries []*entryProcess
+	hosts   []*simulatedHost
+
+	mu       sync.Mutex
+	arrivals []arrival
+	requests int // sent by clients
+}
+
+// arrival is a request that began to run at an upstream.
+type arrival struct {
+	at       time.Time
+	key      string // identifies the request over all its arrivals
+	attempt  string
+	upstream string
+	crashed  bool
+}
+
+type coreProcess struct {
+	name    string
+	dir     string
+	c       *coordinator.Coordinator
+	server  *rpc.Server
+	stop    context.CancelFunc
+	stopped *sync.WaitGroup
+}
+
+type entryProcess struct {
+	name    string
+	g       *Gateway
+	server  *rpc.Server
+	stop    context.CancelFunc
+	stopped *sync.WaitGroup
+}
+
+// fleetSize is the size of a testFleet.
+type fleetSize struct{ entries, plain, engines int }
+
+func newTestFleet(t *testing.T, seed uint64, size fleetSize) *testFleet {
+	f := &testFleet{t: t, network: memconn.New(time.Millisecond), rand: rand.New(rand.NewPCG(seed, 1))}
+	for _, name := range []string{"c1", "c2", "c3"} {
+		f.cores = append(f.cores, &coreProcess{name: name, dir: t.TempDir()})
+	}
+	for _, p := range f.cores {
+		f.startCore(p, true)
+	}
+	for i := range size.entries {
+		p := &entryProcess{name: fmt.Sprintf("e%d", i)}
+		f.entries = append(f.entries, p)
+		f.startEntry(p)
+	}
+	for i := range size.plain + size.engines {
+		h := &simulatedHost{fleet: f, name: fmt.Sprintf("h%d", i), zone: fmt.Sprintf("z%d", i%3), service: "plain"}
+		if i >= size.plain {
+			h.service, h.domain = "models", fmt.Sprintf("d%d", i%2)
+		}
+		f.hosts = append(f.hosts, h)
+		h.start()
+	}
+	t.Cleanup(f.close)
+	for f.cores[0].c.PutDocument(t.Context(), []byte("document")) != nil {
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.await("entry hosts to be ready", func() bool {
+		return !slices.ContainsFunc(f.entries, func(p *entryProcess) bool { ok, _ := p.g.Ready(); return !ok })
+	})
+	f.await("all models to be served", func() bool {
+		return size.engines == 0 || f.send(0, clientRequest{kind: "stream", body: "warm"}).status == 200
+	})
+	time.Sleep(5 * time.Second)
+	return f
+}
+
+func (f *testFleet) await(what string, done func() bool) {
+	f.t.Helper()
+	for range 300 {
+		if done() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.t.Fatalf("gave up waiting for %s", what)
+}
+
+func (f *testFleet) close() {
+	for _, h := range f.hosts {
+		h.stop(true)
+	}
+	for _, p := range f.entries {
+		f.killEntry(p)
+	}
+	for _, p := range f.cores {
+		f.killCore(p)
+	}
+	time.Sleep(time.Minute) // let waiting calls end
+}
+
+func (f *testFleet) startCore(p *coreProcess, first bool) {
+	p.server, p.stopped = rpc.NewServer(), &sync.WaitGroup{}
+	p.c = coordinator.New(coordinator.Config{
+		Name: p.name, Zone: p.name, PeerAddress: p.name + ":1", OperatorAddress: p.name + ":2", Seeds: []string{"c1:1", "c2:1", "c3:1"}, FirstStart: first,
+		DataDir: p.dir, Voters: 3, LoadWindow: 5 * time.Second, Decode: decodeFleetSet, Engines: simulatedEngines{f},
+		Dial: f.network.Dialer(p.name), Clock: clock.NewMonotonic(), Logger: logging.Discard(),
+	})
+	p.c.Register(p.server)
+	l := f.network.Listen(p.name, p.name+":1")
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	p.stopped.Go(func() { _ = p.server.Serve(l) })
+	p.stopped.Go(func() { p.c.Run(ctx) })
+}
+
+func (f *testFleet) killCore(p *coreProcess) {
+	f.network.Kill(p.name)
+	p.server.Close()
+	p.stop()
+	p.stopped.Wait()
+}
+
+func (f *testFleet) startEntry(p *entryProcess) {
+	p.server, p.stopped = rpc.NewServer(), &sync.WaitGroup{}
+	p.g = New(Config{
+		Name: p.name, Zone: "z0", Coordinators: []string{"c1:1", "c2:1", "c3:1"}, PlacerAddress: p.name + ":9", Headers: testHeaders,
+		Decode: decodeFleetSet, RetryRatio: 0.2, RetryBurst: 100, ColdFactor: 1, ColdSlack: 100,
+		Dial: f.network.Dialer(p.name), DialBackend: f.network.Dialer(p.name), Clock: clock.NewMonotonic(), Logger: logging.Discard(),
+	})
+	p.g.Register(p.server)
+	l := f.network.Listen(p.name, p.name+":9")
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	g := p.g
+	p.stopped.Go(func() { _ = p.server.Serve(l) })
+	p.stopped.Go(func() { g.Run(ctx) })
+}
+
+func (f *testFleet) killEntry(p *entryProcess) {
+	f.network.Kill(p.name)
+	p.server.Close()
+	p.stop()
+	p.stopped.Wait()
+}
+
+// decodeFleetSet returns testSet with an engine whose groups are quick to form.
+func decodeFleetSet([]byte) (*catalog.Set, error) {
+	set := testSet()
+	e := set.Services[1].Engine
+	e.Slots, e.LoadsPerS, e.ConcurrentLoads, e.FormationTime, e.MeanPromptTokens, e.MeanAnswerTokens = 8, 10, 10, 100*time.Millisecond, 100, 50
+	e.Models = []catalog.Model{{Name: "m", GroupSize: 1, Share: 1, Pace: 1, LoadTime: time.Second, WarmTime: 100 * time.Millisecond}}
+	set.Services[1].WarmupPerSecond = 0
+	return set, nil
+}
+
+// clientRequest is what a client asks for. Requests of the same kind, path and body are the same
+// request.
+type clientRequest struct {
+	kind        string // see testSet
+	body        string
+	lastEventID string
+}
+
+func (r clientRequest) key() string { return r.kind + "|" + r.body }
+
+// send sends one attempt to an entry host.
+func (f *testFleet) send(entry int, c clientRequest) *recorder {
+	f.mu.Lock()
+	f.requests++
+	id := fmt.Sprintf("a-%d", f.requests)
+	f.mu.Unlock()
+	path := "/" + c.kind + "/1"
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://shop.example"+path, strings.NewReader(c.body))
+	if err != nil {
+		f.t.Error(err)
+		return &recorder{header: http.Header{}}
+	}
+	r.RequestURI, r.Host = path, "shop.example"
+	for k, v := range map[string]string{
+		testHeaders.Attempt: id, testHeaders.Deadline: "3000", "Authorization": "Bearer key-1",
+		testHeaders.Model: "m", testHeaders.TokenCounts: "100,50", testHeaders.LastEventID: c.lastEventID,
+	} {
+		r.Header.Set(k, v)
+	}
+	w := &recorder{header: http.Header{}}
+	func() {
+		defer func() {
+			if v := recover(); v != nil {
+				w.cut = v == http.ErrAbortHandler
+			}
+		}()
+		f.entries[entry].g.ServeHTTP(w, r)
+	}()
+	return w
+}
+
+// begin records that a request begins to run.
+func (f *testFleet) begin(key, attempt, upstream string, crashes bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals = append(f.arrivals, arrival{time.Now(), key, attempt, upstream, crashes})
+}
+
+// crashes returns when a request ended upstreams, and the times of all its arrivals.
+func (f *testFleet) crashes(key string) (crashes, arrivals []time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.arrivals {
+		if a.key != key {
+			continue
+		}
+		arrivals = append(arrivals, a.at)
+		if a.crashed {
+			crashes = append(crashes, a.at)
+		}
+	}
+	return crashes, arrivals
+}
+
+// simulatedHost is the host of an upstream. Each start of its process is a new incarnation.
+type simulatedHost struct {
+	fleet   *testFleet
+	name    string
+	zone    string
+	service string
+	domain  string
+
+	mu     sync.Mutex
+	record fleet.Upstream
+	life   int
+	up     bool
+	retire bool          // it is not started again
+	ending chan struct{} // closed at the end of the process
+}
+
+func (h *simulatedHost) start() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.retire {
+		return
+	}
+	h.life++
+	h.up = true
+	h.ending = make(chan struct{})
+	h.record = fleet.Upstream{
+		ID: fmt.Sprintf("%s-%d", h.name, h.life), Service: h.service, Address: h.name + ":80", Zone: h.zone, FabricDomain: h.domain,
+		StartedMS: time.Now().UnixMilli(), Slots: 8, State: fleet.Ready, StagedModels: h.record.StagedModels,
+	}
+	l := h.fleet.network.Listen(h.name, h.name+":80")
+	go h.accept(l, h.record.ID)
+	go h.announceLoop(h.ending)
+}
+
+// crash ends the process. It is back after restartTime.
+func (h *simulatedHost) crash() {
+	if h.stop(false) {
+		time.AfterFunc(restartTime, h.start)
+	}
+}
+
+func (h *simulatedHost) stop(retire bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retire = h.retire || retire
+	if !h.up {
+		return false
+	}
+	h.up = false
+	close(h.ending)
+	h.fleet.network.Kill(h.name)
+	return true
+}
+
+func (h *simulatedHost) announceLoop(ending chan struct{}) {
+	for {
+		h.announce()
+		select {
+		case <-ending:
+			return
+		case <-time.After(announceTime):
+		}
+	}
+}
+
+func (h *simulatedHost) announce() {
+	h.mu.Lock()
+	h.record.Sequence++
+	u := h.record
+	up := h.up
+	h.mu.Unlock()
+	for _, p := range h.fleet.cores {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := p.c.Announce(ctx, u)
+		cancel()
+		if err == nil || !up {
+			return
+		}
+	}
+}
+
+func (h *simulatedHost) accept(l net.Listener, id string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go h.serve(c, id)
+	}
+}
+
+func (h *simulatedHost) serve(c net.Conn, id string) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !h.run(c, r, id, string(body)) {
+			return
+		}
+	}
+}
+
+// run answers a request. It returns whether the connection stays open.
+func (h *simulatedHost) run(c net.Conn, r *http.Request, id, body string) bool {
+	attempt := r.Header.Get(testHeaders.Attempt)
+	if r.Header.Get(testHeaders.Incarnation) != id {
+		return fixedAnswer(http.StatusMisdirectedRequest, "", "other")(c, r, attempt)
+	}
+	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	crashes := strings.HasPrefix(body, "crash")
+	time.Sleep(20 * time.Millisecond)
+	h.fleet.begin(clientRequest{kind: kind, body: body}.key(), attempt, id, crashes)
+	if crashes && kind != "stream" {
+		h.crash()
+		return false
+	}
+	if kind != "stream" {
+		return fixedAnswer(200, "X-Sig: s\r\n", "fine")(c, r, attempt)
+	}
+	if crashes {
+		_ = streamFrom(10, 1, "s", func(net.Conn) { h.crash() })(c, r, attempt)
+		return false
+	}
+	return streamFrom(10, 10, "s", nil)(c, r, attempt)
+}
+
+// simulatedEngines carries out orders at the hosts of a testFleet.
+type simulatedEngines struct{ fleet *testFleet }
+
+func (e simulatedEngines) Order(_ context.Context, o formation.Order, _ uint64) (formation.OrderResult, error) {
+	for _, h := range e.fleet.hosts {
+		if h.carryOut(o) {
+			go h.announce()
+			return formation.Accepted, nil
+		}
+	}
+	return formation.Rejected, eris.Errorf("%s is not there", o.Host.ID)
+}
+
+func (h *simulatedHost) carryOut(o formation.Order) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.up || h.record.ID != o.Host.ID {
+		return false
+	}
+	rank := slices.Index(o.Members, h.record.ID)
+	switch o.Kind {
+	case formation.Join:
+		h.record.Assignment = &fleet.Assignment{Group: o.Group, Epoch: o.Epoch, Rank: rank, State: fleet.AssignmentReady}
+		h.record.StagedModels = []string{o.Model}
+	case formation.Open:
+		h.record.Assignment = &fleet.Assignment{Group: o.Group, Epoch: o.Epoch, State: fleet.AssignmentOpen}
+	case formation.Leave:
+		h.record.Assignment = nil
+	case formation.Stage:
+		h.record.StagedModels = []string{o.Model}
+	}
+	return true
+}
+
+func (e simulatedEngines) Probe(_ context.Context, u fleet.Upstream) error {
+	for _, h := range e.fleet.hosts {
+		h.mu.Lock()
+		there := h.up && h.record.ID == u.ID
+		h.mu.Unlock()
+		if there {
+			return nil
+		}
+	}
+	return eris.New("no answer")
+}
+
+// client sends a request and, if it is not served, repeats it once at another entry host as its
+// answer says.
+func (f *testFleet) client(c clientRequest) *recorder {
+	w := f.send(f.randomEntry(), c)
+	if w.status == 200 && !w.cut || c.kind == "once" && w.status != http.StatusServiceUnavailable {
+		return w
+	}
+	wait := time.Second
+	if d, err := time.ParseDuration(w.header.Get("Retry-After") + "s"); err == nil {
+		wait = min(wait, d)
+	}
+	time.Sleep(wait)
+	if i := bytes.LastIndex(w.body.Bytes(), []byte("id: ")); c.kind == "stream" && i >= 0 {
+		_, _ = fmt.Sscan(string(w.body.Bytes()[i+4:]), &c.lastEventID)
+	}
+	return f.send(f.randomEntry(), c)
+}
+
+func (f *testFleet) randomEntry() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.IntN(len(f.entries))
+}
