Quarantine requests that end upstreams on the users' path

Callers saw groups and services lost one after the other: a request under which three upstreams had ended was sent on at each arrival, and each time another upstream ended with all that ran there.

Cause: nothing on this path outlived one arrival of a request. max_attempts bounds one attempt, the retry budget a service in a window; both begin anew with the next arrival, at any of the entry hosts. The class of fault: a bound over the deployment that each process keeps for itself, and only for the length of a request.

Change: pkg/quarantine, a pure state machine. An entry host that sees an upstream end under a request tells the leader which request it was. The second end without a completed run between makes the request a suspect, which is committed to the replicated log and told to all entry hosts with the state. A suspect runs only with a trial that the leader grants through the log, one at a time, two at most after the third crash. A crash in a trial convicts; then the request is refused at once with 503 and the time at which it is forgotten. A completed run clears, also one of the last 30 s at any entry host, so that a popular request does not suffer from an outage. Entry hosts report again to a new leader and learn the quarantine before the document. The settling of a trial, the refusal and the questions are logged and counted.

Ruled out: pkg/suspect as it stands. It isolates after one crash and runs all suspects on one gate; here an engine host ends every few seconds under some 20 streams, which must continue elsewhere at once. A count at each entry host alone: with 75 of them 225 upstreams end first. Counting a broken connection as a crash: resets and broken answers of a living upstream are common.

The bound holds because the grant, not the observation, is what a send after the third crash needs, and the log counts grants over any change of leader.

--- a/pkg/access/allow.go
+++ b/pkg/access/allow.go
@@ -38,6 +38,8 @@
 	control.MethodFleetJoin:         {Keeper},
 	control.MethodFleetPlace:        {Gate},
 	control.MethodFleetPlaced:       {Gate},
+	control.MethodFleetRuns:         {Gate},
+	control.MethodFleetTrial:        {Gate},
 	control.MethodKeeperReplace:     {Operator},
 	control.MethodKeeperStatus:      {Operator},
 	control.MethodQuarantineList:    {Operator},
--- a/pkg/access/rights_test.go
+++ b/pkg/access/rights_test.go
@@ -34,6 +34,8 @@
 	control.MethodFleetJoin:     {Keeper},
 	control.MethodFleetPlace:    {Gate},
 	control.MethodFleetPlaced:   {Gate},
+	control.MethodFleetRuns:     {Gate},
+	control.MethodFleetTrial:    {Gate},
 }
 
 func openLinks(t *testing.T, f Files) *Transport {
--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/sesamemux/sesamemux/pkg/durable"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
+	"github.com/sesamemux/sesamemux/pkg/quarantine"
+	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
 // FleetSyncRequest tells the leading coordinator which state a process holds and what it has
@@ -35,9 +37,10 @@
 	// DocumentVersion is the version of the document in force, or -1 if there is none. Any
 	// coordinator that holds the document serves it (fleet.document).
 	DocumentVersion int64 `json:"version"`
-	// Evacuated and Departures are set when Index is above that of the request.
+	// Evacuated, Departures and Quarantine are set when Index differs from that of the request.
 	Evacuated          []string            `json:"evacuated,omitempty"`
 	Departures         []durable.Departure `json:"departures,omitempty"`
+	Quarantine         quarantine.List     `json:"quarantine,omitempty"`
 	Upstreams          []fleet.Upstream    `json:"upstreams,omitempty"`
 	Running            map[string]int      `json:"running,omitempty"` // requests in progress at each head, over all processes
 	AwaitingFirstEvent map[string]int      `json:"unread,omitempty"`
@@ -106,3 +109,39 @@
 	Ended    []uint64           `json:"ended,omitempty"`
 	Slowdown map[string]float64 `json:"slow,omitempty"` // ratio of actual to expected time between events, by head
 }
+
+// FleetRunsRequest reports to the leader how runs of requests ended.
+type FleetRunsRequest struct {
+	Process string             `json:"process"`
+	Crashed []FleetCrashedRun  `json:"crashed,omitempty"`
+	Cleared []view.Fingerprint `json:"cleared,omitempty"` // requests that ran to their end
+	Ended   []FleetTrial       `json:"ended,omitempty"`   // trials that ended without a verdict
+}
+
+// FleetCrashedRun is a request that was running when its upstream ended.
+type FleetCrashedRun struct {
+	Fingerprint view.Fingerprint `json:"f"`
+	Crash       quarantine.Crash `json:"crash"`
+	Trial       string           `json:"trial,omitempty"` // the trial that the run was; empty if none
+}
+
+// FleetTrial is a trial of a suspect.
+type FleetTrial struct {
+	Fingerprint view.Fingerprint `json:"f"`
+	Trial       string           `json:"trial"` // unique
+}
+
+// FleetTrialRequest asks the leader for a trial of a suspect.
+type FleetTrialRequest struct {
+	Process string `json:"process"`
+	FleetTrial
+	Crashes     []quarantine.Crash `json:"crashes,omitempty"` // seen by this process
+	RemainingMS int64              `json:"left_ms"`           // until the request's deadline
+}
+
+// FleetTrialResult says whether the request may run.
+type FleetTrialResult struct {
+	Verdict   quarantine.Verdict `json:"verdict"`           // Free, NeedsTrial if the trial is granted, or MustRefuse
+	Busy      bool               `json:"busy,omitempty"`    // with MustRefuse: another trial is running
+	ExpiresMS int64              `json:"expires,omitempty"` // with MustRefuse unless Busy: Unix milliseconds
+}
--- a/pkg/control/methods.go
+++ b/pkg/control/methods.go
@@ -39,6 +39,8 @@
 	MethodFleetJoin     Method = "fleet.join"     // a coordinator without a replica asks to join
 	MethodFleetPlace    Method = "fleet.place"    // place a request; served by the placer of its model
 	MethodFleetPlaced   Method = "fleet.placed"   // progress of placements; a notification to the placer
+	MethodFleetRuns     Method = "fleet.runs"     // how runs ended that matter to the quarantine
+	MethodFleetTrial    Method = "fleet.trial"    // ask for a trial of a suspect
 )
 
 // Methods served by every process.
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/sesamemux/sesamemux/pkg/formation"
 	"github.com/sesamemux/sesamemux/pkg/keeper"
 	"github.com/sesamemux/sesamemux/pkg/leader"
+	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/raft"
 	"github.com/sesamemux/sesamemux/pkg/replica"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
@@ -60,6 +61,7 @@
 	traffic       bool
 	cordonedHeads map[string]bool
 	cachedResults map[resultKey]cachedResult
+	crashes       *quarantine.Tracker
 	placers       map[string]string // by model: host:port of the entry host that places its requests; nil if not chosen yet
 
 	load            map[string]float64 // required engine time per second, by model
@@ -155,6 +157,8 @@
 	rpc.Handle(s, string(control.MethodFleetRead), c.handleRead)
 	rpc.Handle(s, string(control.MethodFleetDocument), c.handleDocument)
 	rpc.Handle(s, string(control.MethodFleetJoin), c.handleJoin)
+	rpc.Handle(s, string(control.MethodFleetRuns), c.handleRuns)
+	rpc.Handle(s, string(control.MethodFleetTrial), c.handleTrial)
 }
 
 // requestDecision requests a run of the planner.
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -8,6 +8,7 @@
 	"github.com/sesamemux/sesamemux/pkg/durable"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/formation"
+	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/replica"
 )
 
@@ -63,6 +64,7 @@
 		probeAnswers:  map[string]time.Duration{},
 		cordonedHeads: map[string]bool{},
 		cachedResults: map[resultKey]cachedResult{},
+		crashes:       quarantine.NewTracker(),
 	}
 	// The upstreams are known from the former leader. Treat each as just heard, so that it has time
 	// to announce itself here.
--- a/pkg/coordinator/metrics.go
+++ b/pkg/coordinator/metrics.go
@@ -9,6 +9,7 @@
 	Orders     *prometheus.CounterVec
 	Suspicions prometheus.Counter
 	DeadHosts  prometheus.Counter
+	Trials     *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -24,6 +25,8 @@
 		DeadHosts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sesame_coordinator_dead_hosts_total", Help: "Hosts found dead by probes."}),
 	}
-	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.DeadHosts)
+	m.Trials = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sesame_coordinator_trials_total", Help: "Trials of requests that may end upstreams, by outcome of the question."}, []string{"outcome"})
+	m.Registry.MustRegister(m.Trials, m.Leading, m.Orders, m.Suspicions, m.DeadHosts)
 	return m
 }
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -131,6 +131,7 @@
 	if st.Index != req.Index || result.Full {
 		result.Evacuated = st.Evacuated
 		result.Departures = st.Departures
+		result.Quarantine = st.Quarantine
 	}
 	if st.Document != nil {
 		result.DocumentVersion = st.Document.Version
--- a/pkg/durable/command.go
+++ b/pkg/durable/command.go
@@ -1,8 +1,11 @@
 package durable
 
-import "github.com/sesamemux/sesamemux/pkg/fleet"
+import (
+	"encoding/json"
 
-import "encoding/json"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+	"github.com/sesamemux/sesamemux/pkg/quarantine"
+)
 
 // Departure is the notice that an incarnation drains or has deregistered.
 type Departure struct {
@@ -25,6 +28,8 @@
 	Evacuate string      `json:"evacuate,omitempty"` // failure domain
 	Restore  string      `json:"restore,omitempty"`  // failure domain
 	Depart   []Departure `json:"depart,omitempty"`
+	// Quarantine holds changes of the requests under quarantine.
+	Quarantine []quarantine.Change `json:"quarantine,omitempty"`
 }
 
 // Encode returns the encoded form of the command for the log.
--- a/pkg/durable/store.go
+++ b/pkg/durable/store.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/quarantine"
 )
 
 // maxDepartures limits the departures kept; the processes of older ones have long
@@ -18,6 +20,8 @@
 	Document   *Document   `json:"document,omitempty"`
 	Evacuated  []string    `json:"evacuated,omitempty"` // sorted
 	Departures []Departure `json:"departures,omitempty"`
+	// Quarantine holds the requests that may no longer run freely.
+	Quarantine quarantine.List `json:"quarantine,omitempty"`
 }
 
 // Store holds the state and applies commands. It is safe for concurrent use.
@@ -49,6 +53,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.state
+	if len(c.Quarantine) > 0 {
+		var err error
+		next.Quarantine, err = next.Quarantine.Apply(c.Quarantine)
+		next.Index = index
+		s.set(next)
+		if err != nil {
+			return err
+		}
+		return nil
+	}
 	if !next.apply(c) {
 		return nil
 	}
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -20,6 +20,10 @@
 	g := c.gateway
 	var lastFailure *upstreamAnswer
 	for {
+		if why := c.mayRun(); why != noReason {
+			c.endBuffered(why, lastFailure)
+			return
+		}
 		req := placementRequest{service: c.service, tried: c.tried}
 		p, why := g.balancer.choose(g.now(), req)
 		if p == nil {
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -32,6 +32,9 @@
 	deadline     time.Duration // the earlier of the client's and the route's
 
 	fingerprint        view.Fingerprint // see requestFingerprint
+	trial              string           // granted trial of a suspect that was not used yet or is running; empty if none
+	refusedUntilMS     int64            // when a refused request is forgotten, Unix milliseconds
+	framed             bool             // the last answer marks its own end
 	tried              map[string]bool
 	sent               int  // upstreams to which the request was written
 	possibleExecutions int  // upstreams that may have run the request
@@ -207,9 +210,10 @@
 	}
 	if c.route.Kind == catalog.Stream {
 		c.serveStream()
-		return
+	} else {
+		c.serveBuffered()
 	}
-	c.serveBuffered()
+	c.settleRequest()
 }
 
 // refuse answers that the request did not and will not run, with a Retry-After. If it may have run
--- a/pkg/entry/crashing_request_test.go
+++ b/pkg/entry/crashing_request_test.go
@@ -22,6 +22,7 @@
 		return
 	}
 	late := 0
+	f.t.Logf("%s arrived %d times and ended %d upstreams", c.key(), len(arrivals), len(crashes))
 	for _, at := range arrivals {
 		if at.After(crashes[2].Add(contactTime)) {
 			late++
@@ -86,6 +87,7 @@
 			},
 		} {
 			t.Run(kind+" "+name, func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newTestFleet(t, 1, fleetSize{entries: 4, plain: 6, engines: 6})
 					crashing := clientRequest{kind: kind, body: "crash 1"}
--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -22,13 +22,16 @@
 	return eris.Is(err, upstream.ErrConnectionLost) || eris.Is(err, upstream.ErrStalled) || eris.Is(err, errAbandoned)
 }
 
-// inspectFailure finds out whether the upstream of a failed attempt has ended, and logs it.
+// inspectFailure finds out whether the upstream of a failed attempt has ended, logs it and tells the
+// quarantine.
 func (c *call) inspectFailure(t *target, err error) {
 	if !brokeOff(err) {
+		c.settleAttempt(t, endStateUnknown, err)
 		return
 	}
 	g := c.gateway
 	state := g.ends.check(g.now(), incarnation{t.ID, t.StartedMS}, t.Address)
+	c.settleAttempt(t, state, err)
 	g.metrics.BrokenAttempts.WithLabelValues(string(state)).Inc()
 	if g.requestLog.allow(g.now(), false) {
 		g.cfg.Logger.Info("upstream broke off a request", "request", c.r.Header.Get(g.cfg.Headers.Attempt), "fingerprint", c.requestFingerprint(),
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 type coreProcess struct {
 	name    string
 	dir     string
-	c       *coordinator.Coordinator
+	c       atomic.Pointer[coordinator.Coordinator]
 	server  *rpc.Server
 	stop    context.CancelFunc
 	stopped *sync.WaitGroup
@@ -68,7 +69,7 @@
 
 type entryProcess struct {
 	name    string
-	g       *Gateway
+	g       atomic.Pointer[Gateway]
 	server  *rpc.Server
 	stop    context.CancelFunc
 	stopped *sync.WaitGroup
@@ -99,11 +100,11 @@
 		h.start()
 	}
 	t.Cleanup(f.close)
-	for f.cores[0].c.PutDocument(t.Context(), []byte("document")) != nil {
+	for f.cores[0].c.Load().PutDocument(t.Context(), []byte("document")) != nil {
 		time.Sleep(100 * time.Millisecond)
 	}
 	f.await("entry hosts to be ready", func() bool {
-		return !slices.ContainsFunc(f.entries, func(p *entryProcess) bool { ok, _ := p.g.Ready(); return !ok })
+		return !slices.ContainsFunc(f.entries, func(p *entryProcess) bool { ok, _ := p.g.Load().Ready(); return !ok })
 	})
 	f.await("all models to be served", func() bool {
 		return size.engines == 0 || f.send(0, clientRequest{kind: "stream", body: "warm"}).status == 200
@@ -138,17 +139,18 @@
 
 func (f *testFleet) startCore(p *coreProcess, first bool) {
 	p.server, p.stopped = rpc.NewServer(), &sync.WaitGroup{}
-	p.c = coordinator.New(coordinator.Config{
+	c := coordinator.New(coordinator.Config{
 		Name: p.name, Zone: p.name, PeerAddress: p.name + ":1", OperatorAddress: p.name + ":2", Seeds: []string{"c1:1", "c2:1", "c3:1"}, FirstStart: first,
 		DataDir: p.dir, Voters: 3, LoadWindow: 5 * time.Second, Decode: decodeFleetSet, Engines: simulatedEngines{f},
 		Dial: f.network.Dialer(p.name), Clock: clock.NewMonotonic(), Logger: logging.Discard(),
 	})
-	p.c.Register(p.server)
+	c.Register(p.server)
+	p.c.Store(c)
 	l := f.network.Listen(p.name, p.name+":1")
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	p.stopped.Go(func() { _ = p.server.Serve(l) })
-	p.stopped.Go(func() { p.c.Run(ctx) })
+	p.stopped.Go(func() { c.Run(ctx) })
 }
 
 func (f *testFleet) killCore(p *coreProcess) {
@@ -160,16 +162,16 @@
 
 func (f *testFleet) startEntry(p *entryProcess) {
 	p.server, p.stopped = rpc.NewServer(), &sync.WaitGroup{}
-	p.g = New(Config{
+	g := New(Config{
 		Name: p.name, Zone: "z0", Coordinators: []string{"c1:1", "c2:1", "c3:1"}, PlacerAddress: p.name + ":9", Headers: testHeaders,
 		Decode: decodeFleetSet, RetryRatio: 0.2, RetryBurst: 100, ColdFactor: 1, ColdSlack: 100,
 		Dial: f.network.Dialer(p.name), DialBackend: f.network.Dialer(p.name), Clock: clock.NewMonotonic(), Logger: logging.Discard(),
 	})
-	p.g.Register(p.server)
+	g.Register(p.server)
+	p.g.Store(g)
 	l := f.network.Listen(p.name, p.name+":9")
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
-	g := p.g
 	p.stopped.Go(func() { _ = p.server.Serve(l) })
 	p.stopped.Go(func() { g.Run(ctx) })
 }
@@ -227,7 +229,7 @@
 				w.cut = v == http.ErrAbortHandler
 			}
 		}()
-		f.entries[entry].g.ServeHTTP(w, r)
+		f.entries[entry].g.Load().ServeHTTP(w, r)
 	}()
 	return w
 }
@@ -328,7 +330,7 @@
 	h.mu.Unlock()
 	for _, p := range h.fleet.cores {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		_, err := p.c.Announce(ctx, u)
+		_, err := p.c.Load().Announce(ctx, u)
 		cancel()
 		if err == nil || !up {
 			return
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/leader"
+	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
@@ -24,6 +25,9 @@
 	hosted          *hostedPlacements
 	budget          *retryBudget
 	ends            *endChecker
+	guard           *quarantine.Guard
+	reporter        *runReporter
+	trials          atomic.Uint64 // trials requested
 	demand          *demand
 	metrics         *Metrics
 	requestLog      *requestLog
@@ -48,6 +52,8 @@
 		hosted:          newHostedPlacements(),
 		budget:          newRetryBudget(cfg.RetryRatio, cfg.RetryBurst),
 		ends:            newEndChecker(cfg.DialBackend),
+		guard:           quarantine.NewGuard(),
+		reporter:        newRunReporter(cfg.Name),
 		demand:          newDemand(),
 		metrics:         NewMetrics(),
 	}
@@ -87,8 +93,9 @@
 func (g *Gateway) Run(ctx context.Context) {
 	syncRequest := control.FleetSyncRequest{Process: g.cfg.Name, Zone: g.cfg.Zone, EntryHost: true}
 	reached := false
-	var fetching sync.WaitGroup
-	fetching.Go(func() { g.documentFetcher.run(ctx, g) })
+	var work sync.WaitGroup
+	work.Go(func() { g.documentFetcher.run(ctx, g) })
+	work.Go(func() { g.reporter.run(ctx, g) })
 	for ctx.Err() == nil {
 		err := g.syncOnce(ctx, &syncRequest)
 		if (err == nil) != reached {
@@ -105,7 +112,7 @@
 		g.pool.CloseExpired()
 		g.expirePlacements(g.now())
 	}
-	fetching.Wait()
+	work.Wait()
 	g.applyPlacers(map[string]string{})
 	g.caller.Close()
 	g.suspects.Close()
@@ -130,8 +137,14 @@
 	if err := g.caller.CallOnce(calling, control.MethodFleetSync, *syncRequest, &result); err != nil {
 		return err
 	}
-	g.documentFetcher.request(result.DocumentVersion, result.Coordinators)
 	newer := result.Index >= syncRequest.Index && (result.Index != syncRequest.Index || result.Full)
+	if newer {
+		for _, f := range g.guard.PutInForce(g.now(), result.Quarantine) {
+			g.reporter.cleared(f)
+		}
+	}
+	// Only afterwards, so that a new entry host serves nothing before it knows the quarantine.
+	g.documentFetcher.request(result.DocumentVersion, result.Coordinators)
 	for _, address := range g.balancer.applySync(g.now(), result, usage, newer) {
 		g.pool.CloseIdleTo(address)
 	}
@@ -139,6 +152,7 @@
 	g.lastSync.Store(int64(g.now()))
 	if result.Session != syncRequest.Session {
 		g.cfg.Logger.Info("following a new leader session", "session", result.Session, "before", syncRequest.Session, "upstreams", len(result.Upstreams), "index", result.Index)
+		g.reporter.resend(g.guard.OwnCrashes(g.now()))
 	}
 	syncRequest.Session = result.Session
 	syncRequest.Revision = result.Revision
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -15,6 +15,7 @@
 	StreamPause     prometheus.Histogram
 	Retries         *prometheus.CounterVec
 	BrokenAttempts  *prometheus.CounterVec
+	Quarantined     *prometheus.CounterVec
 	Placements      *prometheus.CounterVec
 	Syncs           *prometheus.CounterVec
 	SuspectedHeads  prometheus.Counter
@@ -41,6 +42,8 @@
 			Name: "sesame_entry_repeats_total", Help: "Requests sent to a further upstream by cause."}, []string{"cause"}),
 		BrokenAttempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_entry_broken_attempts_total", Help: "Requests that an upstream broke off, by whether its process had ended."}, []string{"upstream"}),
+		Quarantined: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_entry_quarantine_decisions_total", Help: "Decisions about requests that may end upstreams, by outcome."}, []string{"outcome"}),
 		Placements: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_entry_placements_total", Help: "Questions to the entry host that places a model's requests, by outcome."}, []string{"outcome"}),
 		Syncs: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -52,7 +55,7 @@
 		DocumentVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sesame_entry_document_version", Help: "Version of the document in force here."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Placements, m.Syncs, m.SuspectedHeads, m.SuppressedLines, m.DocumentVersion)
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Quarantined, m.Placements, m.Syncs, m.SuspectedHeads, m.SuppressedLines, m.DocumentVersion)
 	return m
 }
 
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -83,6 +83,7 @@
 		return nil, err
 	}
 	c.sent++
+	c.framed = resp.Framed
 	names := c.gateway.cfg.Headers
 	switch {
 	case resp.Header.Get(names.Attempt) != c.r.Header.Get(names.Attempt):
@@ -198,12 +199,16 @@
 // retryAfter returns when a refused client should retry. The delay grows with the expected time
 // until capacity is free, and is randomized so that clients do not return together.
 func (c *call) retryAfter(why reason) time.Duration {
+	if why == endsUpstreams {
+		return max(time.Until(time.UnixMilli(c.refusedUntilMS)), time.Second)
+	}
 	base := map[reason]time.Duration{
 		allFull:          400 * time.Millisecond,
 		warmupBound:      300 * time.Millisecond,
 		allExcluded:      600 * time.Millisecond,
 		noUpstream:       900 * time.Millisecond,
 		retryBudgetSpent: 800 * time.Millisecond,
+		trialRunning:     800 * time.Millisecond,
 	}[why]
 	if base == 0 {
 		base = 500 * time.Millisecond
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -19,6 +19,10 @@
 	s := &streamRelay{call: c}
 	s.splitter.lastID = c.r.Header.Get(g.cfg.Headers.LastEventID)
 	for {
+		if why := c.mayRun(); why != noReason {
+			c.endStream(why)
+			return
+		}
 		req := placementRequest{service: c.service, model: c.model, promptTokens: c.promptTokens, tried: c.tried, resuming: c.headerSent}
 		p, why, placer := g.place(c.ctx, req, c.remaining())
 		c.placer = placer
@@ -235,6 +239,7 @@
 	}
 	c.gateway.balancer.recordAnswer(c.gateway.now(), t, true)
 	c.outcome = served
+	c.framed = c.framed && s.responseStarted
 	return nil
 }
 
--- /dev/null
+++ b/pkg/quarantine/change.go
@@ -0,0 +1,25 @@
+package quarantine
+
+import "github.com/sesamemux/sesamemux/pkg/view"
+
+// ChangeKind is the kind of a Change.
+type ChangeKind string
+
+const (
+	RecordCrashes ChangeKind = "crash"  // the request was running when upstreams ended
+	GrantTrial    ChangeKind = "grant"  // let a suspect run once
+	EndTrial      ChangeKind = "end"    // a trial ended without a verdict
+	Clear         ChangeKind = "clear"  // the request ran to its end
+	Expire        ChangeKind = "expire" // forget entries whose time is over
+)
+
+// Change is a change of a List.
+type Change struct {
+	Kind        ChangeKind       `json:"kind"`
+	NowMS       int64            `json:"now"` // Unix milliseconds
+	Fingerprint view.Fingerprint `json:"f,omitempty"`
+	Crashes     []Crash          `json:"c,omitempty"`
+	Trial       string           `json:"t,omitempty"`       // of GrantTrial and EndTrial; of RecordCrashes the trial in which the last crash happened
+	UntilMS     int64            `json:"until,omitempty"`   // of GrantTrial: when the trial has ended
+	Convict     bool             `json:"convict,omitempty"` // of RecordCrashes in a trial: no other cause is likely
+}
