Read the record of an upstream once for each request

Cause: the request path read ID, address, start time and assignment of a target while a sync replaces the whole record under the balancer's lock. A string read in the middle of a write can end the process, and where an upstream starts again under its ID a failure was booked to the new incarnation.

Change: a placement holds a copy of the record as it was when the upstream was chosen; the path reads that copy and touches the target under the lock only.

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
@@ -32,7 +33,7 @@
 			return
 		}
 		t := p.target
-		a, err := c.tryBuffered(t)
+		a, err := c.tryBuffered(&p.upstream)
 		g.balancer.release(p)
 		if err == nil && (a.status < 500 || c.route.Kind != catalog.Idempotent) {
 			g.balancer.recordAnswer(g.now(), t, a.status < 500)
@@ -44,14 +45,14 @@
 			lastFailure = a
 			err = eris.Errorf("upstream answered %d", a.status)
 		} else {
-			c.recordUpstreamFailure(t, err)
+			c.recordUpstreamFailure(p, err)
 		}
 		c.recordFailedAttempt(err)
 		if c.ctx.Err() != nil {
 			c.outcome = clientLeft
 			return
 		}
-		c.inspectFailure(t, err)
+		c.inspectFailure(&p.upstream, err)
 		if !c.mayRepeat(err) {
 			c.endBuffered(c.reason, lastFailure)
 			return
@@ -84,9 +85,9 @@
 }
 
 // tryBuffered sends the request to one upstream and reads the answer.
-func (c *call) tryBuffered(t *target) (*upstreamAnswer, error) {
+func (c *call) tryBuffered(u *fleet.Upstream) (*upstreamAnswer, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.attemptTime())
-	resp, err := c.exchange(ctx, t, "")
+	resp, err := c.exchange(ctx, u, "")
 	if err != nil {
 		cancel()
 		return nil, err
--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/suspect"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 	"github.com/sesamemux/sesamemux/pkg/view"
@@ -24,18 +25,18 @@
 
 // inspectFailure finds out whether the upstream of a failed attempt has ended, logs it and tells the
 // quarantine.
-func (c *call) inspectFailure(t *target, err error) {
+func (c *call) inspectFailure(u *fleet.Upstream, err error) {
 	if !brokeOff(err) {
-		c.settleAttempt(t, endStateUnknown, err)
+		c.settleAttempt(u, endStateUnknown, err)
 		return
 	}
 	g := c.gateway
-	state := g.ends.check(g.now(), incarnation{t.ID, t.StartedMS}, t.Address)
-	c.settleAttempt(t, state, err)
+	state := g.ends.check(g.now(), incarnation{u.ID, u.StartedMS}, u.Address)
+	c.settleAttempt(u, state, err)
 	g.metrics.BrokenAttempts.WithLabelValues(string(state)).Inc()
 	if g.requestLog.allow(g.now(), false) {
 		g.cfg.Logger.Info("upstream broke off a request", "request", c.r.Header.Get(g.cfg.Headers.Attempt), "fingerprint", c.requestFingerprint(),
-			"organisation", c.organisation, "upstream", t.ID, "born", t.StartedMS, "upstream_state", state, "executions", c.possibleExecutions,
+			"organisation", c.organisation, "upstream", u.ID, "born", u.StartedMS, "upstream_state", state, "executions", c.possibleExecutions,
 			"most", c.route.MaxAttempts, "answer_begun", c.headerSent, "cause", err)
 	}
 }
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -185,9 +185,9 @@
 }
 
 // reportSuspect tells the leading coordinator that a head stopped sending.
-func (g *Gateway) reportSuspect(t *target, silent time.Duration, refused bool) {
+func (g *Gateway) reportSuspect(head string, silent time.Duration, refused bool) {
 	req := control.FleetSuspectRequest{
-		Process: g.cfg.Name, Head: t.ID, SilentMS: silent.Milliseconds(), Refused: refused,
+		Process: g.cfg.Name, Head: head, SilentMS: silent.Milliseconds(), Refused: refused,
 	}
 	g.metrics.SuspectedHeads.Inc()
 	go func() {
@@ -199,6 +199,6 @@
 			// The first answer may have named the leader.
 			err = g.suspects.CallOnce(ctx, control.MethodFleetSuspect, req, &none)
 		}
-		g.cfg.Logger.Info("head went silent", "head", t.ID, "silent_ms", silent.Milliseconds(), "refused", refused, "told", err == nil, "cause", err)
+		g.cfg.Logger.Info("head went silent", "head", head, "silent_ms", silent.Milliseconds(), "refused", refused, "told", err == nil, "cause", err)
 	}()
 }
--- a/pkg/entry/hosted_placements.go
+++ b/pkg/entry/hosted_placements.go
@@ -60,7 +60,7 @@
 	}
 	g.balancer.moveToHosted(p)
 	g.hosted.add(placementKey{req.Process, req.PlacementID}, hostedPlacement{p, now + time.Duration(req.RemainingMS)*time.Millisecond})
-	return control.FleetPlaceResult{Head: p.target.ID}, nil
+	return control.FleetPlaceResult{Head: p.upstream.ID}, nil
 }
 
 // handlePlaced processes the progress of placements that another entry host reports.
--- a/pkg/entry/placement.go
+++ b/pkg/entry/placement.go
@@ -6,11 +6,12 @@
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 )
 
-// placement is a request counted at an upstream. Its fields except target are guarded by the
-// balancer's lock.
+// placement is a request counted at an upstream. Its fields except target and upstream are guarded
+// by the balancer's lock.
 type placement struct {
 	target            *target
-	tokens            int // of the prompt
+	upstream          fleet.Upstream // the target's record when it was chosen; may be read without the lock
+	tokens            int            // of the prompt
 	responseStarted   bool
 	forOtherEntryHost bool
 	remote            *remotePlacer // the placer that counts it; nil if this entry host does
@@ -24,7 +25,7 @@
 	}
 	t.own.add(tokens)
 	t.recentStarts = append(t.recentStarts, now)
-	return &placement{target: t, tokens: tokens}
+	return &placement{target: t, upstream: t.Upstream, tokens: tokens}
 }
 
 // acceptPlacement counts a request that a remote placer assigned to head. It returns nil if the
--- a/pkg/entry/placer_directory.go
+++ b/pkg/entry/placer_directory.go
@@ -160,6 +160,6 @@
 	r, n := g.balancer.remoteOwner(p)
 	slowness := g.balancer.release(p)
 	if r != nil {
-		r.release(n, p.target.ID, slowness)
+		r.release(n, p.upstream.ID, slowness)
 	}
 }
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
@@ -30,7 +31,7 @@
 }
 
 // upstreamHeader returns the header of the request to an upstream.
-func (c *call) upstreamHeader(t *target, lastEvent string) http.Header {
+func (c *call) upstreamHeader(u *fleet.Upstream, lastEvent string) http.Header {
 	names := c.gateway.cfg.Headers
 	drop := map[string]bool{}
 	for _, v := range c.r.Header.Values("Connection") {
@@ -52,7 +53,7 @@
 	if c.organisation != "" {
 		h.Set(names.Organisation, c.organisation)
 	}
-	h.Set(names.Incarnation, t.ID)
+	h.Set(names.Incarnation, u.ID)
 	h.Set(names.Deadline, strconv.FormatInt(max(c.remaining().Milliseconds(), 1), 10))
 	if lastEvent != "" {
 		h.Set(names.LastEventID, lastEvent)
@@ -62,15 +63,15 @@
 
 // exchange sends the request to an upstream and returns its answer with an unread body. errNotRun
 // and upstream.ErrNotSent guarantee that the request did not run.
-func (c *call) exchange(ctx context.Context, t *target, lastEvent string) (*upstream.Response, error) {
-	c.upstream = t.ID
-	c.tried[t.ID] = true
+func (c *call) exchange(ctx context.Context, u *fleet.Upstream, lastEvent string) (*upstream.Response, error) {
+	c.upstream = u.ID
+	c.tried[u.ID] = true
 	resp, err := c.gateway.pool.Do(ctx, &upstream.Request{
-		Address: t.Address,
+		Address: u.Address,
 		Host:    c.r.Host,
 		Method:  c.r.Method,
 		Path:    c.r.RequestURI,
-		Header:  c.upstreamHeader(t, lastEvent),
+		Header:  c.upstreamHeader(u, lastEvent),
 		Body:    c.body,
 		// The other end may close an idle connection at any moment; a request sent on it could then
 		// have run.
@@ -171,8 +172,8 @@
 }
 
 // recordUpstreamFailure records at the upstream how an attempt failed.
-func (c *call) recordUpstreamFailure(t *target, err error) {
-	g := c.gateway
+func (c *call) recordUpstreamFailure(p *placement, err error) {
+	g, t := c.gateway, p.target
 	now := g.now()
 	switch {
 	case c.ctx.Err() != nil:
@@ -180,8 +181,8 @@
 		g.balancer.recordRejection(now, t)
 	case eris.Is(err, upstream.ErrNotSent):
 		g.balancer.recordFailure(now, t)
-		if t.IsOpenHead() {
-			g.suspectHead(now, t, true)
+		if p.upstream.IsOpenHead() {
+			g.suspectHead(now, p, true)
 		}
 	default:
 		g.balancer.recordFailure(now, t)
@@ -189,10 +190,10 @@
 }
 
 // suspectHead withholds new requests from a head and reports it to the coordinator.
-func (g *Gateway) suspectHead(now time.Duration, t *target, refusedConn bool) {
-	fresh, silent := g.balancer.suspect(now, t)
+func (g *Gateway) suspectHead(now time.Duration, p *placement, refusedConn bool) {
+	fresh, silent := g.balancer.suspect(now, p.target)
 	if fresh {
-		g.reportSuspect(t, silent, refusedConn)
+		g.reportSuspect(p.upstream.ID, silent, refusedConn)
 	}
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -35,7 +35,7 @@
 			return
 		}
 		s.placement, s.responseStarted = p, false
-		err := s.attempt(p.target)
+		err := s.attempt(p)
 		g.release(p)
 		if err == nil {
 			return
@@ -45,8 +45,8 @@
 			c.outcome = clientLeft
 			return
 		}
-		c.recordUpstreamFailure(p.target, err)
-		c.inspectFailure(p.target, err)
+		c.recordUpstreamFailure(p, err)
+		c.inspectFailure(&p.upstream, err)
 		if !c.mayRepeat(err) {
 			c.endStream(c.reason)
 			return
@@ -107,24 +107,24 @@
 
 // attempt relays the stream from one upstream. It returns nil if the client has received the
 // complete answer, or an error answer of the upstream.
-func (s *streamRelay) attempt(t *target) error {
+func (s *streamRelay) attempt(p *placement) error {
 	c := s.call
 	ctx, cancel := context.WithTimeout(c.ctx, c.remaining())
 	defer cancel()
-	w := s.startStallTimer(t, cancel)
+	w := s.startStallTimer(p, cancel)
 	defer w.stop()
-	resp, err := c.exchange(ctx, t, s.splitter.lastID)
+	resp, err := c.exchange(ctx, &p.upstream, s.splitter.lastID)
 	if err != nil {
 		return w.wrapError(err)
 	}
 	defer resp.Close()
 	if resp.Status != http.StatusOK {
-		return s.relayFailure(t, resp)
+		return s.relayFailure(p.target, resp)
 	}
 	if resp.Header.Get(c.gateway.cfg.Headers.Signature) == "" {
 		return eris.Wrap(errMismatchedAnswer, "successful answer without a signature")
 	}
-	err = s.relay(t, resp, w)
+	err = s.relay(p.target, resp, w)
 	return w.wrapError(err)
 }
 
@@ -246,7 +246,7 @@
 // stallTimer abandons an attempt when its upstream stalls.
 type stallTimer struct {
 	relay          *streamRelay
-	t              *target
+	placement      *placement
 	timer          *time.Timer
 	cancel         context.CancelFunc
 	lastEventAt    atomic.Int64 // when this stream last received an event
@@ -254,8 +254,8 @@
 	abandoned      atomic.Bool
 }
 
-func (s *streamRelay) startStallTimer(t *target, cancel context.CancelFunc) *stallTimer {
-	w := &stallTimer{relay: s, t: t, cancel: cancel}
+func (s *streamRelay) startStallTimer(p *placement, cancel context.CancelFunc) *stallTimer {
+	w := &stallTimer{relay: s, placement: p, cancel: cancel}
 	w.lastEventAt.Store(int64(s.call.gateway.now()))
 	w.timer = time.AfterFunc(streamingHeadTimeout, w.check)
 	return w
@@ -276,13 +276,13 @@
 	g := c.gateway
 	now := g.now()
 	silent := now - time.Duration(w.lastEventAt.Load())
-	head, bound := g.balancer.silenceAndTimeout(now, w.t, w.receivedEvents.Load())
+	head, bound := g.balancer.silenceAndTimeout(now, w.placement.target, w.receivedEvents.Load())
 	switch {
 	case silent < bound:
 		w.timer.Reset(bound - silent)
 		return
 	case head >= bound:
-		g.suspectHead(now, w.t, false)
+		g.suspectHead(now, w.placement, false)
 	case silent < singleStreamTimeout:
 		w.timer.Reset(streamCheckInterval)
 		return
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
@@ -98,10 +99,10 @@
 }
 
 // settleAttempt reports a failed attempt to the quarantine.
-func (c *call) settleAttempt(t *target, state endState, err error) {
+func (c *call) settleAttempt(u *fleet.Upstream, state endState, err error) {
 	g := c.gateway
 	if state == upstreamEnded {
-		crash := quarantine.Crash{Upstream: t.ID, StartedMS: t.StartedMS}
+		crash := quarantine.Crash{Upstream: u.ID, StartedMS: u.StartedMS}
 		if g.guard.Crashed(g.now(), c.requestFingerprint(), crash) || c.trial != "" {
 			g.reporter.crashed(control.FleetCrashedRun{Fingerprint: c.requestFingerprint(), Crash: crash, Trial: c.trial})
 		}
