Check and forward long answers like short ones

Callers could get a success that no upstream had signed, if its body was longer than 256 KiB, and an error answer of a stream cut at 256 KiB that looked whole.

Cause: the signature was checked only once the whole body was read, and a long one never is; the error answer of a stream went through a limited reader whose end looks like the end of the body.

Change: one function reads answers of both paths. It checks the head before the body, and what is longer than the buffer is passed on as it comes, so that a break shows. An earlier failed answer is closed when it is replaced.

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -37,11 +37,13 @@
 		g.balancer.release(p)
 		if err == nil && (a.status < 500 || c.route.Kind != catalog.Idempotent) {
 			g.balancer.recordAnswer(g.now(), t, a.status < 500)
+			lastFailure.close()
 			c.forwardAnswer(a)
 			return
 		}
 		if err == nil {
 			g.balancer.recordAnswer(g.now(), t, false)
+			lastFailure.close()
 			lastFailure = a
 			err = eris.Errorf("upstream answered %d", a.status)
 		} else {
@@ -92,19 +94,37 @@
 		cancel()
 		return nil, err
 	}
+	return c.readAnswer(resp, cancel)
+}
+
+// readAnswer reads an answer up to maxBufferedAnswer. stop ends its attempt; it is called once the
+// answer is complete, unusable or closed.
+func (c *call) readAnswer(resp *upstream.Response, stop context.CancelFunc) (*upstreamAnswer, error) {
+	a := &upstreamAnswer{status: resp.Status, header: resp.Header, rest: resp, stop: stop}
+	if err := c.verifyAnswer(a); err != nil {
+		a.close()
+		return nil, err
+	}
 	var body bytes.Buffer
-	_, err = io.CopyN(&body, resp.Body, maxBufferedAnswer)
-	a := &upstreamAnswer{status: resp.Status, header: resp.Header, body: body.Bytes(), stop: cancel}
+	_, err := io.CopyN(&body, resp.Body, maxBufferedAnswer)
+	a.body = body.Bytes()
 	if err == nil {
-		a.rest = resp
 		return a, nil
 	}
-	resp.Close()
-	cancel()
+	a.close()
 	if err != io.EOF {
 		return nil, err
 	}
-	return a, c.verifyAnswer(a)
+	a.rest = nil
+	return a, nil
+}
+
+// close ends the attempt of an answer that is not read further.
+func (a *upstreamAnswer) close() {
+	if a != nil && a.rest != nil {
+		a.rest.Close()
+		a.stop()
+	}
 }
 
 // attemptTime returns the time limit of an attempt: all remaining time, or a share of it while
@@ -146,8 +166,7 @@
 	c.headerSent = true
 	_, err := c.w.Write(a.body)
 	if a.rest != nil {
-		defer a.stop()
-		defer a.rest.Close()
+		defer a.close()
 		if err == nil {
 			_, err = io.Copy(c.w, a.rest.Body)
 		}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -134,14 +134,10 @@
 	if c.headerSent || resp.Status >= 500 && c.route.Retryable() && c.possibleExecutions+1 < c.route.MaxAttempts {
 		return eris.Errorf("upstream answered %d", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
+	a, err := c.readAnswer(resp, func() {}) // the caller ends the attempt
 	if err != nil {
 		return err
 	}
-	a := &upstreamAnswer{status: resp.Status, header: resp.Header, body: body}
-	if err := c.verifyAnswer(a); err != nil {
-		return err
-	}
 	c.gateway.balancer.recordAnswer(c.gateway.now(), t, resp.Status < 500)
 	c.forwardAnswer(a)
 	return nil
