Limit the header of an answer

An upstream that sends bytes without end where the header of its answer is due could end an entry host or a coordinator by its memory.

Cause: entry hosts read the header of an answer without a limit, for as long as bytes arrived, up to the deadline of the request; coordinators up to 10 MiB for each of 64 orders and as many probes, with 280 MB of memory.

Ruled out: bodies, chunk lines, chunk extensions and trailers of buffered answers are already bounded; the tests play them.

Conclusion: the class is an input that is bounded in time but not in size.

--- /dev/null
+++ b/pkg/entry/endless_answer_test.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// maxHeldBytes is what an entry host may hold of one answer: 180 requests in progress, all slots of
+// the engines over seven entry hosts, must fit in the memory of the smallest entry host.
+const maxHeldBytes = 512 << 10
+
+// endless writes head, then text again and again until the connection is closed, or far more was
+// taken than is allowed.
+func endless(head, text string) answerFunc {
+	return func(c net.Conn, _ *http.Request, attempt string) bool {
+		written := 0
+		text := strings.Repeat(text, 1+4096/len(text))
+		if _, err := fmt.Fprintf(c, strings.ReplaceAll(head, "ATTEMPT", "%[1]s"), attempt); err != nil {
+			return false
+		}
+		for written < 4*maxHeldBytes {
+			n, err := c.Write([]byte(text))
+			if err != nil {
+				return false
+			}
+			written += n
+		}
+		time.Sleep(10 * time.Second)
+		return false
+	}
+}
+
+// TestEndlessAnswerIsNotHeldInMemory: an upstream sends bytes that are no answer until the
+// connection is closed.
+func TestEndlessAnswerIsNotHeldInMemory(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nX-Attempt: ATTEMPT\r\n"
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ head, text string }{
+		"no line":              {"", "x"},
+		"status line":          {"HTTP/1.1 200 ", "x"},
+		"header line":          {whole + "X-Long: ", "x"},
+		"header lines":         {whole, "X-More: more\r\n"},
+		"informational heads":  {"", "HTTP/1.1 103 Early\r\n\r\n"},
+		"unsigned body":        {whole + "\r\n", "x"},
+		"unsigned chunks":      {whole + chunked, "4\r\nxxxx\r\n"},
+		"other content coding": {whole + "X-Sig: s\r\nContent-Encoding: gzip\r\n\r\n", "x"},
+		"chunk line":           {whole + "X-Sig: s\r\n" + chunked, "1"},
+		"chunk extension":      {whole + "X-Sig: s\r\n" + chunked + "1;", "x"},
+		"trailer":              {whole + "X-Sig: s\r\n" + chunked + "0\r\nX-Long: ", "x"},
+		"not run, with a body": {"HTTP/1.1 503 No\r\nX-Attempt: ATTEMPT\r\nX-Not-Run: 1\r\n\r\n", "x"},
+	} {
+		for _, kind := range []string{"once", "again", "stream"} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					answer := endless(c.head, c.text)
+					b := newHarness(t, map[string]answerFunc{"p1": answer, "head1": answer})
+					began := time.Now()
+					w := b.send("POST", "/"+kind+"/1", "x", nil)
+					if w.status == http.StatusOK && !w.cut {
+						t.Error("answered as a success")
+					}
+					if took := time.Since(began); took > 3500*time.Millisecond {
+						t.Errorf("answered after %v", took)
+					}
+					if n := b.received.Load(); n > maxHeldBytes {
+						t.Errorf("read %d bytes", n)
+					}
+					time.Sleep(time.Minute) // let the upstream end
+				})
+			})
+		}
+	}
+}
--- a/pkg/entry/gateway_test.go
+++ b/pkg/entry/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/logging"
 	"github.com/sesamemux/sesamemux/pkg/memconn"
+	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
 var testHeaders = Headers{
@@ -60,6 +62,31 @@
 	mu        sync.Mutex
 	requests  map[string][]*http.Request // by upstream ID
 	bodies    map[string][]string
+	received  atomic.Int64 // bytes that entry hosts read from upstreams
+}
+
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// dialUpstream returns a dial function whose connections count into received.
+func (b *harness) dialUpstream(name string) upstream.DialFunc {
+	dial := b.network.Dialer(name)
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return countingConn{c, &b.received}, nil
+	}
 }
 
 // answerFunc answers a request on a raw connection. It returns whether the connection stays open.
@@ -106,7 +133,7 @@
 		Decode:     func([]byte) (*catalog.Set, error) { return testSet(), nil },
 		RetryRatio: 0.2, RetryBurst: 100, ColdFactor: 1, ColdSlack: 1,
 		Dial:        b.network.Dialer(name),
-		DialBackend: b.network.Dialer(name),
+		DialBackend: b.dialUpstream(name),
 		Clock:       clock.NewMonotonic(),
 		Logger:      logger,
 	})
--- a/pkg/upstream/conn.go
+++ b/pkg/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/view"
@@ -24,22 +25,42 @@
 	announcedIdle time.Duration // idle timeout from the upstream's Keep-Alive header; 0 if none
 
 	readDeadline time.Time // current read deadline of raw
+	headLeft     int       // bytes that may still be read of a response header; negative: no limit
+}
+
+// maxHeadBytes limits the header of a response.
+const maxHeadBytes = 128 << 10
+
+// readHead reads the header of a response to a request with the given method. The body is not
+// limited.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.headLeft = maxHeadBytes
+	defer func() { c.headLeft = -1 }()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
 const readBufferSize = 16 << 10
 
 func newConn(raw net.Conn, k poolKey) *conn {
-	c := &conn{raw: raw, key: k}
+	c := &conn{raw: raw, key: k, headLeft: -1}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
 
-// Read fails if no byte arrives within the read timeout.
+// Read fails if no byte arrives within the read timeout, and within a header after its limit.
 func (c *conn) Read(b []byte) (int, error) {
 	if err := c.extendReadDeadline(); err != nil {
 		return 0, err
 	}
-	return c.raw.Read(b)
+	if c.headLeft < 0 {
+		return c.raw.Read(b)
+	}
+	if c.headLeft == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := c.raw.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // extendReadDeadline restarts the read timeout. A deadline that is less than an eighth
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -11,6 +11,7 @@
 	// ErrIncarnationMismatch reports that another incarnation answers at the address.
 	// The request was not sent.
 	ErrIncarnationMismatch = eris.New("another incarnation answers at the upstream's address")
+	errHeadTooLarge        = eris.Errorf("response header exceeds %d bytes", maxHeadBytes)
 	errUnusableAfterProbe  = eris.New("connection is not reusable after the probe")
 	// ErrStalled reports that the connection made no progress within the timeout.
 	ErrStalled = eris.New("connection stalled")
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	c.readTimeout = p.options.FirstByteTimeout
-	res, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+	res, err := c.readHead(r.Method)
 	if err != nil {
 		stop()
 		c.close()
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -129,7 +129,7 @@
 	if _, err := io.WriteString(c.raw, ask); err != nil {
 		return &UnreachableError{Address: c.key.address, Cause: err}
 	}
-	res, err := http.ReadResponse(c.reader, nil)
+	res, err := c.readHead(http.MethodGet)
 	if err != nil {
 		return &UnreachableError{Address: c.key.address, Cause: err}
 	}
