Limit the event of a stream

An upstream that sends an event without an end could end an entry host by its memory.

Cause: the part of an event that has arrived is kept until the event ends, without a limit; the same class as headers without a limit.

Change: 256 KiB; beyond it the answer counts as none of this request, and the stream continues elsewhere where it may.

--- a/pkg/entry/endless_answer_test.go
+++ b/pkg/entry/endless_answer_test.go
@@ -76,3 +76,17 @@
 		}
 	}
 }
+
+func TestEventWithoutEndIsNotHeldInMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answer := endless("HTTP/1.1 200 OK\r\nX-Attempt: ATTEMPT\r\nX-Sig: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x")
+		b := newHarness(t, map[string]answerFunc{"head1": answer})
+		if w := b.send("POST", "/stream/1", "x", nil); w.status == http.StatusOK && !w.cut {
+			t.Error("answered as a success")
+		}
+		if n := b.received.Load(); n > maxHeldBytes {
+			t.Errorf("read %d bytes", n)
+		}
+		time.Sleep(time.Minute) // let the upstream end
+	})
+}
--- a/pkg/entry/event_splitter.go
+++ b/pkg/entry/event_splitter.go
@@ -32,6 +32,12 @@
 	return whole, count
 }
 
+// maxEventBytes limits an event.
+const maxEventBytes = 256 << 10
+
+// partialTooLong reports whether the buffered event exceeds maxEventBytes.
+func (e *eventSplitter) partialTooLong() bool { return len(e.partial) > maxEventBytes }
+
 // hasPartial reports whether an incomplete event is buffered.
 func (e *eventSplitter) hasPartial() bool { return len(e.partial) > 0 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -171,6 +171,9 @@
 				}
 			}
 		}
+		if s.splitter.partialTooLong() {
+			return eris.Wrapf(errMismatchedAnswer, "an event exceeds %d bytes", maxEventBytes)
+		}
 		if err == io.EOF && !s.splitter.hasPartial() {
 			return s.completed(t, resp.Header)
 		}
