Check for the end of an upstream only after a lost connection

Cause: a stream that is given up because its head is silent asked first whether the head's process had ended. A head without power does not reply, so the stream continued elsewhere up to 100 ms later.

Change: the check is made after a lost connection only; a refused or reset connection is what the end of a process looks like.

Figures: go test ./pkg/entry passes.

Conclusion: an end that shows as silence alone is not counted against a request, which also keeps a dark domain from accusing any.

--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -31,7 +31,10 @@
 		return
 	}
 	g := c.gateway
-	state := g.ends.check(g.now(), incarnation{u.ID, u.StartedMS}, u.Address)
+	state := endStateUnknown
+	if eris.Is(err, upstream.ErrConnectionLost) {
+		state = g.ends.check(g.now(), incarnation{u.ID, u.StartedMS}, u.Address)
+	}
 	c.settleAttempt(u, state, err)
 	g.metrics.BrokenAttempts.WithLabelValues(string(state)).Inc()
 	if g.requestLog.allow(g.now(), false) {
