Simplify the delivery of reports and the application of commands

Cause: read as a newcomer, the loop that sends reports mixed two duties, the store applied one kind of command beside the others, and entry had a copy of coordinator's cancellable sleep.

Change: deliverReports, one path in Store.Apply, clock.Sleep for both. Behaviour stays.

Figures: go test ./pkg/entry ./pkg/coordinator ./pkg/durable ./pkg/quarantine passes.

--- a/pkg/coordinator/metrics.go
+++ b/pkg/coordinator/metrics.go
@@ -24,9 +24,9 @@
 			Name: "sesame_coordinator_suspicions_total", Help: "Words of entry hosts that a head went silent."}),
 		DeadHosts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sesame_coordinator_dead_hosts_total", Help: "Hosts found dead by probes."}),
+		Trials: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_coordinator_trials_total", Help: "Questions for a trial of a request that may end upstreams, by outcome."}, []string{"outcome"}),
 	}
-	m.Trials = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "sesame_coordinator_trials_total", Help: "Trials of requests that may end upstreams, by outcome of the question."}, []string{"outcome"})
-	m.Registry.MustRegister(m.Trials, m.Leading, m.Orders, m.Suspicions, m.DeadHosts)
+	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.DeadHosts, m.Trials)
 	return m
 }
--- a/pkg/coordinator/replica_manager.go
+++ b/pkg/coordinator/replica_manager.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/disk"
 	"github.com/sesamemux/sesamemux/pkg/durable"
@@ -78,7 +79,7 @@
 			return
 		}
 		m.coordinator.cfg.Logger.Error("replica stopped; reopening", "cause", err, "again_ms", reopenDelay.Milliseconds())
-		sleepContext(ctx, reopenDelay)
+		clock.Sleep(ctx, reopenDelay)
 	}
 }
 
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 )
@@ -182,7 +183,7 @@
 		req.WaitMS = followWait.Milliseconds()
 		c.mu.Unlock()
 		if leads || c.replica.Load() == nil {
-			sleepContext(ctx, followWait)
+			clock.Sleep(ctx, followWait)
 			continue
 		}
 		calling, cancel := context.WithTimeout(ctx, followWait+callTimeout)
@@ -190,7 +191,7 @@
 		err := c.callLeader(calling, control.MethodFleetSync, req, &result)
 		cancel()
 		if err != nil {
-			sleepContext(ctx, tickInterval)
+			clock.Sleep(ctx, tickInterval)
 			continue
 		}
 		c.applyLeaderState(result)
@@ -200,13 +201,6 @@
 // followWait is how long the leader holds a follower's sync call that has no news.
 const followWait = 500 * time.Millisecond
 
-func sleepContext(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // applyLeaderState applies the leader's sync result to the local registry.
 func (c *Coordinator) applyLeaderState(result control.FleetSyncResult) {
 	c.mu.Lock()
--- a/pkg/durable/store.go
+++ b/pkg/durable/store.go
@@ -53,21 +53,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.state
-	if len(c.Quarantine) > 0 {
-		var err error
-		next.Quarantine, err = next.Quarantine.Apply(c.Quarantine)
+	changed, err := next.apply(c)
+	if changed {
 		next.Index = index
 		s.set(next)
-		if err != nil {
-			return err
-		}
-		return nil
 	}
-	if !next.apply(c) {
-		return nil
+	if err != nil {
+		return err
 	}
-	next.Index = index
-	s.set(next)
 	return nil
 }
 
@@ -77,32 +70,36 @@
 	s.changed = make(chan struct{})
 }
 
-// apply applies a command to st, a copy of the state, and reports whether it changed
-// anything.
-func (st *State) apply(c Command) bool {
+// apply applies a command to st, a copy of the state. It reports whether it changed
+// anything, and the error for which a part was refused.
+func (st *State) apply(c Command) (bool, error) {
 	switch {
+	case len(c.Quarantine) > 0:
+		var err error
+		st.Quarantine, err = st.Quarantine.Apply(c.Quarantine)
+		return true, err
 	case c.Document != nil:
 		if st.Document != nil && c.Document.Version <= st.Document.Version {
-			return false
+			return false, nil
 		}
 		st.Document = c.Document
-		return true
+		return true, nil
 	case c.Evacuate != "":
 		i, found := slices.BinarySearch(st.Evacuated, c.Evacuate)
 		if found {
-			return false
+			return false, nil
 		}
 		st.Evacuated = slices.Insert(slices.Clone(st.Evacuated), i, c.Evacuate)
-		return true
+		return true, nil
 	case c.Restore != "":
 		i, found := slices.BinarySearch(st.Evacuated, c.Restore)
 		if !found {
-			return false
+			return false, nil
 		}
 		st.Evacuated = slices.Delete(slices.Clone(st.Evacuated), i, i+1)
-		return true
+		return true, nil
 	}
-	return st.depart(c.Depart)
+	return st.depart(c.Depart), nil
 }
 
 func (st *State) depart(ds []Departure) bool {
--- a/pkg/durable/store_test.go
+++ b/pkg/durable/store_test.go
@@ -3,6 +3,10 @@
 import (
 	"reflect"
 	"testing"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/quarantine"
 )
 
 func apply(t *testing.T, s *Store, index uint64, c Command) {
@@ -89,3 +93,33 @@
 		t.Errorf("%d departures kept", len(st.Departures))
 	}
 }
+
+func TestQuarantineSurvivesASnapshotAndRefusesASecondTrial(t *testing.T) {
+	s := NewStore()
+	crashes := []quarantine.Crash{{Upstream: "u1", StartedMS: 1}, {Upstream: "u2", StartedMS: 1}}
+	grant := func(trial string) Command {
+		return Command{Quarantine: []quarantine.Change{{Kind: quarantine.GrantTrial, NowMS: 10, Fingerprint: "f", Trial: trial, UntilMS: 1000}}}
+	}
+	apply(t, s, 1, Command{Quarantine: []quarantine.Change{{Kind: quarantine.RecordCrashes, NowMS: 5, Fingerprint: "f", Crashes: crashes}}})
+	apply(t, s, 2, grant("a"))
+	raw, err := grant("b").Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err, _ := s.Apply(3, raw).(error); !eris.Is(err, quarantine.ErrTrialRunning) {
+		t.Errorf("second trial: %v", err)
+	}
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewStore()
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	was, _ := s.State()
+	is, _ := restored.State()
+	if e := is.Quarantine.Find("f"); e == nil || e.Trial != "a" || !reflect.DeepEqual(was, is) {
+		t.Errorf("restored %+v, was %+v", is, was)
+	}
+}
--- a/pkg/entry/run_reporter.go
+++ b/pkg/entry/run_reporter.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/view"
@@ -86,37 +87,33 @@
 			return
 		case <-r.wake:
 		}
-		batch, overflow := control.FleetRunsRequest{}, false
-		for failures := 0; ; failures++ {
-			sleepContext(ctx, max(reportBatchDelay, time.Duration(min(failures, 1))*reportRetryDelay))
-			if failures == 0 {
-				batch, overflow = r.take()
-			}
-			err := g.report(ctx, batch)
-			if err == nil || ctx.Err() != nil {
-				break
-			}
-			if failures == 0 {
-				g.cfg.Logger.Warn("reports about ended upstreams are not acknowledged; sending them again", "crashed", len(batch.Crashed),
-					"cleared", len(batch.Cleared), "trials", len(batch.Ended), "cause", err)
-			}
-		}
+		clock.Sleep(ctx, reportBatchDelay)
+		batch, overflow := r.take()
+		g.deliverReports(ctx, batch)
 		if overflow {
 			r.resend(g.guard.OwnCrashes(g.now()))
 		}
 	}
 }
 
-func (g *Gateway) report(ctx context.Context, batch control.FleetRunsRequest) error {
+// deliverReports sends a batch until the leader has acknowledged it.
+func (g *Gateway) deliverReports(ctx context.Context, batch control.FleetRunsRequest) {
+	for logged := false; ; logged = true {
+		err := g.sendReports(ctx, batch)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		if !logged {
+			g.cfg.Logger.Warn("reports about ended upstreams are not acknowledged; sending them again", "crashed", len(batch.Crashed),
+				"cleared", len(batch.Cleared), "trials", len(batch.Ended), "cause", err)
+		}
+		clock.Sleep(ctx, reportRetryDelay)
+	}
+}
+
+func (g *Gateway) sendReports(ctx context.Context, batch control.FleetRunsRequest) error {
 	calling, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	var none struct{}
 	return g.suspects.CallOnce(calling, control.MethodFleetRuns, batch, &none)
 }
-
-func sleepContext(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
@@ -79,7 +80,7 @@
 		if g.now() >= giveUp || c.ctx.Err() != nil {
 			return trialRunning
 		}
-		sleepContext(c.ctx, trialPollInterval)
+		clock.Sleep(c.ctx, trialPollInterval)
 		if verdict, _ := g.guard.Decide(g.now(), time.Now().UnixMilli(), f); verdict == quarantine.Free {
 			return noReason
 		}
