Limit the header of a plain service's answer on the own interface

Cause: the class of the header without a limit, looked for on the own path: calls that run once read any header, repeatable ones up to 10 MiB, and the poll of reports up to 10 MiB.

Change: 128 KiB for calls, 64 KiB for reports.

Conclusion: left is the 64 MiB that a message between our own processes may have; only our own processes write them.

--- a/pkg/edge/plaincall/transport.go
+++ b/pkg/edge/plaincall/transport.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -21,6 +22,8 @@
 	maxIdlePerHost = 32
 	// maxInterimResponses limits the 1xx responses before the final one.
 	maxInterimResponses = 8
+	// maxHeadBytes limits the headers of a call's responses, interim ones included.
+	maxHeadBytes = 128 << 10
 )
 
 // DialFunc opens a connection to host:port.
@@ -45,11 +48,15 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdlePerHost,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		unpooled: &http.Transport{
 			DialContext:        dial,
 			DisableCompression: true,
 			DisableKeepAlives:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 }
@@ -114,7 +121,8 @@
 
 // readResponse skips interim responses and reads the final one to its end.
 func readResponse(conn net.Conn, req *http.Request, maxBody int64) (*Response, error) {
-	in := bufio.NewReader(conn)
+	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
+	in := bufio.NewReader(limited)
 	for range maxInterimResponses {
 		resp, err := http.ReadResponse(in, req)
 		if err != nil {
@@ -123,6 +131,7 @@
 		if resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK {
 			continue
 		}
+		limited.N = math.MaxInt64
 		defer resp.Body.Close()
 		return readBody(resp, maxBody)
 	}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -82,10 +82,13 @@
 	return rpc.NewServer(rpc.WithLogger(c.Logger), rpc.WithAuthorizer(c.Authorizer))
 }
 
+// maxResponseHeadBytes limits the header of an upstream's response.
+const maxResponseHeadBytes = 64 << 10
+
 // upstreamClient returns a client for upstreams, which are addressed by IP address. It uses
 // no proxy from the environment and follows no redirects.
 func upstreamClient(dial rpc.DialFunc) *http.Client {
-	t := &http.Transport{MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout}
+	t := &http.Transport{MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxResponseHeadBytes}
 	if dial != nil {
 		t.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }
 	}
