Back off while reports of ended upstreams are not acknowledged

Cause: read once more: each entry host sends a report again every 50 ms while no coordinator acknowledges it. With 75 entry hosts that doubles the calls that reach small coordinators during an election, and does not end with a leader of an older version.

Change: the delay doubles up to 400 ms. A new leader is told at once all the same: its first sync makes the entry host report everything again.

--- a/pkg/entry/run_reporter.go
+++ b/pkg/entry/run_reporter.go
@@ -14,8 +14,10 @@
 const (
 	// reportBatchDelay batches reports: all requests of an upstream that ends fail at once.
 	reportBatchDelay = 5 * time.Millisecond
-	// reportRetryDelay is the delay after a failed report.
-	reportRetryDelay = 50 * time.Millisecond
+	// reportRetryDelay is the delay after a failed report. It doubles up to maxReportRetryDelay: all
+	// entry hosts report again while there is no leader.
+	reportRetryDelay    = 50 * time.Millisecond
+	maxReportRetryDelay = 400 * time.Millisecond
 	// maxPendingReports bounds the reports that wait. Beyond it crashes are reported again from the
 	// guard's memory, and other reports are dropped: the trial they end then ends by itself.
 	maxPendingReports = 4096
@@ -98,16 +100,16 @@
 
 // deliverReports sends a batch until the leader has acknowledged it.
 func (g *Gateway) deliverReports(ctx context.Context, batch control.FleetRunsRequest) {
-	for logged := false; ; logged = true {
+	for delay := reportRetryDelay; ; delay = min(2*delay, maxReportRetryDelay) {
 		err := g.sendReports(ctx, batch)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		if !logged {
+		if delay == reportRetryDelay {
 			g.cfg.Logger.Warn("reports about ended upstreams are not acknowledged; sending them again", "crashed", len(batch.Crashed),
 				"cleared", len(batch.Cleared), "trials", len(batch.Ended), "cause", err)
 		}
-		clock.Sleep(ctx, reportRetryDelay)
+		clock.Sleep(ctx, delay)
 	}
 }
 
