Count upstreams that fall silent under a request

Cause: a request whose upstream falls silent or resets, with its process not seen to end, never became a suspect, so one that crashes upstreams in that way was sent on without a bound.

Change: such an end is an assumed crash. Two known crashes make a suspect, as before, or four of either kind at different incarnations without a completed run between, which is more than one request with its client's own retry usually reaches.

Ruled out: counting an assumed crash like a known one.

The popular request is still not withheld, also when a domain goes dark.

Conclusion: left open is a plain service that gives no answer until the time is over; that looks like overload.

--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -38,10 +38,10 @@
 	for _, run := range req.Crashed {
 		known := l.crashes.Observe(now, run.Fingerprint, run.Crash)
 		entry := st.Quarantine.Find(run.Fingerprint)
-		if len(known) == 0 || entry == nil && len(known) < quarantine.SuspectCrashes {
+		if len(known) == 0 || entry == nil && !quarantine.Suspicious(known) {
 			continue
 		}
-		convict := run.Trial != "" && !l.crashes.Outage(now, run.Fingerprint)
+		convict := run.Trial != "" && !run.Crash.Assumed && !l.crashes.Outage(now, run.Fingerprint)
 		changes = append(changes, quarantine.Change{
 			Kind: quarantine.RecordCrashes, NowMS: nowMS, Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial, Convict: convict,
 		})
@@ -100,7 +100,7 @@
 		known = l.crashes.Observe(c.now(), req.Fingerprint, crash)
 	}
 	changes := []quarantine.Change{{Kind: quarantine.Expire, NowMS: nowMS}}
-	if len(known) >= quarantine.SuspectCrashes {
+	if quarantine.Suspicious(known) {
 		changes = append(changes, quarantine.Change{Kind: quarantine.RecordCrashes, NowMS: nowMS, Fingerprint: req.Fingerprint, Crashes: known})
 	}
 	return append(changes, quarantine.Change{
--- a/pkg/entry/crashing_request_test.go
+++ b/pkg/entry/crashing_request_test.go
@@ -33,6 +33,21 @@
 	}
 }
 
+func TestRequestThatSilencesUpstreamsIsNotSentOnAfterItsThird(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 5, fleetSize{entries: 4, plain: 2, engines: 10})
+		crashing := clientRequest{kind: "stream", body: "crash silently"}
+		var work sync.WaitGroup
+		for second := range 30 {
+			work.Go(func() { f.client(crashing) })
+			work.Go(func() { f.client(clientRequest{kind: "stream", body: fmt.Sprint("innocent ", second)}) })
+			time.Sleep(time.Second)
+		}
+		work.Wait()
+		f.assertCrashesBounded(crashing)
+	})
+}
+
 // assertAttemptsBounded checks that no attempt ran on more upstreams than its route allows.
 func (f *testFleet) assertAttemptsBounded() {
 	f.t.Helper()
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -432,6 +432,10 @@
 		h.crash()
 		return false
 	}
+	if strings.HasPrefix(body, "crash silently") {
+		_ = streamFrom(10, 1, "s", func(net.Conn) { h.goDark() })(c, r, attempt)
+		return false
+	}
 	if kind != "stream" {
 		return fixedAnswer(200, "X-Sig: s\r\n", "fine")(c, r, attempt)
 	}
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -103,8 +103,8 @@
 // settleAttempt reports a failed attempt to the quarantine.
 func (c *call) settleAttempt(u *fleet.Upstream, state endState, err error) {
 	g := c.gateway
-	if state == upstreamEnded {
-		crash := quarantine.Crash{Upstream: u.ID, StartedMS: u.StartedMS}
+	if brokeOff(err) {
+		crash := quarantine.Crash{Upstream: u.ID, StartedMS: u.StartedMS, Assumed: state != upstreamEnded}
 		if g.guard.Crashed(g.now(), c.requestFingerprint(), crash) || c.trial != "" {
 			g.reporter.crashed(control.FleetCrashedRun{Fingerprint: c.requestFingerprint(), Crash: crash, Trial: c.trial})
 		}
--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -1,15 +1,12 @@
 package quarantine
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
 const (
-	// SuspectCrashes is the number of crashes from which a request is a suspect.
-	SuspectCrashes = 2
 	// LimitedCrashes is the number of crashes from which MaxTrials holds.
 	LimitedCrashes = 3
 	// MaxTrials is the number of trials of a suspect with LimitedCrashes.
@@ -60,12 +57,14 @@
 // addCrashes adds crashes that are not known yet.
 func (e *Entry) addCrashes(nowMS int64, cs []Crash) {
 	for _, c := range cs {
-		if slices.Contains(e.Crashes, c) || len(e.Crashes) >= maxCrashes {
+		before := len(e.Crashes)
+		next, changed := addCrash(e.Crashes, c)
+		if !changed {
 			continue
 		}
-		e.Crashes = append(slices.Clone(e.Crashes), c)
+		e.Crashes = next
 		e.LastCrashMS = nowMS
-		if len(e.Crashes) == LimitedCrashes {
+		if before < LimitedCrashes && len(next) >= LimitedCrashes {
 			e.Trials = 0
 		}
 	}
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -72,7 +72,7 @@
 	case e != nil:
 		return NeedsTrial, 0
 	}
-	if own := g.own[f]; own != nil && len(own.crashes) >= SuspectCrashes && now-own.lastAt < SuspectTTL {
+	if own := g.own[f]; own != nil && Suspicious(own.crashes) && now-own.lastAt < SuspectTTL {
 		return NeedsTrial, 0
 	}
 	return Free, 0
@@ -102,9 +102,7 @@
 		g.own[f] = own
 	}
 	own.lastAt = now
-	if !slices.Contains(own.crashes, c) && len(own.crashes) < maxCrashes {
-		own.crashes = append(own.crashes, c)
-	}
+	own.crashes, _ = addCrash(own.crashes, c)
 	return true
 }
 
--- a/pkg/quarantine/list_test.go
+++ b/pkg/quarantine/list_test.go
@@ -102,7 +102,7 @@
 		var open []string
 		report := func(n int, trial string) {
 			known := tracker.Observe(time.Duration(nowMS)*time.Millisecond, "f", crashNumber(n))
-			if l.Find("f") == nil && len(known) < SuspectCrashes {
+			if l.Find("f") == nil && !Suspicious(known) {
 				return
 			}
 			l, _ = l.Apply([]Change{{Kind: RecordCrashes, NowMS: nowMS, Fingerprint: "f", Crashes: known, Trial: trial, Convict: rapid.Bool().Draw(t, "convict")}})
@@ -151,3 +151,32 @@
 		}
 	})
 }
+
+func TestAssumedCrashesNeedMoreOfThem(t *testing.T) {
+	assumed := func(n int) Crash {
+		c := crashNumber(n)
+		c.Assumed = true
+		return c
+	}
+	for _, c := range []struct {
+		name    string
+		crashes []Crash
+		want    bool
+	}{
+		{"one known", []Crash{crashNumber(1)}, false},
+		{"two known", []Crash{crashNumber(1), crashNumber(2)}, true},
+		{"one known, two assumed", []Crash{crashNumber(1), assumed(2), assumed(3)}, false},
+		{"one known, three assumed", []Crash{crashNumber(1), assumed(2), assumed(3), assumed(4)}, true},
+		{"three assumed", []Crash{assumed(1), assumed(2), assumed(3)}, false},
+		{"one assumed, then known, and another", []Crash{assumed(1), crashNumber(1), crashNumber(2)}, true},
+		{"one known, then assumed", []Crash{crashNumber(1), assumed(1), assumed(1), assumed(1)}, false},
+	} {
+		var known []Crash
+		for _, crash := range c.crashes {
+			known, _ = addCrash(known, crash)
+		}
+		if got := Suspicious(known); got != c.want {
+			t.Errorf("%s: suspicious %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -40,7 +40,7 @@
 // of the request.
 func (t *Tracker) Observe(now time.Duration, f view.Fingerprint, c Crash) []Crash {
 	t.expire(now)
-	if _, known := t.crashes[c]; !known {
+	if _, known := t.crashes[c]; !known && !c.Assumed {
 		t.crashes[c] = now
 	}
 	r := t.requests[f]
@@ -55,9 +55,7 @@
 		r.crashes = nil
 	}
 	r.lastAt = now
-	if !slices.Contains(r.crashes, c) && len(r.crashes) < maxCrashes {
-		r.crashes = append(r.crashes, c)
-	}
+	r.crashes, _ = addCrash(r.crashes, c)
 	return slices.Clone(r.crashes)
 }
 
