Serve a request elsewhere that could not be sent

Callers got 502, which promises nothing, for calls that no upstream had received: a call that must not run twice was not tried elsewhere after a refused connection, and streams lost one of their attempts and a share of the retry budget to it.

Cause: eris.Is does not look behind an error that wraps several, and the error of an unreachable upstream wraps three. So "not sent" was never recognised on this path: the attempt counted as one that may have run, and the head was not reported as refusing.

Change: errors.Is in the request path.

Ruled out: the same elsewhere; the other users of these errors ask errors.Is.

Figures: TestRequestThatWasNotSentIsServedElsewhere fails before (502 in 2 of 20 calls, in those that met a dead upstream) and passes after.

--- a/pkg/entry/gateway_test.go
+++ b/pkg/entry/gateway_test.go
@@ -366,6 +366,21 @@
 	})
 }
 
+func TestRequestThatWasNotSentIsServedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answer := fixedAnswer(200, "X-Sig: s\r\n", "booked")
+		b := newHarness(t, map[string]answerFunc{"p1": answer, "p2": answer, "p3": answer})
+		b.network.Kill("p1")
+		b.network.Kill("p2")
+		for range 20 {
+			if w := b.send("POST", "/once/1", "book", nil); w.status != 200 {
+				t.Errorf("answered %d %q", w.status, &w.body)
+			}
+			time.Sleep(maxBackoff)
+		}
+	})
+}
+
 func TestFailedIdempotentRequestIsRetried(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -78,7 +79,7 @@
 		NewConnection: c.route.Kind == catalog.AtMostOnce,
 	})
 	if err != nil {
-		if !eris.Is(err, upstream.ErrNotSent) {
+		if !errors.Is(err, upstream.ErrNotSent) {
 			c.sent++
 		}
 		return nil, err
@@ -120,7 +121,7 @@
 
 // provesNotRun reports whether an error guarantees that the request did not run.
 func provesNotRun(err error) bool {
-	return eris.Is(err, errNotRun) || eris.Is(err, upstream.ErrNotSent)
+	return errors.Is(err, errNotRun) || errors.Is(err, upstream.ErrNotSent)
 }
 
 // mayRepeat reports whether the request may be sent to another upstream after an attempt that ended
@@ -137,7 +138,7 @@
 	case !provesNotRun(err) && c.possibleExecutions >= c.route.MaxAttempts:
 		c.reason = "attempt limit of the route is reached"
 		return false
-	case !eris.Is(err, upstream.ErrNotSent) && !c.gateway.budget.spend(c.service.Name):
+	case !errors.Is(err, upstream.ErrNotSent) && !c.gateway.budget.spend(c.service.Name):
 		c.reason = retryBudgetSpent
 		return false
 	}
@@ -159,13 +160,13 @@
 // retryCause returns the metric label for an error that leads to a retry.
 func retryCause(err error) string {
 	switch {
-	case eris.Is(err, errNotRun):
+	case errors.Is(err, errNotRun):
 		return "not run"
-	case eris.Is(err, upstream.ErrNotSent):
+	case errors.Is(err, upstream.ErrNotSent):
 		return "not sent"
-	case eris.Is(err, errAbandoned):
+	case errors.Is(err, errAbandoned):
 		return "silent"
-	case eris.Is(err, errMismatchedAnswer):
+	case errors.Is(err, errMismatchedAnswer):
 		return "foreign answer"
 	}
 	return "broken"
@@ -177,9 +178,9 @@
 	now := g.now()
 	switch {
 	case c.ctx.Err() != nil:
-	case eris.Is(err, errNotRun):
+	case errors.Is(err, errNotRun):
 		g.balancer.recordRejection(now, t)
-	case eris.Is(err, upstream.ErrNotSent):
+	case errors.Is(err, upstream.ErrNotSent):
 		g.balancer.recordFailure(now, t)
 		if p.upstream.IsOpenHead() {
 			g.suspectHead(now, p, true)
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
@@ -111,7 +110,7 @@
 		c.trial = ""
 		return
 	}
-	if !eris.Is(err, upstream.ErrNotSent) {
+	if !errors.Is(err, upstream.ErrNotSent) {
 		c.endTrial()
 	}
 }
