Convict a request by two trials, and not by an upstream that was gone before

Change: a connection lost while sending is no crash of the request; a second trial must end its upstream too. With that the rule about outages and its memory go.

Ruled out: trials alone on an upstream; too few upstreams, each with some 20 streams.

TestUpstreamThatEndedBeforeTheRequestIsNoCrash fails without the change. A crashing request ends one upstream more: after its third crash it gets one trial, or two if the third was not in a trial; three sends are allowed.

Conclusion: a wrong conviction now needs four ends of upstreams under four runs of which none completed within 30 s anywhere.

--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -41,11 +41,10 @@
 		if len(known) == 0 || entry == nil && !quarantine.Suspicious(known) {
 			continue
 		}
-		convict := run.Trial != "" && !run.Crash.Assumed && !l.crashes.Outage(now, run.Fingerprint)
 		changes = append(changes, quarantine.Change{
-			Kind: quarantine.RecordCrashes, NowMS: nowMS, Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial, Convict: convict,
+			Kind: quarantine.RecordCrashes, NowMS: nowMS, Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial,
 		})
-		c.cfg.Logger.Warn("request ended upstreams", "fingerprint", run.Fingerprint, "upstreams", known, "trial", run.Trial, "convict", convict, "told_by", req.Process)
+		c.cfg.Logger.Warn("request ended upstreams", "fingerprint", run.Fingerprint, "upstreams", known, "trial", run.Trial, "told_by", req.Process)
 	}
 	for _, f := range req.Cleared {
 		l.crashes.Clear(now, f)
--- a/pkg/entry/crashing_request_test.go
+++ b/pkg/entry/crashing_request_test.go
@@ -217,3 +217,17 @@
 		})
 	}
 }
+
+func TestUpstreamThatEndedBeforeTheRequestIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, map[string]answerFunc{"p1": fixedAnswer(200, "X-Sig: s\r\n", "fine")})
+		b.send("GET", "/again/1", "", nil) // leaves an idle connection
+		b.network.Kill("p1")
+		if w := b.send("GET", "/again/2", "", nil); w.status == 200 || b.total() != 1 {
+			t.Errorf("answered %d after %d requests", w.status, b.total())
+		}
+		if b.gateway.guard.Watches() {
+			t.Error("the request is held responsible")
+		}
+	})
+}
--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -1,8 +1,7 @@
 package entry
 
 import (
-	"github.com/rotisserie/eris"
-
+	"errors"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/suspect"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
@@ -18,9 +17,13 @@
 	return c.fingerprint
 }
 
-// brokeOff reports whether an attempt failed because its upstream stopped sending.
+// brokeOff reports whether an attempt failed because its upstream stopped sending. An upstream that
+// ended before it had received the request did not end because of it.
 func brokeOff(err error) bool {
-	return eris.Is(err, upstream.ErrConnectionLost) || eris.Is(err, upstream.ErrStalled) || eris.Is(err, errAbandoned)
+	if errors.Is(err, upstream.ErrSendInterrupted) {
+		return false
+	}
+	return errors.Is(err, upstream.ErrConnectionLost) || errors.Is(err, upstream.ErrStalled) || errors.Is(err, errAbandoned)
 }
 
 // inspectFailure finds out whether the upstream of a failed attempt has ended, logs it and tells the
@@ -32,7 +35,7 @@
 	}
 	g := c.gateway
 	state := endStateUnknown
-	if eris.Is(err, upstream.ErrConnectionLost) {
+	if errors.Is(err, upstream.ErrConnectionLost) {
 		state = g.ends.check(g.now(), incarnation{u.ID, u.StartedMS}, u.Address)
 	}
 	c.settleAttempt(u, state, err)
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -6,8 +6,7 @@
 //
 // A suspect runs in trials only. A trial is granted by the leading coordinator through the
 // replicated log, one at a time for each suspect, and at most MaxTrials once the suspect has ended
-// three upstreams. The end of an upstream in a trial convicts the request, unless many other
-// upstreams end at the same time; a second one convicts it in any case. A completed run, in a trial
+// three upstreams. The end of the upstream in two trials convicts the request. A completed run, in a trial
 // or not, shows that the request is harmless and clears it.
 //
 // List is the replicated state, Tracker the leader's memory of upstreams that ended, and Guard the
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -66,13 +66,13 @@
 	if c.Trial != "" && e.Trial == c.Trial {
 		e.Trial = ""
 		e.CrashedTrials++
-		e.Convicted = e.Convicted || c.Convict || e.CrashedTrials >= convictingTrials
+		e.Convicted = e.Convicted || e.CrashedTrials >= convictingTrials
 	}
 	return l
 }
 
-// convictingTrials is the number of trials whose upstream ended that convicts a request even if
-// other upstreams ended at the same times.
+// convictingTrials is the number of trials in which the upstream ended that convicts a request. One
+// upstream may end under a trial for another cause, such as a crashing request that ran beside it.
 const convictingTrials = 2
 
 func (l List) dropOldest() List {
--- a/pkg/upstream/errors.go
+++ b/pkg/upstream/errors.go
@@ -15,6 +15,9 @@
 	errUnusableAfterProbe  = eris.New("connection is not reusable after the probe")
 	// ErrStalled reports that the connection made no progress within the timeout.
 	ErrStalled = eris.New("connection stalled")
+	// ErrSendInterrupted reports that the connection was lost before the whole request
+	// was sent.
+	ErrSendInterrupted = eris.New("request was not sent completely")
 	// ErrConnectionLost reports that the connection was closed or reset.
 	ErrConnectionLost = eris.New("connection lost")
 )
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -75,11 +75,11 @@
 		if n == 0 && errors.Is(err, ErrNotSent) {
 			return err
 		}
-		return eris.Wrap(ErrConnectionLost, err.Error())
+		return &InterruptedSendError{Cause: err}
 	}
 	if len(r.Body) > maxCoalescedBody {
 		if _, err := c.raw.Write(r.Body); err != nil {
-			return eris.Wrap(ErrConnectionLost, err.Error())
+			return &InterruptedSendError{Cause: err}
 		}
 	}
 	return nil
