--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		changes = append(changes, quarantine.Change{
-			Kind: quarantine.RecordCrashes, NowMS: nowMS, Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial,
+			Kind: quarantine.RecordCrashes, NowMS: nowMS, Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial, Convict: run.Trial != "" && !run.Crash.Assumed,
 		})
 		c.cfg.Logger.Warn("request ended upstreams", "fingerprint", run.Fingerprint, "upstreams", known, "trial", run.Trial, "told_by", req.Process)
 	}
--- a/pkg/quarantine/change.go
+++ b/pkg/quarantine/change.go
@@ -19,6 +19,7 @@
 	NowMS       int64            `json:"now"` // Unix milliseconds
 	Fingerprint view.Fingerprint `json:"f,omitempty"`
 	Crashes     []Crash          `json:"c,omitempty"`
-	Trial       string           `json:"t,omitempty"`     // of GrantTrial and EndTrial; of RecordCrashes the trial in which the last crash happened
-	UntilMS     int64            `json:"until,omitempty"` // of GrantTrial: when the trial has ended
+	Trial       string           `json:"t,omitempty"`       // of GrantTrial and EndTrial; of RecordCrashes the trial in which the last crash happened
+	UntilMS     int64            `json:"until,omitempty"`   // of GrantTrial: when the trial has ended
+	Convict     bool             `json:"convict,omitempty"` // of RecordCrashes in a trial: the upstream is known to have ended
 }
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -6,8 +6,9 @@
 //
 // A suspect runs in trials only. A trial is granted by the leading coordinator through the
 // replicated log, one at a time for each suspect, and at most MaxTrials once the suspect has ended
-// three upstreams. The end of the upstream in two trials convicts the request. A completed run, in a trial
-// or not, shows that the request is harmless and clears it.
+// three upstreams. The end of the upstream in a trial convicts the request; an end that is assumed
+// only, the second time. A completed run, in a trial or not, shows that the request is harmless and
+// clears it.
 //
 // List is the replicated state, Tracker the leader's memory of upstreams that ended, and Guard the
 // part of an entry host. All are free of I/O; times come in as arguments.
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -66,13 +66,12 @@
 	if c.Trial != "" && e.Trial == c.Trial {
 		e.Trial = ""
 		e.CrashedTrials++
-		e.Convicted = e.Convicted || e.CrashedTrials >= convictingTrials
+		e.Convicted = e.Convicted || c.Convict || e.CrashedTrials >= convictingTrials
 	}
 	return l
 }
 
-// convictingTrials is the number of trials in which the upstream ended that convicts a request. One
-// upstream may end under a trial for another cause, such as a crashing request that ran beside it.
+// convictingTrials is the number of trials with an assumed crash that convicts a request.
 const convictingTrials = 2
 
 func (l List) dropOldest() List {
--- a/pkg/quarantine/list_test.go
+++ b/pkg/quarantine/list_test.go
@@ -49,7 +49,15 @@
 	}
 }
 
-func TestCrashesInTwoTrialsConvict(t *testing.T) {
+func TestKnownCrashInATrialConvicts(t *testing.T) {
+	l := mustApply(t, suspect(t, 2), grant("a", 2000))
+	l = mustApply(t, l, Change{Kind: RecordCrashes, NowMS: 2500, Fingerprint: "f", Crashes: []Crash{crashNumber(7)}, Trial: "a", Convict: true})
+	if _, err := l.Apply([]Change{grant("b", 3000)}); !eris.Is(err, ErrRefused) {
+		t.Errorf("trial after the conviction: %v", err)
+	}
+}
+
+func TestAssumedCrashesInTwoTrialsConvict(t *testing.T) {
 	l := suspect(t, 2)
 	for i, trial := range []string{"a", "b"} {
 		if l.Find("f").Refused(2000) {
@@ -98,7 +106,7 @@
 			if l.Find("f") == nil && !Suspicious(known) {
 				return
 			}
-			l, _ = l.Apply([]Change{{Kind: RecordCrashes, NowMS: nowMS, Fingerprint: "f", Crashes: known, Trial: trial}})
+			l, _ = l.Apply([]Change{{Kind: RecordCrashes, NowMS: nowMS, Fingerprint: "f", Crashes: known, Trial: trial, Convict: rapid.Bool().Draw(t, "known")}})
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			nowMS += rapid.Int64Range(0, 3000).Draw(t, "wait")
