Keep a silent stream until another upstream has answered

Callers saw streams cut in the middle, or 502, although their upstream was sound: it had fallen silent for 1.5 s and would have gone on. Cause: stallTimer cancelled the attempt as soon as this entry host saw room anywhere. The stream was lost if the placer had no room, the next head refused, broke off or was silent too, or the route's attempts or the retry budget were spent by then. Class: a resource that works, or may work, is given up before its replacement is in hand. Change: a silent upstream's attempt is kept, and a standby is sent to another upstream if one has room, an attempt is left and the budget allows it. Whichever sends first serves the stream; the other one is cancelled under one lock, so that no event is lost or sent twice. If the silent connection breaks, the standby is the next attempt. Silence is reported to the quarantine when it is seen, not when the attempt ends, which is later now. Log line and counter of standbys. Ruled out: taking a place first and abandoning then, since a place is no answer yet (cases 'other heads refuse', 'break off', 'are silent' fail with it by construction; not run).

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -90,6 +90,7 @@
 func (c *call) tryBuffered(u *fleet.Upstream) (*upstreamAnswer, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.attemptTime())
 	resp, err := c.exchange(ctx, u, "")
+	c.recordExchange(u, resp, err)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
@@ -32,9 +33,10 @@
 	deadline     time.Duration // the earlier of the client's and the route's
 
 	fingerprint        view.Fingerprint // see requestFingerprint
-	trial              string           // granted trial of a suspect that was not used yet or is running; empty if none
-	refusedUntilMS     int64            // when a refused request is forgotten, Unix milliseconds
-	framed             bool             // the last answer marks its own end
+	fingerprintOnce    sync.Once
+	trial              string // granted trial of a suspect that was not used yet or is running; empty if none
+	refusedUntilMS     int64  // when a refused request is forgotten, Unix milliseconds
+	framed             bool   // the last answer marks its own end
 	tried              map[string]bool
 	sent               int  // upstreams to which the request was written
 	possibleExecutions int  // upstreams that may have run the request
--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -12,9 +12,9 @@
 // requestFingerprint identifies what the client asks for. It is the same for each arrival of the
 // request, at every entry host.
 func (c *call) requestFingerprint() view.Fingerprint {
-	if c.fingerprint == "" {
+	c.fingerprintOnce.Do(func() {
 		c.fingerprint = suspect.ExactFingerprint(c.organisation, c.r.Host, c.r.RequestURI, c.body)
-	}
+	})
 	return c.fingerprint
 }
 
@@ -27,6 +27,14 @@
 	return errors.Is(err, upstream.ErrConnectionLost) || errors.Is(err, upstream.ErrStalled) || errors.Is(err, errAbandoned)
 }
 
+// endStateOf finds out whether an upstream that broke off an attempt has ended.
+func (g *Gateway) endStateOf(u *fleet.Upstream, err error) endState {
+	if !errors.Is(err, upstream.ErrConnectionLost) {
+		return endStateUnknown
+	}
+	return g.ends.check(g.now(), incarnation{u.ID, u.StartedMS}, u.Address)
+}
+
 // inspectFailure finds out whether the upstream of a failed attempt has ended, logs it and tells the
 // quarantine.
 func (c *call) inspectFailure(u *fleet.Upstream, err error) {
@@ -35,10 +43,7 @@
 		return
 	}
 	g := c.gateway
-	state := endStateUnknown
-	if errors.Is(err, upstream.ErrConnectionLost) {
-		state = g.ends.check(g.now(), incarnation{u.ID, u.StartedMS}, u.Address)
-	}
+	state := g.endStateOf(u, err)
 	c.settleAttempt(u, state, err)
 	g.metrics.BrokenAttempts.WithLabelValues(string(state)).Inc()
 	if g.requestLog.allow(g.now(), false) {
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -18,6 +18,7 @@
 	Quarantined     *prometheus.CounterVec
 	Placements      *prometheus.CounterVec
 	Syncs           *prometheus.CounterVec
+	Standbys        *prometheus.CounterVec
 	SuspectedHeads  prometheus.Counter
 	SuppressedLines prometheus.Counter
 	DocumentVersion prometheus.Gauge
@@ -48,6 +49,8 @@
 			Name: "sesame_entry_placements_total", Help: "Questions to the entry host that places a model's requests, by outcome."}, []string{"outcome"}),
 		Syncs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_entry_syncs_total", Help: "Questions to the coordinators by outcome."}, []string{"outcome"}),
+		Standbys: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_entry_standbys_total", Help: "Attempts at another upstream beside a silent one, by outcome."}, []string{"outcome"}),
 		SuspectedHeads: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sesame_entry_suspected_heads_total", Help: "Heads of groups that went silent."}),
 		SuppressedLines: prometheus.NewCounter(prometheus.CounterOpts{
@@ -55,7 +58,7 @@
 		DocumentVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sesame_entry_document_version", Help: "Version of the document in force here."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Quarantined, m.Placements, m.Syncs, m.SuspectedHeads, m.SuppressedLines, m.DocumentVersion)
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Quarantined, m.Placements, m.Syncs, m.Standbys, m.SuspectedHeads, m.SuppressedLines, m.DocumentVersion)
 	return m
 }
 
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -21,7 +21,7 @@
 	// errMismatchedAnswer is returned if an answer belongs to another request or was not produced
 	// by the upstream.
 	errMismatchedAnswer = eris.New("answer does not belong to this request")
-	// errAbandoned is returned if this entry host abandoned the attempt.
+	// errAbandoned is returned if another upstream answered while the upstream was silent.
 	errAbandoned = eris.New("attempt abandoned in favour of another upstream")
 )
 
@@ -63,10 +63,8 @@
 }
 
 // exchange sends the request to an upstream and returns its answer with an unread body. errNotRun
-// and upstream.ErrNotSent guarantee that the request did not run.
+// and upstream.ErrNotSent guarantee that the request did not run. It does not change c.
 func (c *call) exchange(ctx context.Context, u *fleet.Upstream, lastEvent string) (*upstream.Response, error) {
-	c.upstream = u.ID
-	c.tried[u.ID] = true
 	resp, err := c.gateway.pool.Do(ctx, &upstream.Request{
 		Address: u.Address,
 		Host:    c.r.Host,
@@ -79,13 +77,8 @@
 		NewConnection: c.route.Kind == catalog.AtMostOnce,
 	})
 	if err != nil {
-		if !errors.Is(err, upstream.ErrNotSent) {
-			c.sent++
-		}
 		return nil, err
 	}
-	c.sent++
-	c.framed = resp.Framed
 	names := c.gateway.cfg.Headers
 	switch {
 	case resp.Header.Get(names.Attempt) != c.r.Header.Get(names.Attempt):
@@ -102,6 +95,18 @@
 	return resp, nil
 }
 
+// recordExchange records the result of an exchange with an upstream.
+func (c *call) recordExchange(u *fleet.Upstream, resp *upstream.Response, err error) {
+	c.upstream = u.ID
+	c.tried[u.ID] = true
+	if !errors.Is(err, upstream.ErrNotSent) {
+		c.sent++
+	}
+	if resp != nil {
+		c.framed = resp.Framed
+	}
+}
+
 // notRunStatuses are the status codes with which an upstream may state that a request did not run.
 var notRunStatuses = map[int]bool{
 	http.StatusBadRequest: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"context"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,51 +10,97 @@
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
-// serveStream serves an event stream. If its upstream breaks off or stalls, a resumable stream
-// continues on another upstream after the last whole event that the client received.
+// serveStream serves an event stream. If its upstream breaks off, a resumable stream continues on
+// another upstream after the last whole event that the client received. If its upstream is silent,
+// it continues on the upstream that sends first, see stallTimer.
 func (c *call) serveStream() {
-	g := c.gateway
 	s := &streamRelay{call: c}
-	s.splitter.lastID = c.r.Header.Get(g.cfg.Headers.LastEventID)
+	s.splitter.lastID = c.r.Header.Get(c.gateway.cfg.Headers.LastEventID)
+	defer s.discardStandby()
+	for s.nextAttempt() {
+		p := s.attempt.placement
+		err := s.relayAttempt()
+		c.gateway.release(p)
+		if err == nil || s.recordFailure(p, err) {
+			return
+		}
+	}
+}
+
+// nextAttempt prepares the next attempt: the standby, if there is one, or a new one at an upstream
+// that it chooses. It returns false if the request ended because there is none.
+func (s *streamRelay) nextAttempt() bool {
+	c, sb := s.call, s.standby
+	if s.standby = nil; sb != nil {
+		<-sb.done
+		if sb.placement != nil {
+			s.attempt = &sb.streamAttempt
+			return true
+		}
+		sb.discard()
+		if !c.mayRepeat(c.cause) {
+			c.endStream(c.reason)
+			return false
+		}
+	}
+	return s.chooseUpstream()
+}
+
+// discardStandby ends a standby that is left when the request ends.
+func (s *streamRelay) discardStandby() {
+	if s.standby != nil {
+		s.standby.cancel()
+		<-s.standby.done
+		s.standby.discard()
+	}
+}
+
+// chooseUpstream prepares an attempt at another upstream. It returns false if the request ended
+// because there is none.
+func (s *streamRelay) chooseUpstream() bool {
+	c, g := s.call, s.call.gateway
 	for {
 		if why := c.mayRun(); why != noReason {
 			c.endStream(why)
-			return
+			return false
 		}
 		req := placementRequest{service: c.service, model: c.model, promptTokens: c.promptTokens, tried: c.tried, resuming: c.headerSent}
 		p, why, placer := g.place(c.ctx, req, c.remaining())
 		c.placer = placer
-		if p == nil && s.waitForUpstream() {
-			continue
+		if p != nil {
+			s.attempt = newStreamAttempt(c, s.splitter.lastID)
+			s.attempt.placement = p
+			return true
 		}
-		if p == nil {
+		if !s.waitForUpstream() {
 			c.choiceSummary = g.balancer.choiceSummary(g.now(), req)
 			c.endStream(why)
-			return
-		}
-		s.placement, s.responseStarted = p, false
-		err := s.attempt(p)
-		g.release(p)
-		if err == nil {
-			return
-		}
-		c.recordFailedAttempt(err)
-		if c.ctx.Err() != nil {
-			c.outcome = clientLeft
-			return
-		}
-		c.recordUpstreamFailure(p, err)
-		c.inspectFailure(&p.upstream, err)
-		if !c.mayRepeat(err) {
-			c.endStream(c.reason)
-			return
-		}
-		if c.headerSent {
-			c.resumed++
+			return false
 		}
 	}
 }
 
+// recordFailure records an attempt that did not serve the stream. It returns true if that ends the
+// request.
+func (s *streamRelay) recordFailure(p *placement, err error) bool {
+	c := s.call
+	c.recordFailedAttempt(err)
+	if c.ctx.Err() != nil {
+		c.outcome = clientLeft
+		return true
+	}
+	c.recordUpstreamFailure(p, err)
+	c.inspectFailure(&p.upstream, err)
+	if s.standby == nil && !c.mayRepeat(err) {
+		c.endStream(c.reason)
+		return true
+	}
+	if c.headerSent {
+		c.resumed++
+	}
+	return false
+}
+
 // waitForUpstream waits briefly for an upstream on which a stream can be resumed. It returns false
 // if the client has already waited too long.
 func (s *streamRelay) waitForUpstream() bool {
@@ -101,31 +145,39 @@
 	call            *call
 	splitter        eventSplitter
 	lastEventAt     time.Duration // when the last event was forwarded
-	placement       *placement    // of the current attempt
-	responseStarted bool          // the current attempt has received events
+	attempt         *streamAttempt
+	responseStarted bool     // the attempt has received events
+	standby         *standby // of the last attempt; it becomes the next one
 }
 
-// attempt relays the stream from one upstream. It returns nil if the client has received the
-// complete answer, or an error answer of the upstream.
-func (s *streamRelay) attempt(p *placement) error {
-	c := s.call
-	ctx, cancel := context.WithTimeout(c.ctx, c.remaining())
-	defer cancel()
-	w := s.startStallTimer(p, cancel)
-	defer w.stop()
-	resp, err := c.exchange(ctx, &p.upstream, s.splitter.lastID)
-	if err != nil {
-		return w.wrapError(err)
+// relayAttempt relays the stream from the upstream of the attempt. It returns nil if the client has
+// received the complete answer, or an error answer of the upstream.
+func (s *streamRelay) relayAttempt() error {
+	c, a := s.call, s.attempt
+	defer a.close()
+	s.responseStarted = false
+	w := startStallTimer(s)
+	if a.resp == nil && a.err == nil {
+		a.send()
 	}
-	defer resp.Close()
-	if resp.Status != http.StatusOK {
-		return s.relayFailure(p.target, resp)
-	}
-	if resp.Header.Get(c.gateway.cfg.Headers.Signature) == "" {
+	c.recordExchange(&a.placement.upstream, a.resp, a.err)
+	err := w.wrapError(s.relayAnswer(w))
+	s.standby = w.stop(err == nil)
+	return err
+}
+
+// relayAnswer relays the answer of the attempt, if there is one.
+func (s *streamRelay) relayAnswer(w *stallTimer) error {
+	a := s.attempt
+	switch {
+	case a.err != nil:
+		return a.err
+	case a.resp.Status != http.StatusOK:
+		return s.relayFailure(a.placement.target, a.resp)
+	case !a.signed():
 		return eris.Wrap(errMismatchedAnswer, "successful answer without a signature")
 	}
-	err = s.relay(p.target, resp, w)
-	return w.wrapError(err)
+	return s.relay(w)
 }
 
 // relayFailure forwards an error answer of an upstream if the client has received no header yet.
@@ -146,27 +198,30 @@
 // relayBuffer is the read buffer size of a stream, in bytes.
 const relayBuffer = 8 << 10
 
-func (s *streamRelay) relay(t *target, resp *upstream.Response, w *stallTimer) error {
-	c := s.call
-	g := c.gateway
+// relay forwards the events of the attempt's answer.
+func (s *streamRelay) relay(w *stallTimer) error {
+	g, t, header := s.call.gateway, s.attempt.placement.target, s.attempt.resp.Header
+	body := s.attempt.body()
 	s.splitter.partial = s.splitter.partial[:0]
 	buf := make([]byte, relayBuffer)
 	began := g.now()
 	last := began
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := body.Read(buf)
 		if n > 0 {
 			now := g.now()
-			whole, count := s.splitter.add(buf[:n])
+			whole, count, ok := w.receive(buf[:n])
+			if !ok {
+				return errAbandoned
+			}
 			if count > 0 && !s.responseStarted {
 				s.responseStarted = true
-				g.responseStarted(s.placement)
+				g.responseStarted(s.attempt.placement)
 			}
 			if count > 0 {
 				g.balancer.recordProgress(now, t, now-last, s.expectedInterval(last == began))
-				w.recordEvent()
 				last = now
-				if err := s.writeEvents(now, resp.Header, whole); err != nil {
+				if err := s.writeEvents(now, header, whole); err != nil {
 					return err
 				}
 			}
@@ -175,7 +230,7 @@
 			return eris.Wrapf(errMismatchedAnswer, "an event exceeds %d bytes", maxEventBytes)
 		}
 		if err == io.EOF && !s.splitter.hasPartial() {
-			return s.completed(t, resp.Header)
+			return s.completed(t, header)
 		}
 		if err == io.EOF {
 			return eris.Wrap(upstream.ErrConnectionLost, "stream ended in the middle of an event")
@@ -241,63 +296,3 @@
 	c.framed = c.framed && s.responseStarted
 	return nil
 }
-
-// stallTimer abandons an attempt when its upstream stalls.
-type stallTimer struct {
-	relay          *streamRelay
-	placement      *placement
-	timer          *time.Timer
-	cancel         context.CancelFunc
-	lastEventAt    atomic.Int64 // when this stream last received an event
-	receivedEvents atomic.Bool
-	abandoned      atomic.Bool
-}
-
-func (s *streamRelay) startStallTimer(p *placement, cancel context.CancelFunc) *stallTimer {
-	w := &stallTimer{relay: s, placement: p, cancel: cancel}
-	w.lastEventAt.Store(int64(s.call.gateway.now()))
-	w.timer = time.AfterFunc(streamingHeadTimeout, w.check)
-	return w
-}
-
-// recordEvent records a received event.
-func (w *stallTimer) recordEvent() {
-	w.lastEventAt.Store(int64(w.relay.call.gateway.now()))
-	w.receivedEvents.Store(true)
-}
-
-func (w *stallTimer) stop() { w.timer.Stop() }
-
-// check suspects the head if it is silent on all streams. It abandons the attempt if the head, or
-// this stream for longer, is silent and another upstream is available.
-func (w *stallTimer) check() {
-	c := w.relay.call
-	g := c.gateway
-	now := g.now()
-	silent := now - time.Duration(w.lastEventAt.Load())
-	head, bound := g.balancer.silenceAndTimeout(now, w.placement.target, w.receivedEvents.Load())
-	switch {
-	case silent < bound:
-		w.timer.Reset(bound - silent)
-		return
-	case head >= bound:
-		g.suspectHead(now, w.placement, false)
-	case silent < singleStreamTimeout:
-		w.timer.Reset(streamCheckInterval)
-		return
-	}
-	if !c.route.Retryable() || !g.balancer.hasAlternative(now, placementRequest{service: c.service, model: c.model, tried: c.tried}) {
-		w.timer.Reset(streamCheckInterval)
-		return
-	}
-	w.abandoned.Store(true)
-	w.cancel()
-}
-
-// wrapError marks the error of an attempt that was abandoned here as errAbandoned.
-func (w *stallTimer) wrapError(err error) error {
-	if err != nil && w.abandoned.Load() {
-		return eris.Wrap(errAbandoned, err.Error())
-	}
-	return err
-}
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -49,6 +49,16 @@
 	return why
 }
 
+// mayRunFreely reports whether the request may be sent to an upstream without a trial.
+func (c *call) mayRunFreely() bool {
+	g := c.gateway
+	if !g.guard.Watches() {
+		return true
+	}
+	verdict, _ := g.guard.Decide(g.now(), time.Now().UnixMilli(), c.requestFingerprint())
+	return verdict == quarantine.Free
+}
+
 var quarantineLabels = map[reason]string{noReason: "allowed", endsUpstreams: "refused", trialRunning: "busy", quarantineDeferred: "no coordinator"}
 
 // requestTrial asks for a trial until it is granted, not needed or denied.
@@ -101,12 +111,8 @@
 
 // settleAttempt reports a failed attempt to the quarantine.
 func (c *call) settleAttempt(u *fleet.Upstream, state endState, err error) {
-	g := c.gateway
 	if brokeOff(err) {
-		crash := quarantine.Crash{Upstream: u.ID, StartedMS: u.StartedMS, Assumed: state != upstreamEnded}
-		if g.guard.Crashed(g.now(), c.requestFingerprint(), crash) || c.trial != "" {
-			g.reporter.crashed(control.FleetCrashedRun{Fingerprint: c.requestFingerprint(), Crash: crash, Trial: c.trial})
-		}
+		c.accuse(u, state, c.trial)
 		c.trial = ""
 		return
 	}
@@ -115,6 +121,15 @@
 	}
 }
 
+// accuse reports to the quarantine that an upstream broke off the request.
+func (c *call) accuse(u *fleet.Upstream, state endState, trial string) {
+	g := c.gateway
+	crash := quarantine.Crash{Upstream: u.ID, StartedMS: u.StartedMS, Assumed: state != upstreamEnded}
+	if g.guard.Crashed(g.now(), c.requestFingerprint(), crash) || trial != "" {
+		g.reporter.crashed(control.FleetCrashedRun{Fingerprint: c.requestFingerprint(), Crash: crash, Trial: trial})
+	}
+}
+
 // settleRequest reports the end of the request to the quarantine. Only a run whose end was marked by
 // the upstream shows that the request is harmless.
 func (c *call) settleRequest() {
