Allow a standby on the last attempt of a route, and hold its silence against the request

The silent attempt was counted twice, so a route of two attempts, as the users' documents have, never got a standby. And a standby that was silent itself was held against nobody. Change: the limit counts the attempt once. A standby that sends nothing for 1.2 s is reported to the quarantine, and given up if the route allows a further attempt. Ruled out: giving the standby up without a further attempt, since it or the first upstream may still go on. Figures: go test ./pkg/entry -run 'LostHead|SilentStandby': red before (stream cut after event 4; 1 of 2 silences known), green now; go test ./pkg/entry and -race for streams pass.

--- a/pkg/entry/silent_heads_test.go
+++ b/pkg/entry/silent_heads_test.go
@@ -170,3 +170,41 @@
 		}
 	})
 }
+
+// TestStreamOfALostHeadUsesTheLastAttemptOfItsRoute: the limit of attempts counts the silent one once.
+func TestStreamOfALostHeadUsesTheLastAttemptOfItsRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lost := streamFrom(10, 4, "s", func(net.Conn) { time.Sleep(time.Minute) })
+		b := newHarness(t, map[string]answerFunc{"head1": lost, "head2": streamFrom(10, 10, "s", nil)})
+		b.removeColdBound(b.gateway)
+		b.gateway.balancer.targets["head2"].others = 4
+		w := b.send("POST", "/twice/1", "prompt", nil)
+		if w.status != http.StatusOK || w.cut || w.body.String() != events10() {
+			t.Errorf("answered %d, cut %v, body %q", w.status, w.cut, w.body.String())
+		}
+		if n := len(b.requests["head1"]); n != 1 {
+			t.Errorf("%d requests at the lost head", n)
+		}
+		time.Sleep(2 * time.Minute) // let the head end
+	})
+}
+
+// TestSilentStandbyIsHeldAgainstTheRequest: a request that silences each head must become known for
+// it although its attempts last until its deadline.
+func TestSilentStandbyIsHeldAgainstTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func(net.Conn, *http.Request, string) bool { time.Sleep(time.Minute); return false }
+		b := newHarness(t, map[string]answerFunc{"head1": silent, "head2": silent, "head3": silent})
+		b.removeColdBound(b.gateway)
+		b.send("POST", "/twice/1", "prompt", nil)
+		for f, crashes := range b.gateway.guard.OwnCrashes(b.gateway.now()) {
+			if len(crashes) != 2 {
+				t.Errorf("%s: silenced 2 heads, %d are known", f, len(crashes))
+			}
+		}
+		if !b.gateway.guard.Watches() {
+			t.Error("no silence is known")
+		}
+		time.Sleep(2 * time.Minute) // let the heads end
+	})
+}
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -132,7 +132,7 @@
 // lock.
 func (w *stallTimer) mayStandBy() bool {
 	c := w.call
-	return c.route.Retryable() && c.remaining() >= minRetryTime && w.runs()+1 < c.route.MaxAttempts && w.trial == "" && c.mayRunFreely()
+	return c.route.Retryable() && c.remaining() >= minRetryTime && w.runs() < c.route.MaxAttempts && w.trial == "" && c.mayRunFreely()
 }
 
 // runs returns how many upstreams may have run the request, without a standby in progress. The
@@ -148,12 +148,8 @@
 		service: c.service, model: c.model, promptTokens: c.promptTokens, tried: maps.Clone(w.tried),
 		resuming: w.headerSent || w.receivedEvents,
 	}
-	limit := time.Duration(0)
-	if w.runs()+2 < c.route.MaxAttempts {
-		limit = standbyTimeout
-	}
 	go func() {
-		sb.run(w, req, limit)
+		sb.run(w, req)
 		w.settle(sb)
 	}()
 }
@@ -171,6 +167,21 @@
 	return true
 }
 
+// standbyIsSilent reports the silence of a standby to the quarantine, and gives the standby up if the
+// request may still be sent to a further upstream.
+func (w *stallTimer) standbyIsSilent(sb *standby) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if sb.dropped || w.takenOver {
+		return
+	}
+	w.call.accuse(&sb.placement.upstream, endStateUnknown, "")
+	if w.runs()+1 < w.call.route.MaxAttempts && !w.stopped {
+		sb.late = true
+		sb.cancel()
+	}
+}
+
 // settle lets a standby that is done take over, or gives it up. One that is done after the attempt
 // has ended is left to the next attempt.
 func (w *stallTimer) settle(sb *standby) {
--- a/pkg/entry/standby.go
+++ b/pkg/entry/standby.go
@@ -6,24 +6,26 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
-// standbyTimeout is how long a standby may send nothing while the request may still be sent to a
-// further upstream.
+// standbyTimeout is how long a standby may send nothing until its upstream counts as silent.
 const standbyTimeout = 1200 * time.Millisecond
 
 // standby is an attempt at another upstream beside a silent one. Its fields are read only after
-// done is closed, but for dropped and counted, which the stall timer guards.
+// done is closed, but for dropped, counted and late, which the stall timer guards.
 type standby struct {
 	streamAttempt
 	done    chan struct{} // closed when the upstream sent the first bytes, or there will be none
 	dropped bool          // not needed any more
 	counted bool          // it was taken from the retry budget and may have run
+	late    bool          // given up because it sent nothing
 }
 
 // run sends the request to another upstream and waits for its first bytes. The placement stays nil
 // if no upstream takes the request.
-func (sb *standby) run(w *stallTimer, req placementRequest, limit time.Duration) {
+func (sb *standby) run(w *stallTimer, req placementRequest) {
 	g := sb.call.gateway
 	p, why, _ := g.place(sb.ctx, req, sb.call.remaining())
 	if p == nil {
@@ -36,10 +38,8 @@
 		return
 	}
 	sb.placement = p
-	if limit > 0 {
-		timer := time.AfterFunc(limit, sb.cancel)
-		defer timer.Stop()
-	}
+	timer := time.AfterFunc(standbyTimeout, func() { w.standbyIsSilent(sb) })
+	defer timer.Stop()
 	sb.send()
 	if sb.err == nil && sb.usable() {
 		sb.readFirst()
@@ -54,6 +54,8 @@
 // failure returns why the upstream did not serve the stream.
 func (sb *standby) failure() error {
 	switch {
+	case sb.late:
+		return eris.Wrapf(upstream.ErrStalled, "nothing within %v", standbyTimeout)
 	case sb.err != nil:
 		return sb.err
 	case sb.resp.Status != http.StatusOK:
