Tell the ways apart in which a probe of a host ends

Cause: a probe knew only "answers" and "error", and could run over a connection kept from an order. A sound host that is silent for a moment and a host without power looked the same.

Change: EngineClient.Probe returns a formation.ProbeResult (answered, silent, unreachable, refused, replaced). Each probe opens its own connection, because only a new one shows whether the machine and the path to it work. The log line "host probed" has the result as `outcome`. Which hosts are dead, and when, is unchanged here: a refusal at once, anything else but an answer at the second probe.

Ruled out: to ask for the report and dial besides. The two could tell different things, and a host has few connections to give.

Conclusion: the leader can now give a silent process more time than a lost host.

--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -18,8 +18,9 @@
 	// Order sends an order. fence is the term of the leadership that gives it; hosts refuse orders
 	// of an older term.
 	Order(ctx context.Context, o formation.Order, fence uint64) (formation.OrderResult, error)
-	// Probe requests a host's report. Any answer of the same incarnation is a success.
-	Probe(ctx context.Context, u fleet.Upstream) error
+	// Probe requests a host's report over a new connection. The error tells why the result is not
+	// formation.Answered.
+	Probe(ctx context.Context, u fleet.Upstream) (formation.ProbeResult, error)
 }
 
 // Config configures a coordinator.
--- a/pkg/coordinator/probe.go
+++ b/pkg/coordinator/probe.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"syscall"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
+	"github.com/sesamemux/sesamemux/pkg/formation"
 )
 
 // handleSuspect processes an entry host's report that a head stopped sending: all members of its
@@ -39,20 +38,21 @@
 	l.probing[u.ID] = true
 	began := c.now()
 	go func() {
-		err := c.probeOnce(ctx, u)
-		if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
-			err = c.probeOnce(ctx, u)
+		result, err := c.probeOnce(ctx, u)
+		if result != formation.Answered && result != formation.Refused {
+			result, err = c.probeOnce(ctx, u)
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(l.probing, u.ID)
-		if err == nil {
+		answers := result == formation.Answered
+		if answers {
 			l.probeAnswers[u.ID] = c.now()
 		}
 		head := l.planner.HeadOf(u.ID)
-		progressing := err != nil && head != "" && c.progressSince(l, head, began)
-		c.cfg.Logger.Info("host probed", "host_id", u.ID, "reason", reason, "answers", err == nil, "cause", err, "group_works", progressing)
-		if err == nil || progressing {
+		progressing := !answers && head != "" && c.progressSince(l, head, began)
+		c.cfg.Logger.Info("host probed", "host_id", u.ID, "reason", reason, "answers", answers, "outcome", result, "cause", err, "group_works", progressing)
+		if answers || progressing {
 			return
 		}
 		l.planner.MarkDead(u.ID)
@@ -61,7 +61,7 @@
 	}()
 }
 
-func (c *Coordinator) probeOnce(ctx context.Context, u fleet.Upstream) error {
+func (c *Coordinator) probeOnce(ctx context.Context, u fleet.Upstream) (formation.ProbeResult, error) {
 	asking, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return c.cfg.Engines.Probe(asking, u)
--- a/pkg/coordinator/quorum_test.go
+++ b/pkg/coordinator/quorum_test.go
@@ -30,7 +30,9 @@
 func (fakeEngineClient) Order(context.Context, formation.Order, uint64) (formation.OrderResult, error) {
 	return formation.Accepted, nil
 }
-func (fakeEngineClient) Probe(context.Context, fleet.Upstream) error { return nil }
+func (fakeEngineClient) Probe(context.Context, fleet.Upstream) (formation.ProbeResult, error) {
+	return formation.Answered, nil
+}
 
 // decodeVersion decodes documents of the form "v7" and rejects others.
 func decodeVersion(raw []byte) (*catalog.Set, error) {
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -471,16 +471,16 @@
 	return true
 }
 
-func (e simulatedEngines) Probe(_ context.Context, u fleet.Upstream) error {
+func (e simulatedEngines) Probe(_ context.Context, u fleet.Upstream) (formation.ProbeResult, error) {
 	for _, h := range e.fleet.hosts {
 		h.mu.Lock()
 		there := h.up && h.record.ID == u.ID
 		h.mu.Unlock()
 		if there {
-			return nil
+			return formation.Answered, nil
 		}
 	}
-	return eris.New("no answer")
+	return formation.Unreachable, eris.New("no answer")
 }
 
 // client sends a request and, if it is not served, repeats it once at another entry host as its
