Give a host that accepts connections the time of a brief silence

Cause: two probes of 0.3 s without an answer made a host dead, whatever they met. A sound head or member that falls silent for a second or so was dead 1.0 s after its silence began (0.4 s until entry hosts report the head, 0.6 s of probes); its group was retired, its members were told to leave, and the streams that it would have gone on with broke.

Change: formation.HostCheck decides from the results of successive probes. Refused: lost at once; no connection to this incarnation twice in a row: lost; both as before. A host that accepts a new connection without answering is probed every 0.45 s and lost after 2.1 s, so that 2.5 s of silence in total are borne. The clock starts with the first probe and not with the silence that an entry host tells, which includes the wait for prompts. Several reports share one check. If an entry host receives events of the head meanwhile, the check of a silent host ends, so that a silence that begins later is measured from its own beginning.

Tests: TestGroupOfABrieflySilentHostIsKept, TestGroupOfALostHostIsGivenUpInTime and TestGroupThatWorksIsKeptWhateverItsProbesShow play real coordinators, simulated hosts and the reports of three entry hosts in virtual time; TestHostIsLostByWhatItsProbesShow the decision.

Ruled out: longer probes for all (lost hosts would be replaced later, too); one long probe (a connection may stay silent for good while new ones work); an announcement as a sign of life (it may arrive seconds late).

A silent host whose queue of connections is full looks dark and is still given up.

--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -68,7 +68,7 @@
 	// changeTimeout bounds an operator's change. Operators wait for a second before they try
 	// another coordinator.
 	changeTimeout = 900 * time.Millisecond
-	// probeTimeout bounds one probe of a host; there is one retry.
+	// probeTimeout bounds one probe of a host.
 	probeTimeout = 300 * time.Millisecond
 	// probeAnswerTTL is how long the answer to a probe is valid: several entry hosts suspect the
 	// same head within a short time.
--- a/pkg/coordinator/probe.go
+++ b/pkg/coordinator/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/formation"
@@ -28,37 +29,61 @@
 	return struct{}{}, nil
 }
 
-// probe checks in the background whether a host is alive. A host that refuses connections, or fails
-// to answer two probes, is dead unless an entry host has received data from its group since the
-// probe began. The caller holds the lock.
+// probe checks in the background whether a host is alive; see formation.HostCheck. A host that seems
+// lost is kept while an entry host has received data from its group since the check began. The
+// caller holds the lock.
 func (c *Coordinator) probe(ctx context.Context, l *leadership, u fleet.Upstream, reason string) {
 	if at, answered := l.probeAnswers[u.ID]; l.probing[u.ID] || answered && c.now()-at < probeAnswerTTL {
 		return
 	}
 	l.probing[u.ID] = true
-	began := c.now()
+	check := formation.NewHostCheck(c.now())
 	go func() {
-		result, err := c.probeOnce(ctx, u)
-		if result != formation.Answered && result != formation.Refused {
-			result, err = c.probeOnce(ctx, u)
+		for {
+			started := c.now()
+			result, err := c.probeOnce(ctx, u)
+			if !c.recordProbe(ctx, l, check, probeOutcome{u, reason, result, err}) {
+				return
+			}
+			if result == formation.Silent {
+				clock.Sleep(ctx, started+formation.SilentProbeInterval-c.now())
+			}
 		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(l.probing, u.ID)
-		answers := result == formation.Answered
-		if answers {
-			l.probeAnswers[u.ID] = c.now()
-		}
-		head := l.planner.HeadOf(u.ID)
-		progressing := !answers && head != "" && c.progressSince(l, head, began)
-		c.cfg.Logger.Info("host probed", "host_id", u.ID, "reason", reason, "answers", answers, "outcome", result, "cause", err, "group_works", progressing)
-		if answers || progressing {
-			return
-		}
-		l.planner.MarkDead(u.ID)
+	}()
+}
+
+// probeOutcome is how a probe ended.
+type probeOutcome struct {
+	host   fleet.Upstream
+	reason string
+	result formation.ProbeResult
+	err    error
+}
+
+// recordProbe records a probe and reports whether the check of the host goes on.
+func (c *Coordinator) recordProbe(ctx context.Context, l *leadership, check *formation.HostCheck, o probeOutcome) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	verdict := check.Record(now, o.result)
+	head := l.planner.HeadOf(o.host.ID)
+	progressing := verdict != formation.HostAlive && head != "" && c.progressSince(l, head, check.Began())
+	workingAgain := progressing && o.result == formation.Silent
+	if verdict == formation.HostUnclear && !workingAgain && ctx.Err() == nil && c.leadership == l {
+		return true
+	}
+	delete(l.probing, o.host.ID)
+	c.cfg.Logger.Info("host probed", "host_id", o.host.ID, "reason", o.reason, "answers", verdict == formation.HostAlive, "outcome", o.result,
+		"ms", (now - check.Began()).Milliseconds(), "cause", o.err, "group_works", progressing)
+	switch {
+	case verdict == formation.HostAlive:
+		l.probeAnswers[o.host.ID] = now
+	case verdict == formation.HostLost && !progressing:
+		l.planner.MarkDead(o.host.ID)
 		c.metrics.DeadHosts.Inc()
 		c.requestDecision()
-	}()
+	}
+	return false
 }
 
 func (c *Coordinator) probeOnce(ctx context.Context, u fleet.Upstream) (formation.ProbeResult, error) {
