Let a new leader wait for a silent member of a group

Cause: a new leader told hosts to leave every group that it had not taken over 2.5 s after its start, although a member that has not announced itself yet may only be silent. Between two announcements of a sound host lie 1.2 s, and up to 2.8 s if it is silent for 1.6 s when one is due. The group of such a host was dissolved with its streams.

Change: hosts are told to leave a group of a former leadership only if each member that has not announced itself is known to be lost. Such members are probed from 1.6 s on, so each is found to be lost or announces itself; one that answers probes while its announcements are cut off keeps its group, as a standing group does.

Ruled out: a longer adoptDelay. It would hold up the groups of lost members too, and delayed announcements would still break it.

Figures: go test -count=1 ./pkg/formation. TestNewLeaderWaitsForASilentMember failed for each of the four members before (all four hosts left the group) and passes. The neighbour, the group of a lost member, is dissolved within 2.7 s before and after (TestNewLeaderDissolvesTheGroupOfALostMemberInTime).

Conclusion: only a leadership that changes within 0.3 s of the last announcement is concerned, mostly a leader that stops cleanly.

--- a/pkg/formation/lifecycle.go
+++ b/pkg/formation/lifecycle.go
@@ -153,14 +153,16 @@
 }
 
 // strayLeaveOrders tells hosts to leave groups that the planner does not know: remains of a former
-// leadership, or the effect of a delayed order.
+// leadership that are known to be incomplete, or the effect of a delayed order.
 func (p *Planner) strayLeaveOrders(now time.Duration) []Order {
 	if now-p.cfg.StartedAt < adoptDelay {
 		return nil
 	}
 	var orders []Order
+	unclear := p.unclearGroups()
 	for _, h := range p.hostsByID() {
-		if h.group != nil || !p.announced(h) || !h.inGroup() || !canOrder(now, h) || now-h.lastAnnouncement > HostSilenceTimeout {
+		if h.group != nil || !p.announced(h) || !h.inGroup() || unclear[h.Assignment.Epoch] || !canOrder(now, h) ||
+			now-h.lastAnnouncement > HostSilenceTimeout {
 			continue
 		}
 		orders = append(orders, p.newOrder(h, Order{
@@ -170,6 +172,18 @@
 	return orders
 }
 
+// unclearGroups returns the epochs of the groups with a member that has not announced itself in this
+// leadership and is not known to be lost. Such members are probed; see SilentHosts.
+func (p *Planner) unclearGroups() map[int64]bool {
+	unclear := map[int64]bool{}
+	for _, h := range p.hosts {
+		if !p.announced(h) && !h.dead && h.State != fleet.Gone && h.inGroup() {
+			unclear[h.Assignment.Epoch] = true
+		}
+	}
+	return unclear
+}
+
 // adoptGroups takes over complete groups that a former leadership formed.
 func (p *Planner) adoptGroups(now time.Duration) {
 	seats := map[int64][]*host{}
