Count the probes of a silent host instead of timing them

Cause: with the time of a brief silence a host could be lost by a single probe: if the leader itself stood still for 2.1 s during it, the time was over at the first result. Before, two probes were needed.

Change: a host that accepts connections is lost by the fifth probe without an answer. With 0.45 s between them and 0.3 s for the last this takes the same 2.1 s, and standing still of the leader only adds to it.

TestGroupIsKeptThoughTheLeaderStoodStillDuringAProbe failed before ("told to leave its group after 3.21s").

Ruled out: a time besides the count. It would decide nothing that the count doesn't.

Conclusion: no host is lost by fewer than two probes unless its address refuses.

--- a/pkg/coordinator/engine_site_test.go
+++ b/pkg/coordinator/engine_site_test.go
@@ -56,6 +56,7 @@
 	mu     sync.Mutex
 	hosts  []*siteHost
 	orders []givenOrder
+	stall  time.Duration // how long the leader stands still during the next probe of a silent host
 }
 
 // newEngineSite returns a site whose hosts have formed groups and whose first traffic is past.
@@ -193,7 +194,15 @@
 
 // Probe implements EngineClient.
 func (s *engineSite) Probe(ctx context.Context, u fleet.Upstream) (formation.ProbeResult, error) {
-	return s.reached(ctx, s.host(u.ID))
+	result, err := s.reached(ctx, s.host(u.ID))
+	if result == formation.Silent {
+		s.mu.Lock()
+		stall := s.stall
+		s.stall = 0
+		s.mu.Unlock()
+		time.Sleep(stall)
+	}
+	return result, err
 }
 
 // Order implements EngineClient. An order to a silent host is carried out when it goes on.
--- a/pkg/coordinator/probe.go
+++ b/pkg/coordinator/probe.go
@@ -65,7 +65,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	verdict := check.Record(now, o.result)
+	verdict := check.Record(o.result)
 	head := l.planner.HeadOf(o.host.ID)
 	progressing := verdict != formation.HostAlive && head != "" && c.progressSince(l, head, check.Began())
 	workingAgain := progressing && o.result == formation.Silent
--- a/pkg/coordinator/silent_host_test.go
+++ b/pkg/coordinator/silent_host_test.go
@@ -150,3 +150,27 @@
 		})
 	}
 }
+
+// A single probe without an answer must not show that a host is lost.
+func TestGroupIsKeptThoughTheLeaderStoodStillDuringAProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngineSite(t, 2*siteGroupSize)
+		head := s.heads()[0]
+		before, began := s.assignments(), time.Now()
+		s.stall = 2500 * time.Millisecond
+		s.setCondition(silent, head)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s.reportSilence(ctx, head, entrySilence)
+		time.Sleep(1100 * time.Millisecond)
+		s.setCondition(running, head)
+		cancel()
+		time.Sleep(5 * time.Second)
+		if o := s.firstOrder(formation.Leave, began); o != nil {
+			t.Errorf("a host was told to leave its group after %v", o.at.Sub(began))
+		}
+		if after := s.assignments(); !maps.Equal(before, after) {
+			t.Errorf("groups %v, before %v", after, before)
+		}
+	})
+}
--- a/pkg/formation/host_check.go
+++ b/pkg/formation/host_check.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// silentHostTimeout is how long a host may accept connections without answering, from the first
-	// probe on, until it counts as lost. Entry hosts report a head after 0.4 s, so that a silence of
-	// 2.5 s in total is tolerated; a sound host may be silent for up to 1.6 s.
-	silentHostTimeout = 2100 * time.Millisecond
+	// maxSilentProbes is the number of probes without an answer after which a host that accepts
+	// connections is lost: 2.1 s after the first one began, 2.5 s after the last event of a head
+	// that entry hosts report. A sound host may be silent for up to 1.6 s.
+	maxSilentProbes = 5
 	// SilentProbeInterval is the time between the starts of probes of a host that accepts
 	// connections without answering.
 	SilentProbeInterval = 450 * time.Millisecond
@@ -30,6 +30,7 @@
 // HostCheck decides from the results of successive probes whether a host is lost.
 type HostCheck struct {
 	began             time.Duration
+	silentProbes      int
 	failedConnections int // in a row
 }
 
@@ -39,8 +40,9 @@
 // Began returns when the first probe started.
 func (c *HostCheck) Began() time.Duration { return c.began }
 
-// Record records the result of a probe that ended now.
-func (c *HostCheck) Record(now time.Duration, r ProbeResult) Verdict {
+// Record records the result of a probe. Probes are counted and not timed, so that the host of the
+// caller can stand still meanwhile.
+func (c *HostCheck) Record(r ProbeResult) Verdict {
 	switch r {
 	case Answered:
 		return HostAlive
@@ -48,7 +50,7 @@
 		return HostLost
 	case Silent:
 		c.failedConnections = 0
-		if now-c.began >= silentHostTimeout {
+		if c.silentProbes++; c.silentProbes >= maxSilentProbes {
 			return HostLost
 		}
 		return HostUnclear
