Withhold new requests from a group while one of its hosts is silent

Cause: a group with a hung host was cordoned after 1.0 s, when the host was dead. Since a silent host is given 2.5 s, entry hosts could send new requests there again once their own suspicion of 1 s was over.

Change: the leader cordons the head of a group from the first probe that a host of the group accepts without answering, and frees it when the host answers or an entry host receives events of the head. Running requests are not touched.

Ruled out: a longer suspicion at the entry hosts. Each would have to find out by itself.

Figures: TestSilentHeadGetsNoNewRequests fails before for a silent head and a silent member (the head is not cordoned at 1.0 to 1.5 s) and passes; 0.5 s after the silence the head is free. go test -race -count=1 -p 2 ./pkg/coordinator ./platform ./docs, go test -count=1 ./pkg/entry: ok.

Conclusion: in the test a silent head is cordoned by 1.0 s, as early as a hung one was before.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -57,6 +57,7 @@
 	changed       chan struct{} // closed when there is news for other processes
 	orderSlots    chan struct{} // semaphore of orders in flight
 	probing       map[string]bool
+	silentHosts   map[string]bool          // hosts that accept connections but did not answer the last probe
 	probeAnswers  map[string]time.Duration // when a host last answered a probe
 	traffic       bool
 	cordonedHeads map[string]bool
--- a/pkg/coordinator/decisions.go
+++ b/pkg/coordinator/decisions.go
@@ -129,9 +129,16 @@
 	}
 }
 
-// updateCordonedHeads publishes which heads must get no new requests. The caller holds the lock.
+// updateCordonedHeads publishes which heads must get no new requests: those of groups that are given
+// up, and for the time of their silence those of groups with a silent host. The caller holds the
+// lock.
 func (c *Coordinator) updateCordonedHeads(l *leadership) {
 	cordoned := l.planner.CordonedHeads()
+	for id := range l.silentHosts {
+		if head := l.planner.HeadOf(id); head != "" {
+			cordoned[head] = true
+		}
+	}
 	changed := false
 	for id := range l.cordonedHeads {
 		if !cordoned[id] {
--- a/pkg/coordinator/engine_site_test.go
+++ b/pkg/coordinator/engine_site_test.go
@@ -296,6 +296,14 @@
 	return as
 }
 
+// cordoned reports whether the leader tells entry hosts to send a head no new requests.
+func (s *engineSite) cordoned(head *siteHost) bool {
+	leader := s.running[s.leader()]
+	leader.mu.Lock()
+	defer leader.mu.Unlock()
+	return leader.registry.Get(head.record.ID).Cordoned
+}
+
 // firstOrder returns the first order of a kind given since a time, nil if there was none.
 func (s *engineSite) firstOrder(kind formation.OrderKind, since time.Time) *givenOrder {
 	s.mu.Lock()
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -61,6 +61,7 @@
 		changed:       make(chan struct{}),
 		orderSlots:    make(chan struct{}, maxOpenOrders),
 		probing:       map[string]bool{},
+		silentHosts:   map[string]bool{},
 		probeAnswers:  map[string]time.Duration{},
 		cordonedHeads: map[string]bool{},
 		cachedResults: map[resultKey]cachedResult{},
--- a/pkg/coordinator/probe.go
+++ b/pkg/coordinator/probe.go
@@ -69,7 +69,11 @@
 	head := l.planner.HeadOf(o.host.ID)
 	progressing := verdict != formation.HostAlive && head != "" && c.progressSince(l, head, check.Began())
 	workingAgain := progressing && o.result == formation.Silent
-	if verdict == formation.HostUnclear && !workingAgain && ctx.Err() == nil && c.leadership == l {
+	goesOn := verdict == formation.HostUnclear && !workingAgain && ctx.Err() == nil && c.leadership == l
+	if l.setSilent(o.host.ID, goesOn && o.result == formation.Silent) {
+		c.requestDecision()
+	}
+	if goesOn {
 		return true
 	}
 	delete(l.probing, o.host.ID)
@@ -86,6 +90,18 @@
 	return false
 }
 
+// setSilent records whether a host accepts connections but does not answer, and reports whether that
+// changed. The caller holds the lock.
+func (l *leadership) setSilent(id string, silent bool) bool {
+	changed := l.silentHosts[id] != silent
+	if silent {
+		l.silentHosts[id] = true
+	} else {
+		delete(l.silentHosts, id)
+	}
+	return changed
+}
+
 func (c *Coordinator) probeOnce(ctx context.Context, u fleet.Upstream) (formation.ProbeResult, error) {
 	asking, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/pkg/coordinator/silent_host_test.go
+++ b/pkg/coordinator/silent_host_test.go
@@ -174,3 +174,33 @@
 		}
 	})
 }
+
+// Entry hosts suspect a head for 1 s, and the leader once withheld new requests after 1 s.
+func TestSilentHeadGetsNoNewRequests(t *testing.T) {
+	for name, rank := range map[string]int{"head": 0, "member": 3} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newEngineSite(t, 2*siteGroupSize)
+				head := s.heads()[0]
+				quiet := s.members(head)[rank]
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s.setCondition(silent, quiet)
+				s.reportSilence(ctx, head, entrySilence)
+				time.Sleep(time.Second)
+				for range 6 {
+					if !s.cordoned(head) {
+						t.Error("the head gets new requests")
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				s.setCondition(running, quiet)
+				cancel()
+				time.Sleep(500 * time.Millisecond)
+				if s.cordoned(head) {
+					t.Error("the head gets no new requests after its silence")
+				}
+			})
+		})
+	}
+}
