Keep an answer that is being forwarded until its deadline

Cause: a buffered attempt that may be repeated ends after 0.4 of the remaining time. That limit went on after an answer of more than 256 KiB had begun at the client, so a sound upstream that fell silent for 1.5 s within it cost the client its answer: nothing can replace an answer whose head was sent. The stall timer did the same to a long error answer of a stream.

Change: attemptLimit holds both bounds of a buffered attempt. Once an answer is forwarded before it was read whole, only the deadline bounds it; the stall timer is stopped likewise.

Ruled out: giving the whole time to each attempt, since then a request is never tried elsewhere; reading long answers whole first, since an entry host can't hold them.

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -88,19 +87,20 @@
 
 // tryBuffered sends the request to one upstream and reads the answer.
 func (c *call) tryBuffered(u *fleet.Upstream) (*upstreamAnswer, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, c.attemptTime())
-	resp, err := c.exchange(ctx, u, "")
+	limit := c.limitAttempt()
+	resp, err := c.exchange(limit.ctx, u, "")
 	c.recordExchange(u, resp, err)
 	if err != nil {
-		cancel()
+		limit.cancel()
 		return nil, err
 	}
-	return c.readAnswer(resp, cancel)
+	return c.readAnswer(resp, limit.lift, limit.cancel)
 }
 
-// readAnswer reads an answer up to maxBufferedAnswer. stop ends its attempt; it is called once the
+// readAnswer reads an answer up to maxBufferedAnswer. If there is more, it calls lift, after which
+// the attempt must not be ended before the deadline. stop ends the attempt; it is called once the
 // answer is complete, unusable or closed.
-func (c *call) readAnswer(resp *upstream.Response, stop context.CancelFunc) (*upstreamAnswer, error) {
+func (c *call) readAnswer(resp *upstream.Response, lift func() error, stop context.CancelFunc) (*upstreamAnswer, error) {
 	a := &upstreamAnswer{status: resp.Status, header: resp.Header, rest: resp, stop: stop}
 	if err := c.verifyAnswer(a); err != nil {
 		a.close()
@@ -109,6 +109,9 @@
 	var body bytes.Buffer
 	_, err := io.CopyN(&body, resp.Body, maxBufferedAnswer)
 	a.body = body.Bytes()
+	if err == nil {
+		err = lift()
+	}
 	if err == nil {
 		return a, nil
 	}
@@ -128,16 +131,6 @@
 	}
 }
 
-// attemptTime returns the time limit of an attempt: all remaining time, or a share of it while
-// another upstream could still be tried.
-func (c *call) attemptTime() time.Duration {
-	left := c.remaining()
-	if c.route.Retryable() && c.possibleExecutions+1 < c.route.MaxAttempts {
-		return time.Duration(float64(left) * attemptTimeShare)
-	}
-	return left
-}
-
 // verifyAnswer checks that an answer was produced by the upstream itself: a success must carry a
 // signature. A status that means "not run" is not forwarded without the upstream's explicit
 // statement.
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -75,6 +75,22 @@
 	w.standby = nil
 }
 
+// lift ends the watch of an attempt whose answer is forwarded and can't be replaced any more. It
+// returns an error if the standby has taken over.
+func (w *stallTimer) lift() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.takenOver {
+		return errAbandoned
+	}
+	w.stopped = true
+	w.timer.Stop()
+	if w.standby != nil {
+		w.drop()
+	}
+	return nil
+}
+
 // stop ends the watch. It returns the standby that is left, if the stream is not complete.
 func (w *stallTimer) stop(complete bool) *standby {
 	w.mu.Lock()
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -173,7 +173,7 @@
 	case a.err != nil:
 		return a.err
 	case a.resp.Status != http.StatusOK:
-		return s.relayFailure(a.placement.target, a.resp)
+		return s.relayFailure(a.placement.target, a.resp, w)
 	case !a.signed():
 		return eris.Wrap(errMismatchedAnswer, "successful answer without a signature")
 	}
@@ -181,12 +181,12 @@
 }
 
 // relayFailure forwards an error answer of an upstream if the client has received no header yet.
-func (s *streamRelay) relayFailure(t *target, resp *upstream.Response) error {
+func (s *streamRelay) relayFailure(t *target, resp *upstream.Response, w *stallTimer) error {
 	c := s.call
 	if c.headerSent || resp.Status >= 500 && c.route.Retryable() && c.possibleExecutions+1 < c.route.MaxAttempts {
 		return eris.Errorf("upstream answered %d", resp.Status)
 	}
-	a, err := c.readAnswer(resp, func() {}) // the caller ends the attempt
+	a, err := c.readAnswer(resp, w.lift, func() {}) // the caller ends the attempt
 	if err != nil {
 		return err
 	}
