Abort the answer of a client that left before it began

Cause: a request whose client had left before its answer began returned from the handler without a status. net/http ends that as "200 OK" with an empty body. A client that closes only its sending side counts as gone, since the two look alike from here, but reads on: it got a success that no upstream had given.

Change: such a request is aborted, as an incomplete answer is.

Ruled out: serving a client that closed its sending side, since a close that has reached an entry host must end the work for it; an error status, since nobody is known to wait for it.

Figures: go test ./pkg/entry -run 'ClientThatLeft|ClosedItsSendingSide': before, all kinds returned with status 0, and over TCP the client read "HTTP/1.1 200 OK ... Content-Length: 0"; now it passes.

Conclusion: a false success, not a lost answer; found on the way.

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -259,10 +259,12 @@
 }
 
 // finish records the request. An answer that is incomplete is aborted, since the status has already
-// been sent and nothing else would tell the client.
+// been sent and nothing else would tell the client. So is one that was not begun because the client
+// left: net/http would end it as an empty success, which a client that closed only its sending side
+// can still read.
 func (c *call) finish() {
 	c.recordResult()
-	if c.headerSent && (c.outcome == cutShort || c.outcome == clientLeft) {
+	if c.outcome == clientLeft || c.headerSent && c.outcome == cutShort {
 		panic(http.ErrAbortHandler)
 	}
 }
