Treat an upstream status below 200 as no answer

Cause: an upstream's status below 100 reached net/http, which panics on it and closes the client's connection without any answer. One of 1xx with a signature was forwarded as an informational head, and the request ended with an empty 200 under that signature.

Change: such a head is an answer of another kind than the request's, as one with a foreign ID is.

Ruled out: reading on to the final head after one of 1xx: no upstream is asked for one.

--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -81,6 +81,9 @@
 	}
 	names := c.gateway.cfg.Headers
 	switch {
+	case resp.Status < http.StatusOK:
+		resp.Close()
+		return nil, eris.Wrapf(errMismatchedAnswer, "status %d is not of a final answer", resp.Status)
 	case resp.Header.Get(names.Attempt) != c.r.Header.Get(names.Attempt):
 		resp.Close()
 		return nil, eris.Wrapf(errMismatchedAnswer, "answer is for attempt %q", resp.Header.Get(names.Attempt))
