Accept a client's time limit beyond the range of a duration

Cause: a client's limit above 2^63 ns turned negative when it was converted, so the request was refused for lack of time, or its upstreams counted as failing.

Change: the limit is compared with the route's timeout before it is converted. A table of odd values of the headers that an entry host reads says that each request is served.

Ruled out: treating such a limit as missing would do the same but hides what is meant.

Conclusion: unlikely in practice; the requests were refused, not lost.

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -105,7 +105,8 @@
 	}
 	c.deadline = c.began + c.route.Timeout
 	if ms, err := strconv.ParseFloat(c.r.Header.Get(g.cfg.Headers.Deadline), 64); err == nil && ms >= 0 {
-		c.deadline = min(c.deadline, c.began+time.Duration(ms*float64(time.Millisecond)))
+		// Compared as numbers, since a long limit exceeds the range of time.Duration.
+		c.deadline = c.began + time.Duration(min(ms*float64(time.Millisecond), float64(c.route.Timeout)))
 	}
 	if !c.readBody() {
 		return false
--- a/pkg/entry/client_server_test.go
+++ b/pkg/entry/client_server_test.go
@@ -128,3 +128,32 @@
 		})
 	}
 }
+
+func TestOddHeadersOfAClientGetACompleteAnswer(t *testing.T) {
+	for name, values := range map[string][]string{
+		testHeaders.Deadline:    {"NaN", "Inf", "1e300", "9223372036854775808", "x", ""},
+		testHeaders.TokenCounts: {"-9223372036854775808,9223372036854775807", "9223372036854775807,-9223372036854775808", "x,y", ",", ""},
+		testHeaders.Priority:    {"\xff", "99999999999999999999", ""},
+		testHeaders.LastEventID: {"\xff", "0", "-1"},
+		"Connection":            {"X-Hop", ",", "\xff"},
+		"Accept-Encoding":       {"gzip"},
+		"Te":                    {"trailers"},
+	} {
+		for _, value := range values {
+			t.Run(name+": "+strconv.Quote(value), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newHarness(t, map[string]answerFunc{"p1": fixedAnswer(200, "X-Sig: s\r\n", "ok"), "head1": streamFrom(2, 9, "s", nil)})
+					server := b.serveClients()
+					for _, kind := range []string{"once", "again", "stream"} {
+						extra := map[string]string{name: value}
+						if a := b.exchangeOnce("POST", requestText("POST", "/"+kind+"/1", "body", extra)); a.err != nil || a.status != 200 || a.signature != "s" {
+							t.Errorf("%s: status %d, %q, %v", kind, a.status, a.body, a.err)
+						}
+					}
+					_ = server.Close()
+					time.Sleep(time.Minute) // let the upstreams end
+				})
+			})
+		}
+	}
+}
