Blame no upstream for a request whose own time is over

Cause: the limit of a request with no time left ends the connection attempt, which counted as an upstream that can't be reached: it got no requests for 0.2 s and more, and a head was suspected for 1 s and reported to the leader as refusing connections. Other requests were then refused, and a stream that had to go on elsewhere found no upstream.

Change: an attempt that was not sent because the request's time was over says nothing.

Ruled out: refusing such requests before an upstream is chosen, which leaves the same fault for a limit that passes during the connection attempt; sparing upstreams that were silent until the limit of a request that was sent: that is evidence if the limit was long.

Figures: go test ./pkg/entry -run TestRequestWithoutTimeIsNoFailureOfItsUpstream: before, the next request got 503 "all upstreams were tried or fail" for both kinds; now it passes.

--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -186,6 +186,7 @@
 	now := g.now()
 	switch {
 	case c.ctx.Err() != nil:
+	case errors.Is(err, upstream.ErrNotSent) && c.remaining() <= 0: // the request ended the attempt, not the upstream
 	case errors.Is(err, errNotRun):
 		g.balancer.recordRejection(now, t)
 	case errors.Is(err, upstream.ErrNotSent):
