Leave a silent upstream of a buffered request only for another one

Cause: a request that may be repeated ended its attempt after 0.4 of the remaining time, also if no other upstream could take it or no retry was left: the client got 502 although its upstream, silent for 1.5 s, would have answered in time.

Change: after that share the attempt ends only once another upstream can take the request and a retry is left; else it goes on until the deadline and asks again every 150 ms.

Ruled out: reserving a place at the other upstream first: with its own counts an entry host is seldom wrong about plain upstreams, and the request still ends with an answer.

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -87,14 +87,14 @@
 
 // tryBuffered sends the request to one upstream and reads the answer.
 func (c *call) tryBuffered(u *fleet.Upstream) (*upstreamAnswer, error) {
-	limit := c.limitAttempt()
+	limit := c.limitAttempt(u)
 	resp, err := c.exchange(limit.ctx, u, "")
 	c.recordExchange(u, resp, err)
 	if err != nil {
-		limit.cancel()
+		limit.end()
 		return nil, err
 	}
-	return c.readAnswer(resp, limit.lift, limit.cancel)
+	return c.readAnswer(resp, limit.lift, limit.end)
 }
 
 // readAnswer reads an answer up to maxBufferedAnswer. If there is more, it calls lift, after which
--- a/pkg/entry/client_server_test.go
+++ b/pkg/entry/client_server_test.go
@@ -108,6 +108,7 @@
 		"expect 100-continue":             {"POST", "/once/1", map[string]string{"Expect": "100-continue"}, fixedAnswer(200, "X-Sig: s\r\n", "ok"), 200, "ok"},
 		"at most once, silent":            {"POST", "/once/1", nil, pausing(200, "a", "b"), 200, "ab"},
 		"at most once, silent, long":      {"POST", "/once/1", nil, pausing(200, long, "b"), 200, long + "b"},
+		"idempotent, silent":              {"POST", "/again/1", nil, pausing(200, "a", "b"), 200, "ab"},
 		"idempotent, silent, long":        {"POST", "/again/1", nil, pausing(200, long, "b"), 200, long + "b"},
 		"failure of a stream, silent":     {"POST", "/stream/1", nil, pausing(404, "a", "b"), 404, "ab"},
 		"long failure of a stream":        {"POST", "/stream/1", nil, pausing(404, long, "b"), 404, long + "b"},
--- a/pkg/entry/retry_budget.go
+++ b/pkg/entry/retry_budget.go
@@ -41,3 +41,10 @@
 	b.tokens[service]--
 	return true
 }
+
+// available reports whether a retry could be taken from the budget now.
+func (b *retryBudget) available(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens[service] >= 1
+}
