Choose locally where the placer's document lacks the service

Cause: the entry host that places a model's requests answers from its own document. Beside a change of the document it may be ahead of the one that asks, or behind. If its document lacked the service, it said that no upstream serves it, and that was taken as the answer: a new request was refused, and a stream that had to go on elsewhere was cut after 1.5 s although another head was free.

Change: the placer says that it does not know the service; the asking entry host then chooses by what it knows itself, as if the placer had not answered, but goes on asking it.

Ruled out, by a table of 9 changes x 3 kinds x 3 moments: a change of the document (also an empty one, no engine, an engine of zeros, shorter timeouts, upstreams no longer listed, other placers) ends no request in progress on the entry host that holds it.

Figures: go test ./pkg/entry -run 'ChangeOfTheDocument|PlacerWithAnotherDocument': before, 503 "no upstream serves it" at the start and, on resuming, a stream cut after event 4 of 10; the 81 cases of the table passed before as well. Now all pass.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -21,6 +21,7 @@
 	retryBudgetSpent reason = "budget of repeats is spent"
 	deadlineReached  reason = "no time is left"
 	noDocument       reason = "no document is in force yet"
+	unknownService   reason = "the placer's document has no such service"
 	unknownRoute     reason = "no route matches"
 	unknownKey       reason = "unknown API key"
 )
--- a/pkg/entry/hosted_placements.go
+++ b/pkg/entry/hosted_placements.go
@@ -48,7 +48,7 @@
 		service = x.Service(req.Service)
 	}
 	if service == nil {
-		return control.FleetPlaceResult{Reason: string(noUpstream)}, nil
+		return control.FleetPlaceResult{Reason: string(unknownService)}, nil
 	}
 	wanted := placementRequest{service: service, model: req.Model, promptTokens: req.PromptTokens, resuming: req.Resumed, tried: map[string]bool{}, localPlacer: true}
 	for _, id := range req.ExcludedHeads {
--- a/pkg/entry/placer_directory.go
+++ b/pkg/entry/placer_directory.go
@@ -123,6 +123,10 @@
 		remote.release(number, "", 0) // the placer may have counted it nevertheless
 		return nil, noReason, false
 	}
+	if reason(result.Reason) == unknownService {
+		g.metrics.Placements.WithLabelValues("other document").Inc()
+		return nil, noReason, false
+	}
 	if result.Head == "" {
 		g.metrics.Placements.WithLabelValues("refused").Inc()
 		return nil, reason(result.Reason), true
