Answer the last requests before an entry host exits

Cause: at the end of the grace period minus a second an entry host exited with requests in progress. Those without an answer so far ended by a closed connection.

Change: 200 ms before, Gateway.EndRequests ends the attempts of all requests whose answer has not begun: 502 if they may have run, 503 if not. Answers that have begun go on to the exit. In a grace period under 8 s the margins shrink with it (an eighth and a fortieth), so that both stay within its last sixth.

Ruled out, by a table over an HTTP server: a request on a kept connection that crosses the close is answered, or reaches no upstream (21 moments around the shutdown; net/http drops what it reads after it has begun); ending streams early as well, which would cut some that end in time.

The program itself was not run.

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -30,8 +30,12 @@
 	// clientMigrationDelay is how long clients still arrive after a stop signal: the load balancer
 	// checks each second and acts on the second failure.
 	clientMigrationDelay = 3 * time.Second
-	// shutdownMargin is the part of the grace period reserved for the exit of the process.
-	shutdownMargin = time.Second
+	// maxShutdownMargin bounds the part of the grace period reserved for the exit of the process. A
+	// short grace period reserves an eighth.
+	maxShutdownMargin = time.Second
+	// maxAnswerMargin bounds the time before that in which requests without an answer get one. A short
+	// grace period has a fortieth.
+	maxAnswerMargin = 200 * time.Millisecond
 )
 
 func main() {
@@ -102,8 +106,11 @@
 		}
 		logger.Info("stopping", "cause", "signal", "grace_ms", settings.GracePeriod.Milliseconds())
 		g.BeginShutdown()
-		ending, cancel := context.WithTimeout(context.Background(), settings.GracePeriod-shutdownMargin)
+		limit := settings.GracePeriod - min(maxShutdownMargin, settings.GracePeriod/8)
+		ending, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
+		answering := time.AfterFunc(limit-min(maxAnswerMargin, settings.GracePeriod/40), g.EndRequests)
+		defer answering.Stop()
 		time.Sleep(min(clientMigrationDelay, settings.GracePeriod/2))
 		err := web.Shutdown(ending)
 		logger.Info("HTTP server for clients shut down", "cause", err)
--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -22,6 +22,7 @@
 	deadlineReached  reason = "no time is left"
 	noDocument       reason = "no document is in force yet"
 	unknownService   reason = "the placer's document has no such service"
+	processStops     reason = "this entry host stops"
 	unknownRoute     reason = "no route matches"
 	unknownKey       reason = "unknown API key"
 )
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -49,10 +49,14 @@
 			c.recordUpstreamFailure(p, err)
 		}
 		c.recordFailedAttempt(err)
-		if c.ctx.Err() != nil {
+		if c.clientGone() {
 			c.outcome = clientLeft
 			return
 		}
+		if c.ctx.Err() != nil {
+			c.endBuffered(processStops, lastFailure)
+			return
+		}
 		c.inspectFailure(&p.upstream, err)
 		if !c.mayRepeat(err) {
 			c.endBuffered(c.reason, lastFailure)
@@ -69,6 +73,8 @@
 		c.forwardAnswer(failure)
 	case c.remaining() <= minRetryTime && c.sent > 0:
 		c.failUnknown(http.StatusGatewayTimeout, deadlineReached)
+	case c.possibleExecutions > 0 && why == processStops:
+		c.failUnknown(http.StatusBadGateway, why)
 	case c.possibleExecutions > 0:
 		c.failUnknown(http.StatusBadGateway, "upstream failed; the request may have run")
 	default:
@@ -147,7 +153,6 @@
 
 // forwardAnswer writes an upstream's answer to the client.
 func (c *call) forwardAnswer(a *upstreamAnswer) {
-	c.status = a.status
 	c.outcome = served
 	if a.status >= 400 {
 		c.outcome = upstreamFailed
@@ -156,8 +161,7 @@
 	if a.rest == nil {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	c.w.WriteHeader(a.status)
-	c.headerSent = true
+	c.answerBegins(a.status)
 	_, err := c.w.Write(a.body)
 	if a.rest != nil {
 		defer a.close()
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -19,7 +19,7 @@
 	gateway *Gateway
 	w       http.ResponseWriter
 	r       *http.Request
-	ctx     context.Context
+	ctx     context.Context // done when the client has left or the request must end
 	began   time.Duration
 
 	index        *catalog.Index
@@ -38,9 +38,10 @@
 	refusedUntilMS     int64  // when a refused request is forgotten, Unix milliseconds
 	framed             bool   // the last answer marks its own end
 	tried              map[string]bool
-	sent               int  // upstreams to which the request was written
-	possibleExecutions int  // upstreams that may have run the request
-	headerSent         bool // the answer's header was written to the client
+	sent               int         // upstreams to which the request was written
+	possibleExecutions int         // upstreams that may have run the request
+	headerSent         bool        // the answer's header was written to the client
+	keepServing        func() bool // exempts the request from Gateway.EndRequests
 
 	outcome       outcome
 	reason        reason
@@ -64,9 +65,24 @@
 // remaining returns the time left until the deadline.
 func (c *call) remaining() time.Duration { return c.deadline - c.gateway.now() }
 
+// clientGone reports whether the client has closed its connection, or its sending side.
+func (c *call) clientGone() bool { return c.r.Context().Err() != nil }
+
+// answerBegins notes that the answer's header is written to the client.
+func (c *call) answerBegins(status int) {
+	c.keepServing()
+	c.status = status
+	c.headerSent = true
+	c.w.WriteHeader(status)
+}
+
 // ServeHTTP handles a client request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{gateway: g, w: w, r: r, ctx: r.Context(), began: g.now(), tried: map[string]bool{}}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	c := &call{gateway: g, w: w, r: r, ctx: ctx, began: g.now(), tried: map[string]bool{}}
+	c.keepServing = context.AfterFunc(g.ending, cancel)
+	defer c.keepServing()
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -170,7 +186,7 @@
 	raw, err := io.ReadAll(body)
 	if err != nil {
 		c.cause = err
-		if c.ctx.Err() != nil {
+		if c.clientGone() {
 			c.outcome = clientLeft
 			return false
 		}
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -38,6 +38,8 @@
 	started            time.Duration
 	firstDocumentReady chan struct{} // closed when the first document is in force
 	stopping           atomic.Bool
+	ending             context.Context // done when requests whose answer has not begun must end
+	endRequests        context.CancelFunc
 }
 
 // New returns a gateway that is not running yet.
@@ -58,6 +60,7 @@
 		metrics:         NewMetrics(),
 	}
 	g.started = g.now()
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.firstDocumentReady = make(chan struct{})
 	g.requestLog = &requestLog{logger: cfg.Logger, suppressed: g.metrics.SuppressedLines}
 	g.pool = upstream.NewPool(upstream.Options{
@@ -89,6 +92,10 @@
 // BeginShutdown makes Ready fail. Requests are still served.
 func (g *Gateway) BeginShutdown() { g.stopping.Store(true) }
 
+// EndRequests answers all requests whose answer has not begun, since the process is about to exit.
+// Answers that have begun go on.
+func (g *Gateway) EndRequests() { g.endRequests() }
+
 // Run synchronizes with the coordinators until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
 	syncRequest := control.FleetSyncRequest{Process: g.cfg.Name, Zone: g.cfg.Zone, EntryHost: true}
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -85,10 +85,14 @@
 func (s *streamRelay) recordFailure(p *placement, err error) bool {
 	c := s.call
 	c.recordFailedAttempt(err)
-	if c.ctx.Err() != nil {
+	if c.clientGone() {
 		c.outcome = clientLeft
 		return true
 	}
+	if c.ctx.Err() != nil {
+		c.endStream(processStops)
+		return true
+	}
 	c.recordUpstreamFailure(p, err)
 	c.inspectFailure(&p.upstream, err)
 	if s.standby == nil && !c.mayRepeat(err) {
@@ -280,9 +284,7 @@
 func (s *streamRelay) writeHeader(from http.Header) {
 	c := s.call
 	c.copyHeader(from)
-	c.w.WriteHeader(http.StatusOK)
-	c.status = http.StatusOK
-	c.headerSent = true
+	c.answerBegins(http.StatusOK)
 }
 
 // completed records a stream that was relayed to its end.
