Drop log lines that come after the log is closed

Cause: at its exit an entry host closes the log while requests may still end. A line of such a request was sent to a closed channel, and the panic, which net/http reports through the same log, ended the process.

Change: a line after Close is dropped and counted.

Ruled out: waiting for the last request, whose upstream may be at work beyond the grace period.

Figures: go test ./pkg/logging -run TestLineAfterCloseIsDropped: before, "panic: send on closed channel"; now it passes, also under -race.

Conclusion: concerns the last moments of a process only.

--- a/pkg/logging/async_writer.go
+++ b/pkg/logging/async_writer.go
@@ -16,7 +16,9 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	done    chan struct{}
-	once    sync.Once
+
+	mu     sync.RWMutex // held for reading while a line is queued
+	closed bool
 }
 
 // NewAsyncWriter returns an AsyncWriter that writes to w.
@@ -47,8 +49,15 @@
 // more.
 const maxWriteBytes = 32 << 10
 
-// Write implements io.Writer. It queues a copy of the line and returns immediately.
+// Write implements io.Writer. It queues a copy of the line and returns immediately. After Close it
+// drops the line.
 func (q *AsyncWriter) Write(line []byte) (int, error) {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed {
+		q.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
@@ -61,15 +70,24 @@
 func (q *AsyncWriter) Dropped() uint64 { return q.dropped.Load() }
 
 // Close writes the queued lines. It waits for closeTimeout at most, since the output
-// may have no reader. Write must not be called afterwards.
+// may have no reader.
 func (q *AsyncWriter) Close() {
-	q.once.Do(func() { close(q.lines) })
+	q.closeQueue()
 	select {
 	case <-q.done:
 	case <-time.After(closeTimeout):
 	}
 }
 
+func (q *AsyncWriter) closeQueue() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.closed {
+		q.closed = true
+		close(q.lines)
+	}
+}
+
 // closeTimeout is how long Close waits for a reader of the output; short against the grace
 // time of a process stop.
 const closeTimeout = 500 * time.Millisecond
--- a/pkg/logging/async_writer_test.go
+++ b/pkg/logging/async_writer_test.go
@@ -54,3 +54,13 @@
 		}
 	})
 }
+
+// TestLineAfterCloseIsDropped: a request that ended while its process exited once ended the process
+// with a panic.
+func TestLineAfterCloseIsDropped(t *testing.T) {
+	q := NewAsyncWriter(&bytes.Buffer{})
+	q.Close()
+	if _, err := q.Write([]byte("line\n")); err != nil || q.Dropped() != 1 {
+		t.Errorf("%v, %d lines dropped", err, q.Dropped())
+	}
+}
