Take no client that reads slowly for a silence of its upstream

Callers saw nothing of it directly: a client that read nothing for 2.5 s made the head that served it a suspect, so the head got no further requests, the leader probed its group, and the stream was sent to a second head. Cause: while an entry host writes to the client it reads nothing from the upstream, and the stall timer took that for silence. A stream whose upstream broke off then also had no time left to be resumed. Change: the timer judges only while the entry host reads, and both times count from the end of the write. Ruled out: a limit on the write; a client may read as slowly as its deadline allows.

--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -22,6 +22,7 @@
 	mu             sync.Mutex
 	lastEventAt    time.Duration
 	receivedEvents bool
+	forwarding     bool // events are being written to the client
 	accused        bool // the silence was reported to the quarantine
 	tried          map[string]bool
 	standby        *standby // in progress, or the one that took over
@@ -56,8 +57,8 @@
 	if count == 0 {
 		return nil, 0, true
 	}
-	w.lastEventAt = w.call.gateway.now()
 	w.receivedEvents = true
+	w.forwarding = true
 	if w.standby != nil {
 		w.drop()
 		w.timer.Reset(streamingHeadTimeout)
@@ -65,6 +66,15 @@
 	return whole, count, true
 }
 
+// forwarded records that the received events were written to the client. While it reads nothing, no
+// bytes are read from the upstream, whose silence is then not known.
+func (w *stallTimer) forwarded() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forwarding = false
+	w.lastEventAt = w.call.gateway.now()
+}
+
 // drop gives up the standby in progress. The caller holds the lock.
 func (w *stallTimer) drop() {
 	w.standby.dropped = true
@@ -113,6 +123,10 @@
 	if w.stopped || w.standby != nil {
 		return
 	}
+	if w.forwarding {
+		w.timer.Reset(streamCheckInterval)
+		return
+	}
 	g, p := w.call.gateway, w.current.placement
 	now := g.now()
 	silent := now - w.lastEventAt
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -225,7 +225,9 @@
 			if count > 0 {
 				g.balancer.recordProgress(now, t, now-last, s.expectedInterval(last == began))
 				last = now
-				if err := s.writeEvents(now, header, whole); err != nil {
+				err := s.writeEvents(now, header, whole)
+				w.forwarded()
+				if err != nil {
 					return err
 				}
 			}
@@ -274,7 +276,7 @@
 	} else {
 		c.longestPause = max(c.longestPause, now-s.lastEventAt)
 	}
-	s.lastEventAt = now
+	defer func() { s.lastEventAt = c.gateway.now() }()
 	if _, err := c.w.Write(whole); err != nil {
 		return eris.Wrap(err, "write to client")
 	}
