Give up a silent standby also after the first upstream broke off

Cause: once the silent upstream had broken off, its standby was the next attempt, but nobody gave it up if it was silent itself: the stream waited for it until its deadline although the route allowed a further attempt. The timer of the standby also read call.possibleExecutions while the handler wrote it, and a standby whose first bytes came while it was given up took over with an ended context. Change: the stall timer keeps the executions before its attempt, and gives up a silent standby whether the attempt lasts or not. One that was given up never takes over; as the next attempt it fails as stalled. Ruled out: a second stall timer for the wait, since the standby has its own.

--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -17,6 +17,7 @@
 	current    *streamAttempt
 	headerSent bool   // before this attempt
 	trial      string // see call
+	earlier    int    // upstreams that may have run the request before this attempt
 	timer      *time.Timer
 
 	mu             sync.Mutex
@@ -35,7 +36,7 @@
 func startStallTimer(s *streamRelay) *stallTimer {
 	c := s.call
 	w := &stallTimer{
-		call: c, splitter: &s.splitter, current: s.attempt, headerSent: c.headerSent, trial: c.trial,
+		call: c, splitter: &s.splitter, current: s.attempt, headerSent: c.headerSent, trial: c.trial, earlier: c.possibleExecutions,
 		lastEventAt: c.gateway.now(), tried: maps.Clone(c.tried),
 	}
 	w.tried[s.attempt.placement.upstream.ID] = true
@@ -167,7 +168,7 @@
 
 // runs returns how many upstreams may have run the request, without a standby in progress. The
 // caller holds the lock.
-func (w *stallTimer) runs() int { return w.call.possibleExecutions + 1 + w.standbyRuns }
+func (w *stallTimer) runs() int { return w.earlier + 1 + w.standbyRuns }
 
 // startStandby starts a standby. The caller holds the lock.
 func (w *stallTimer) startStandby() {
@@ -206,7 +207,7 @@
 		return
 	}
 	w.call.accuse(&sb.placement.upstream, endStateUnknown, "")
-	if w.runs()+1 < w.call.route.MaxAttempts && !w.stopped {
+	if w.runs()+1 < w.call.route.MaxAttempts {
 		sb.late = true
 		sb.cancel()
 	}
@@ -224,10 +225,13 @@
 		result = standbyNotNeeded
 		sb.discard()
 	case w.stopped:
+		if sb.late {
+			sb.err = sb.failure()
+		}
 	case sb.placement == nil:
 		result = standbyNotPlaced
 		w.retryStandby(sb)
-	case sb.err != nil || !sb.usable():
+	case sb.err != nil || sb.late || !sb.usable():
 		result = standbyFailed
 		w.recordFailedStandby(sb)
 		w.retryStandby(sb)
