Release a standby that took over from a request that ends

Cause: a standby that had taken over was dropped without being discarded if its request ended before it was used: the first upstream's short error answer was being written to a slow client, or the client left at that moment. Its place at the upstream, and at a remote placer until the deadline, stayed counted until the process ended. Change: stop discards such a standby. Ruled out: a second release, since settle discards only standbys dropped before it. Conclusion: each such request took one slot of a head for good, and held its prompt pending.

--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -108,8 +108,11 @@
 	defer w.mu.Unlock()
 	w.stopped = true
 	w.timer.Stop()
-	if w.standby != nil && (complete || w.call.ctx.Err() != nil) {
+	if sb := w.standby; sb != nil && (complete || w.call.ctx.Err() != nil) {
 		w.drop()
+		if w.takenOver {
+			sb.discard() // settle left it to the next attempt
+		}
 	}
 	w.call.possibleExecutions += w.standbyRuns
 	maps.Copy(w.call.tried, w.tried)
