Leave a silent upstream for a whole event only

Cause: any first bytes let a standby take over, also part of an event. If it broke off or fell silent then, the stream was cut although the silent upstream would have gone on: it had been given up before its replacement was in hand. Change: a standby takes over with its first whole event, or the end of an answer without any. One that ends within an event has failed. Ruled out: going on at the silent upstream after a whole event of the standby was forwarded; its connection would have to be kept for the whole answer. Conclusion: events arrive in single writes as a rule, so no stream waits longer.

--- a/pkg/entry/standby.go
+++ b/pkg/entry/standby.go
@@ -10,20 +10,20 @@
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
-// standbyTimeout is how long a standby may send nothing until its upstream counts as silent.
+// standbyTimeout is how long a standby may send no event until its upstream counts as silent.
 const standbyTimeout = 1200 * time.Millisecond
 
 // standby is an attempt at another upstream beside a silent one. Its fields are read only after
 // done is closed, but for dropped, counted and late, which the stall timer guards.
 type standby struct {
 	streamAttempt
-	done    chan struct{} // closed when the upstream sent the first bytes, or there will be none
+	done    chan struct{} // closed when the upstream sent the first event, or there will be none
 	dropped bool          // not needed any more
 	counted bool          // it was taken from the retry budget and may have run
 	late    bool          // given up because it sent nothing
 }
 
-// run sends the request to another upstream and waits for its first bytes. The placement stays nil
+// run sends the request to another upstream and waits for its first event. The placement stays nil
 // if no upstream takes the request.
 func (sb *standby) run(w *stallTimer, req placementRequest) {
 	g := sb.call.gateway
@@ -64,13 +64,27 @@
 	return eris.Wrap(errMismatchedAnswer, "successful answer without a signature")
 }
 
-// readFirst waits for the first bytes of the body, or its end.
+// readFirst waits for the first whole event, or the end of an answer without events. Part of an event
+// is no reason to leave the silent upstream.
 func (sb *standby) readFirst() {
 	buf := make([]byte, relayBuffer)
-	n, err := sb.resp.Body.Read(buf)
-	sb.first = buf[:n]
-	if err != nil && err != io.EOF {
-		sb.err = err
+	for {
+		n, err := sb.resp.Body.Read(buf)
+		sb.first = append(sb.first, buf[:n]...)
+		end, _ := eventEnd(sb.first)
+		switch {
+		case err == io.EOF && len(sb.first) > 0 && end < 0:
+			sb.err = eris.Wrap(upstream.ErrConnectionLost, "stream ended in the middle of an event")
+			return
+		case err != nil && err != io.EOF:
+			sb.err = err
+			return
+		case err == io.EOF || end >= 0:
+			return
+		case len(sb.first) > maxEventBytes:
+			sb.err = eris.Wrapf(errMismatchedAnswer, "an event exceeds %d bytes", maxEventBytes)
+			return
+		}
 	}
 }
 
