Look for no standby while the retry budget is spent

Cause: a silent stream asked for a place every 150 ms and gave it back when the budget was spent. Each place counted for a second as a start of its head, so that a cold head got fewer requests that are sent, and each was a call to a remote placer. Change: no place is asked for unless a retry is available. Ruled out: taking the retry before the place, which spends it where no upstream has room.

--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -166,7 +166,8 @@
 // lock.
 func (w *stallTimer) mayStandBy() bool {
 	c := w.call
-	return c.route.Retryable() && c.remaining() >= minRetryTime && w.runs() < c.route.MaxAttempts && w.trial == "" && c.mayRunFreely()
+	return c.route.Retryable() && c.remaining() >= minRetryTime && w.runs() < c.route.MaxAttempts && w.trial == "" &&
+		c.gateway.budget.available(c.service.Name) && c.mayRunFreely()
 }
 
 // runs returns how many upstreams may have run the request, without a standby in progress. The
--- /dev/null
+++ b/pkg/entry/standby_search_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestStandbysThatAreNotSentAreNoStartsOfAColdHead: placements that the budget did not allow took the
+// cold bound from requests that are sent.
+func TestStandbysThatAreNotSentAreNoStartsOfAColdHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from := time.Now().Add(silenceBegin)
+		b := newHarness(t, map[string]answerFunc{
+			"head1": silentBetween(from, from.Add(silence)), "headother": streamFrom(10, 10, "s", nil),
+		})
+		b.suspendOthers(true)
+		b.gateway.budget = newRetryBudget(0, 0)
+		done := make(chan struct{})
+		for i := range 4 {
+			go func() { b.send("POST", fmt.Sprint("/stream/", i), "prompt", nil); done <- struct{}{} }()
+		}
+		time.Sleep(silenceBegin)
+		b.suspendOthers(false)
+		time.Sleep(silence * 3 / 4)
+		b.gateway.balancer.mu.Lock()
+		if n := b.gateway.balancer.targets["headother"].startsInLastSecond(b.gateway.now()); n != 0 {
+			t.Errorf("%d starts are counted, none was sent", n)
+		}
+		b.gateway.balancer.mu.Unlock()
+		for range 4 {
+			<-done
+		}
+	})
+}
