Do not count a search for a standby as a refused request

Cause: where no head had room, each search for a standby of a stream without events, every 150 ms, was recorded as a rejection. While it went on, the placer kept the queues of all heads of the model at an eighth of their slots instead of half, and refused new requests that had room. Change: placementRequest.standby, and its field of a call to a remote placer, keep the record to requests that are refused. Ruled out: marking such a standby as resuming, which gives it the reserve of resumed streams.

--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -92,6 +92,7 @@
 	Model         string   `json:"model"`
 	PromptTokens  int      `json:"tokens"`
 	Resumed       bool     `json:"resumes,omitempty"` // whether the request resumes a stream that has begun
+	Standby       bool     `json:"standby,omitempty"` // whether it is for a standby beside an upstream that has the request
 	ExcludedHeads []string `json:"avoid,omitempty"`   // heads already tried, or failing from the requesting host
 	RemainingMS   int64    `json:"left_ms"`           // until the request's deadline; the placement is released after it
 }
--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -63,6 +63,7 @@
 	tried        map[string]bool
 	localPlacer  bool // this entry host places all requests of the model
 	resuming     bool // continues a stream that has begun; takes precedence over new requests
+	standby      bool // for a standby: the request is not refused if there is no room
 }
 
 // choose selects an upstream and counts the request there. The caller must pass the placement to
@@ -85,7 +86,7 @@
 		eligible = append(eligible, t)
 	}
 	if len(eligible) == 0 {
-		if why == allFull && req.localPlacer && !req.resuming {
+		if why == allFull && req.localPlacer && !req.resuming && !req.standby {
 			b.lastFull[req.model] = now
 		}
 		return nil, why
--- a/pkg/entry/placer_directory.go
+++ b/pkg/entry/placer_directory.go
@@ -110,7 +110,7 @@
 	var result control.FleetPlaceResult
 	err := remote.client.Call(calling, string(control.MethodFleetPlace), control.FleetPlaceRequest{
 		Process: g.cfg.Name, PlacementID: number, Service: req.service.Name, Model: req.model, PromptTokens: req.promptTokens,
-		Resumed: req.resuming, ExcludedHeads: g.excludedHeads(g.now(), req), RemainingMS: left.Milliseconds(),
+		Resumed: req.resuming, Standby: req.standby, ExcludedHeads: g.excludedHeads(g.now(), req), RemainingMS: left.Milliseconds(),
 	}, &result)
 	now := g.now()
 	if err != nil {
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -181,7 +181,7 @@
 	w.standby = sb
 	req := placementRequest{
 		service: c.service, model: c.model, promptTokens: c.promptTokens, tried: maps.Clone(w.tried),
-		resuming: w.headerSent || w.receivedEvents,
+		resuming: w.headerSent || w.receivedEvents, standby: true,
 	}
 	go func() {
 		sb.run(w, req)
--- a/pkg/entry/standby_search_test.go
+++ b/pkg/entry/standby_search_test.go
@@ -34,3 +34,31 @@
 		}
 	})
 }
+
+// TestStandbysDoNotShortenTheQueues: looking for a standby at full heads made their queues short for
+// new requests.
+func TestStandbysDoNotShortenTheQueues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from := time.Now().Add(-time.Millisecond)
+		b := newHarness(t, map[string]answerFunc{
+			"head1": silentBetween(from, from.Add(silence)), "headother": streamFrom(10, 10, "s", nil),
+		})
+		b.removeColdBound(b.gateway)
+		b.suspendOthers(true)
+		b.gateway.applyPlacers(map[string]string{"m": "e1:9"})
+		done := make(chan struct{})
+		go func() { b.send("POST", "/stream/1", "prompt", nil); close(done) }()
+		time.Sleep(silenceBegin)
+		b.suspendOthers(false)
+		b.gateway.balancer.mu.Lock()
+		b.gateway.balancer.targets["headother"].others = 50
+		b.gateway.balancer.mu.Unlock()
+		time.Sleep(silence - silenceBegin - 50*time.Millisecond)
+		b.gateway.balancer.mu.Lock()
+		if at, ever := b.gateway.balancer.lastFull["m"]; ever {
+			t.Errorf("counted as a rejection at %v although no request was refused", at)
+		}
+		b.gateway.balancer.mu.Unlock()
+		<-done
+	})
+}
