Judge a trial when its run ends, not when its upstream is silent

Cause: silence was reported with the trial as soon as it was seen, but the run is kept since silent upstreams are not given up. The leader then took the trial for ended: it could grant another one beside the run, and two brief silences of sound upstreams convicted a request. Ruled out: reporting it without the trial at once; the run would end without a verdict and the limit of trials would not count it. Conclusion: a suspect runs once at a time again.

--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -24,7 +24,7 @@
 	lastEventAt    time.Duration
 	receivedEvents bool
 	forwarding     bool // events are being written to the client
-	accused        bool // the silence was reported to the quarantine
+	accused        bool // the silence was noted, and reported to the quarantine unless this is a trial
 	tried          map[string]bool
 	standby        *standby // in progress, or the one that took over
 	standbyRuns    int      // standbys that ended and may have run
@@ -60,6 +60,7 @@
 	}
 	w.receivedEvents = true
 	w.forwarding = true
+	w.accused = w.accused && w.trial == ""
 	if w.standby != nil {
 		w.drop()
 		w.timer.Reset(streamingHeadTimeout)
@@ -154,12 +155,20 @@
 }
 
 // accuse reports the silence to the quarantine. It does not wait for the end of the attempt, which
-// may last as long as the request. The caller holds the lock.
+// may last as long as the request, unless it is a trial: that runs until then. The caller holds the
+// lock.
 func (w *stallTimer) accuse() {
-	if !w.accused {
-		w.accused = true
-		w.call.accuse(&w.current.placement.upstream, endStateUnknown, w.trial)
+	if !w.accused && w.trial == "" {
+		w.call.accuse(&w.current.placement.upstream, endStateUnknown, "")
 	}
+	w.accused = true
+}
+
+// silentTrial reports whether the attempt was a trial whose upstream was silent when it ended.
+func (w *stallTimer) silentTrial() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.accused && w.trial != ""
 }
 
 // mayStandBy reports whether the request may be sent to another upstream now. The caller holds the
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -167,6 +167,10 @@
 	c.recordExchange(&a.placement.upstream, a.resp, a.err)
 	err := w.wrapError(s.relayAnswer(w))
 	s.standby = w.stop(err == nil)
+	if w.silentTrial() && err != nil && !brokeOff(err) && !provesNotRun(err) {
+		c.accuse(&a.placement.upstream, endStateUnknown, c.trial)
+		c.trial = ""
+	}
 	return err
 }
 
