Log the parts of the prompt of a request whose upstream broke off

Ruled out: logging the IDs as sent: they come from clients, without a bound on their length. Conclusion: broken attempts can be joined by the parts of their prompts.

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -34,9 +34,10 @@
 
 	fingerprint        view.Fingerprint // see requestFingerprint
 	fingerprintOnce    sync.Once
-	trial              string // granted trial of a suspect that was not used yet or is running; empty if none
-	refusedUntilMS     int64  // when a refused request is forgotten, Unix milliseconds
-	framed             bool   // the last answer marks its own end
+	parts              []view.Fingerprint // see partFingerprints; nil: not read yet
+	trial              string             // granted trial of a suspect that was not used yet or is running; empty if none
+	refusedUntilMS     int64              // when a refused request is forgotten, Unix milliseconds
+	framed             bool               // the last answer marks its own end
 	tried              map[string]bool
 	sent               int         // upstreams to which the request was written
 	possibleExecutions int         // upstreams that may have run the request
--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -47,7 +47,7 @@
 	c.settleAttempt(u, state, err)
 	g.metrics.BrokenAttempts.WithLabelValues(string(state)).Inc()
 	if g.requestLog.allow(g.now(), false) {
-		g.cfg.Logger.Info("upstream broke off a request", "request", c.r.Header.Get(g.cfg.Headers.Attempt), "fingerprint", c.requestFingerprint(),
+		g.cfg.Logger.Info("upstream broke off a request", "request", c.r.Header.Get(g.cfg.Headers.Attempt), "fingerprint", c.requestFingerprint(), "parts", c.partFingerprints(),
 			"organisation", c.organisation, "upstream", u.ID, "born", u.StartedMS, "upstream_state", state, "executions", c.possibleExecutions,
 			"most", c.route.MaxAttempts, "answer_begun", c.headerSent, "cause", err)
 	}
