Reproduce prompt parts that crash upstreams one after the other

Requests with one part, no two alike, each crash every upstream that begins to answer them. Ruled out: faults beside it.

--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -37,7 +37,8 @@
 
 // testFleet is a deployment with real coordinators and entry hosts, simulated upstreams, an
 // in-memory network and virtual time. A request whose body starts with "crash" ends each upstream
-// that runs it.
+// that runs it. So does a stream whose prompt holds a part of which the ID starts with badPart, when
+// its answer begins.
 type testFleet struct {
 	t       *testing.T
 	network *memconn.Network
@@ -52,8 +53,16 @@
 	requests int               // sent by clients
 	senders  map[string]string // entry host by attempt
 	faults   []fault
+
+	partCrashes map[string][]time.Time // ends of upstreams under a bad part, by its ID
+	partSends   map[string][]arrival   // runs of requests with a bad part, by its ID
 }
 
+const (
+	badPart    = "bad"
+	prefillFor = 120 * time.Millisecond // from the arrival of a request with a bad part until its answer begins
+)
+
 // fault is a disturbance of a process.
 type fault struct {
 	process    string
@@ -92,7 +101,8 @@
 type fleetSize struct{ entries, plain, engines int }
 
 func newTestFleet(t *testing.T, seed uint64, size fleetSize) *testFleet {
-	f := &testFleet{t: t, network: memconn.New(time.Millisecond), rand: rand.New(rand.NewPCG(seed, 1)), senders: map[string]string{}}
+	f := &testFleet{t: t, network: memconn.New(time.Millisecond), rand: rand.New(rand.NewPCG(seed, 1)), senders: map[string]string{},
+		partCrashes: map[string][]time.Time{}, partSends: map[string][]arrival{}}
 	if *crashLog != "" {
 		out, err := os.Create(*crashLog)
 		if err != nil {
@@ -226,6 +236,7 @@
 type clientRequest struct {
 	kind        string // see testSet
 	body        string
+	parts       string // of the prompt; see Headers.PromptParts
 	lastEventID string
 }
 
@@ -247,7 +258,7 @@
 	r.RequestURI, r.Host = path, "shop.example"
 	for k, v := range map[string]string{
 		testHeaders.Attempt: id, testHeaders.Deadline: "3000", "Authorization": "Bearer key-1",
-		testHeaders.Model: "m", testHeaders.TokenCounts: "100,50", testHeaders.LastEventID: c.lastEventID,
+		testHeaders.Model: "m", testHeaders.TokenCounts: "100,50", testHeaders.LastEventID: c.lastEventID, testHeaders.PromptParts: c.parts,
 	} {
 		r.Header.Set(k, v)
 	}
@@ -292,11 +303,19 @@
 // inTouch reports whether the sender of an arrival and all coordinators were undisturbed for
 // contactTime before it. Only then does the bound on repeats hold.
 func (f *testFleet) inTouch(a arrival) bool {
+	f.mu.Lock()
+	sender := f.senders[a.attempt]
+	f.mu.Unlock()
+	return f.hostInTouch(sender, a.at)
+}
+
+// hostInTouch is inTouch for an entry host at a time.
+func (f *testFleet) hostInTouch(entry string, at time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, d := range f.faults {
-		concerns := d.process == f.senders[a.attempt] || strings.HasPrefix(d.process, "c")
-		if concerns && !d.began.After(a.at) && d.end.After(a.at.Add(-contactTime)) {
+		concerns := d.process == entry || strings.HasPrefix(d.process, "c")
+		if concerns && !d.began.After(at) && d.end.After(at.Add(-contactTime)) {
 			return false
 		}
 	}
@@ -338,10 +357,42 @@
 }
 
 // crash ends the process. It is back after restartTime.
-func (h *simulatedHost) crash() {
-	if h.stop(false) {
+func (h *simulatedHost) crash() { h.end() }
+
+// end is crash. It reports whether the process was running.
+func (h *simulatedHost) end() bool {
+	ended := h.stop(false)
+	if ended {
 		time.AfterFunc(restartTime, h.start)
 	}
+	return ended
+}
+
+// runBadPart ends the process when the answer to a request with a bad part begins.
+func (h *simulatedHost) runBadPart(part, attempt, id string) {
+	f := h.fleet
+	f.mu.Lock()
+	f.partSends[part] = append(f.partSends[part], arrival{at: time.Now(), attempt: attempt, upstream: id})
+	f.mu.Unlock()
+	time.Sleep(prefillFor)
+	h.mu.Lock()
+	same := h.record.ID == id
+	h.mu.Unlock()
+	if same && h.end() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.partCrashes[part] = append(f.partCrashes[part], time.Now())
+	}
+}
+
+// badPartOf returns the ID of the bad part of a prompt; empty if there is none.
+func badPartOf(parts string) string {
+	for part := range strings.SplitSeq(parts, ",") {
+		if id, _, _ := strings.Cut(part, ":"); strings.HasPrefix(id, badPart) {
+			return id
+		}
+	}
+	return ""
 }
 
 func (h *simulatedHost) stop(retire bool) bool {
@@ -419,6 +470,10 @@
 	crashes := strings.HasPrefix(body, "crash")
 	time.Sleep(20 * time.Millisecond)
 	h.fleet.begin(clientRequest{kind: kind, body: body}.key(), attempt, id, crashes)
+	if part := badPartOf(r.Header.Get(testHeaders.PromptParts)); part != "" {
+		h.runBadPart(part, attempt, id)
+		return false
+	}
 	if crashes && kind != "stream" {
 		h.crash()
 		return false
