Take an answer to HEAD without a length for one whose end is known

Cause: an answer to HEAD has no body and so no end to be in doubt, but one without a length counted as an answer that its connection ends. It never cleared a request under suspicion.

Change: an answer without a body is framed.

Conclusion: Framed is false only for a body that its connection ends.

--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -18,8 +18,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
-	// Framed reports whether the body has a Content-Length or is chunked. Otherwise
-	// it ends when the connection closes.
+	// Framed reports whether the body has a Content-Length or is chunked, or there is
+	// none. Otherwise it ends when the connection closes.
 	Framed bool
 
 	pool       *Pool
@@ -54,7 +54,7 @@
 	}
 	c.readTimeout = p.options.StallTimeout
 	c.announcedIdle = keepAliveTimeout(res.Header)
-	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
+	framed := res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Body == http.NoBody
 	out := &Response{Status: res.StatusCode, Header: res.Header, Framed: framed, pool: p, conn: c, res: res, stopCancel: stop}
 	out.Body = &responseBody{ctx: ctx, response: out}
 	return out, nil
