Let a host of the in-memory network exit with its connections closed

Cause: the tests could end a process only by resets. A process that has read all that it was sent ends with closed connections, which is how an answer without a length ends when it is complete.

Change: memconn.Network.Exit, beside Kill.

Ruled out: closing single connections in the tests; the listener must be closed first, as when a process ends.

Conclusion: for the tests of answers that their connection ends.

--- a/pkg/memconn/network.go
+++ b/pkg/memconn/network.go
@@ -77,28 +77,49 @@
 	return cut, n.changed
 }
 
-// Kill closes the listeners of a host and resets all its connections, like the end of its process.
+// Kill closes the listeners of a host and resets all its connections, like the end of its process
+// while it has not read all that it was sent.
 func (n *Network) Kill(host string) {
+	listeners, conns := n.socketsOf(host)
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	for _, c := range conns {
+		c.reset()
+	}
+}
+
+// Exit closes the listeners and the connections of a host, like the end of its process once it has
+// read all that it was sent. The peers can still read what was written before.
+func (n *Network) Exit(host string) {
+	listeners, conns := n.socketsOf(host)
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	for _, c := range conns {
+		if c.hosts.from == host {
+			_ = c.Close()
+		}
+	}
+}
+
+// socketsOf returns the listeners of a host and the open connections from and to it.
+func (n *Network) socketsOf(host string) ([]*listener, []*conn) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	var conns []*conn
 	for c := range n.conns {
 		if c.hosts.from == host || c.hosts.to == host {
 			conns = append(conns, c)
 		}
 	}
-	var closing []*listener
+	var listeners []*listener
 	for _, l := range n.listeners {
 		if l.host == host {
-			closing = append(closing, l)
+			listeners = append(listeners, l)
 		}
 	}
-	n.mu.Unlock()
-	for _, l := range closing {
-		_ = l.Close()
-	}
-	for _, c := range conns {
-		c.reset()
-	}
+	return listeners, conns
 }
 
 // Listen returns a listener for an address on a host.
--- a/pkg/memconn/network_test.go
+++ b/pkg/memconn/network_test.go
@@ -74,6 +74,23 @@
 	})
 }
 
+func TestExitDeliversWhatWasWrittenAndRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(latency)
+		client, server := connect(t, n)
+		if _, err := server.Write([]byte("last")); err != nil {
+			t.Fatal(err)
+		}
+		n.Exit("b")
+		if got, err := io.ReadAll(client); string(got) != "last" || err != nil {
+			t.Errorf("read %q, %v from a host that exited", got, err)
+		}
+		if _, err := n.Dialer("a")(context.Background(), "b:1"); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("dialing a host that exited returned %v", err)
+		}
+	})
+}
+
 func TestReadDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := New(latency)
