Check again whether an upstream has ended that was alive before

Cause: the result of a check was shared for 200 ms whatever it was. An upstream that was alive at one check and ended within that time still counted as alive, so requests that it broke off then were held to be assumed crashes, not known ones.

Change: "alive" holds only for a connection that was closed before the check began; a check in progress is waited for and, if it does not apply, made once more for all that wait. "Ended" and "unknown" are shared as before.

Ruled out: a shorter time for which results are shared; it only makes the wrong result rarer.

--- a/pkg/entry/end_check.go
+++ b/pkg/entry/end_check.go
@@ -24,15 +24,16 @@
 	// endCheckTimeout bounds a check: several round trips between failure domains. A stream that
 	// continues elsewhere waits for it.
 	endCheckTimeout = 100 * time.Millisecond
-	// endCheckTTL is how long the result of a check is valid: all requests of an upstream that ends
-	// fail within a few milliseconds.
+	// endCheckTTL is how long the result of a check may be shared: all requests of an upstream that
+	// ends fail within a few milliseconds.
 	endCheckTTL = 200 * time.Millisecond
 )
 
-// endChecker finds out whether an upstream that broke off an attempt has ended, or only closed a
+// endChecker finds out whether an upstream that closed a connection has ended, or only closed the
 // connection. Concurrent checks of the same incarnation share one connection attempt.
 type endChecker struct {
 	dial upstream.DialFunc
+	now  func() time.Duration
 
 	mu     sync.Mutex
 	checks map[incarnation]*endCheck
@@ -51,30 +52,59 @@
 	state endState
 }
 
-func newEndChecker(dial upstream.DialFunc) *endChecker {
-	return &endChecker{dial: dial, checks: map[incarnation]*endCheck{}}
+func newEndChecker(dial upstream.DialFunc, now func() time.Duration) *endChecker {
+	return &endChecker{dial: dial, now: now, checks: map[incarnation]*endCheck{}}
 }
 
-// check returns the state of the upstream with the given address.
-func (e *endChecker) check(now time.Duration, who incarnation, address string) endState {
+// check returns the state, at closedAt or later, of the upstream with the given address. closedAt is
+// when it closed the connection.
+func (e *endChecker) check(closedAt time.Duration, who incarnation, address string) endState {
+	for {
+		c, created := e.join(closedAt, who)
+		if created {
+			c.state = e.dialOnce(address)
+			close(c.done)
+			return c.state
+		}
+		<-c.done
+		if c.appliesTo(closedAt) {
+			return c.state
+		}
+	}
+}
+
+// join returns the latest check of an incarnation. It creates one, which the caller must carry out,
+// if there is none or its result does not apply.
+func (e *endChecker) join(closedAt time.Duration, who incarnation) (c *endCheck, created bool) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
 	for k, c := range e.checks {
 		if now-c.began > endCheckTTL {
 			delete(e.checks, k)
 		}
 	}
-	c := e.checks[who]
-	if c != nil {
-		e.mu.Unlock()
-		<-c.done
-		return c.state
+	if c := e.checks[who]; c != nil && (!c.finished() || c.appliesTo(closedAt)) {
+		return c, false
 	}
 	c = &endCheck{began: now, done: make(chan struct{})}
 	e.checks[who] = c
-	e.mu.Unlock()
-	c.state = e.dialOnce(address)
-	close(c.done)
-	return c.state
+	return c, true
+}
+
+func (c *endCheck) finished() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// appliesTo reports whether the result of a finished check holds for a connection that was closed at
+// closedAt. An upstream that was alive before may have ended since.
+func (c *endCheck) appliesTo(closedAt time.Duration) bool {
+	return c.state != upstreamAlive || c.began >= closedAt
 }
 
 func (e *endChecker) dialOnce(address string) endState {
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -53,12 +53,12 @@
 		placers:         newPlacerDirectory(cfg),
 		hosted:          newHostedPlacements(),
 		budget:          newRetryBudget(cfg.RetryRatio, cfg.RetryBurst),
-		ends:            newEndChecker(cfg.DialBackend),
 		guard:           quarantine.NewGuard(),
 		reporter:        newRunReporter(cfg.Name),
 		demand:          newDemand(),
 		metrics:         NewMetrics(),
 	}
+	g.ends = newEndChecker(cfg.DialBackend, g.now)
 	g.started = g.now()
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.firstDocumentReady = make(chan struct{})
