Hold a crash within a long answer against its request

Cause: of an answer longer than 256 KiB the rest is copied while the client already reads. If its upstream ended during that copy, the client's answer was aborted, but neither the quarantine nor the balancer heard of it: a request that ends its upstreams there was never noticed.

Change: such a failure is inspected and recorded like that of any other attempt. A client that leaves is still no crash.

Ruled out: answers up to 256 KiB and streams; both pass through the attempt loops, which inspect each failure.

Conclusion: every answer that an upstream breaks off is inspected now.

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -10,7 +10,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
-	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
@@ -32,7 +31,7 @@
 			return
 		}
 		t := p.target
-		a, err := c.tryBuffered(&p.upstream)
+		a, err := c.tryBuffered(p)
 		g.balancer.release(p)
 		if err == nil && (a.status < 500 || c.route.Kind != catalog.Idempotent) {
 			g.balancer.recordAnswer(g.now(), t, a.status < 500)
@@ -84,30 +83,31 @@
 
 // upstreamAnswer is an upstream's answer, read completely or up to maxBufferedAnswer.
 type upstreamAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-	rest   *upstream.Response // the unread remainder; nil if the body is complete
-	stop   context.CancelFunc
+	placement *placement
+	status    int
+	header    http.Header
+	body      []byte
+	rest      *upstream.Response // the unread remainder; nil if the body is complete
+	stop      context.CancelFunc
 }
 
 // tryBuffered sends the request to one upstream and reads the answer.
-func (c *call) tryBuffered(u *fleet.Upstream) (*upstreamAnswer, error) {
-	limit := c.limitAttempt(u)
-	resp, err := c.exchange(limit.ctx, u, "")
-	c.recordExchange(u, resp, err)
+func (c *call) tryBuffered(p *placement) (*upstreamAnswer, error) {
+	limit := c.limitAttempt(&p.upstream)
+	resp, err := c.exchange(limit.ctx, &p.upstream, "")
+	c.recordExchange(&p.upstream, resp, err)
 	if err != nil {
 		limit.end()
 		return nil, err
 	}
-	return c.readAnswer(resp, limit.lift, limit.end)
+	return c.readAnswer(p, resp, limit.lift, limit.end)
 }
 
 // readAnswer reads an answer up to maxBufferedAnswer. If there is more, it calls lift, after which
 // the attempt must not be ended before the deadline. stop ends the attempt; it is called once the
 // answer is complete, unusable or closed.
-func (c *call) readAnswer(resp *upstream.Response, lift func() error, stop context.CancelFunc) (*upstreamAnswer, error) {
-	a := &upstreamAnswer{status: resp.Status, header: resp.Header, rest: resp, stop: stop}
+func (c *call) readAnswer(p *placement, resp *upstream.Response, lift func() error, stop context.CancelFunc) (*upstreamAnswer, error) {
+	a := &upstreamAnswer{placement: p, status: resp.Status, header: resp.Header, rest: resp, stop: stop}
 	if err := c.verifyAnswer(a); err != nil {
 		a.close()
 		return nil, err
@@ -170,11 +170,20 @@
 		}
 	}
 	if err != nil {
-		c.cause = err
-		c.outcome = cutShort
+		c.recordCutAnswer(a, err)
 	}
 }
 
+// recordCutAnswer records that an answer could not be forwarded to its end.
+func (c *call) recordCutAnswer(a *upstreamAnswer, err error) {
+	c.recordFailedAttempt(err)
+	c.outcome = cutShort
+	if brokeOff(err) {
+		c.recordUpstreamFailure(a.placement, err)
+	}
+	c.inspectFailure(&a.placement.upstream, err)
+}
+
 // copyHeader copies end-to-end headers of an answer to the client's answer.
 func (c *call) copyHeader(from http.Header) {
 	h := c.w.Header()
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -194,7 +194,7 @@
 	if c.headerSent || resp.Status >= 500 && c.route.Retryable() && c.possibleExecutions+1 < c.route.MaxAttempts {
 		return eris.Errorf("upstream answered %d", resp.Status)
 	}
-	a, err := c.readAnswer(resp, w.lift, func() {}) // the caller ends the attempt
+	a, err := c.readAnswer(s.attempt.placement, resp, w.lift, func() {}) // the caller ends the attempt
 	if err != nil {
 		return err
 	}
