Ask whether the upstream has ended behind an answer without a length

Cause: an answer with neither a length nor chunks ends with its connection. A process that ends closes its connections too, so a request that ends its upstreams behind such answers was never noticed, and its client got a short answer that looked complete. A run that did complete cleared nothing, so a harmless request whose answers all have that form was withheld after an outage.

Change: after the clean end of such an answer the upstream's address is tried, as after a broken attempt. An upstream that has ended without having announced it broke the answer off: the stream is resumed behind its last event, a repeatable request is repeated, any other ends as 502 or aborted, and the crash is held against the request. An upstream that lives completed it, which clears. One that had announced that it leaves, or that does not reply, completed it and clears nothing. Events are passed on before the check.

Conclusion: the cost is one short connection for each such answer; an upstream that ends for another reason just after one costs a repeat, or a 502 where the request must not run twice.

--- /dev/null
+++ b/pkg/entry/answer_end.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+	"github.com/sesamemux/sesamemux/pkg/upstream"
+)
+
+// confirmEnd checks an answer that was read to its end. One without a length or chunks ends with its
+// connection, which a process that ends closes too. If that is how the answer ended it returns
+// upstream.ErrConnectionLost.
+func (c *call) confirmEnd(p *placement, resp *upstream.Response) error {
+	if resp.Framed {
+		return nil
+	}
+	g, u := c.gateway, &p.upstream
+	switch g.ends.check(g.now(), incarnation{u.ID, u.StartedMS}, u.Address) {
+	case upstreamAlive:
+		c.framed = true
+	case upstreamEnded:
+		if !g.balancer.hasAnnouncedEnd(p) {
+			return eris.Wrap(upstream.ErrConnectionLost, "upstream ended behind an answer without a length")
+		}
+	}
+	return nil
+}
+
+// hasAnnouncedEnd reports whether the upstream of a placement had announced by now that it leaves.
+// It then finishes its requests before it ends.
+func (b *balancer) hasAnnouncedEnd(p *placement) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	same := p.target.StartedMS == p.upstream.StartedMS
+	return p.upstream.Leaving() || same && p.target.State != fleet.Ready
+}
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -125,6 +125,9 @@
 	if err != io.EOF {
 		return nil, err
 	}
+	if err := c.confirmEnd(p, resp); err != nil {
+		return nil, err
+	}
 	a.rest = nil
 	return a, nil
 }
@@ -168,6 +171,9 @@
 		if err == nil {
 			_, err = io.Copy(c.w, a.rest.Body)
 		}
+		if err == nil {
+			err = c.confirmEnd(a.placement, a.rest)
+		}
 	}
 	if err != nil {
 		c.recordCutAnswer(a, err)
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -37,7 +37,7 @@
 	parts              []view.Fingerprint // see partFingerprints; nil: not read yet
 	trial              string             // granted trial of a suspect that was not used yet or is running; empty if none
 	refusedUntilMS     int64              // when a refused request is forgotten, Unix milliseconds
-	framed             bool               // the last answer marks its own end
+	framed             bool               // the last answer marked its own end, or its upstream was alive after it
 	tried              map[string]bool
 	sent               int         // upstreams to which the request was written
 	possibleExecutions int         // upstreams that may have run the request
--- a/pkg/entry/crashing_random_test.go
+++ b/pkg/entry/crashing_random_test.go
@@ -34,7 +34,7 @@
 	var crashing []clientRequest
 	for i, kind := range []string{"once", "again", "stream"} {
 		for k := range 1 + day.IntN(2) {
-			crashing = append(crashing, clientRequest{kind: kind, body: fmt.Sprint("crash ", i, k)})
+			crashing = append(crashing, clientRequest{kind: kind, body: fmt.Sprint([]string{"crash ", "crash unframed "}[k], i, k)})
 		}
 	}
 	var work sync.WaitGroup
@@ -44,7 +44,7 @@
 		case 0, 1:
 			c = crashing[day.IntN(len(crashing))]
 		case 2, 3:
-			c.body = "popular"
+			c.body = []string{"popular", "popular unframed"}[tick%2]
 		}
 		work.Go(func() {
 			w := f.client(c)
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -38,7 +38,7 @@
 // testFleet is a deployment with real coordinators and entry hosts, simulated upstreams, an
 // in-memory network and virtual time. A request whose body starts with "crash" ends each upstream
 // that runs it. So does a stream whose prompt holds a part of which the ID starts with badPart, when
-// its answer begins.
+// its answer begins. A request whose body contains "unframed" is answered without a length.
 type testFleet struct {
 	t       *testing.T
 	network *memconn.Network
@@ -262,7 +262,9 @@
 	} {
 		r.Header.Set(k, v)
 	}
-	return serveRecorded(f.entries[entry].g.Load(), r)
+	w := serveRecorded(f.entries[entry].g.Load(), r)
+	f.assertNotShort(c, w)
+	return w
 }
 
 // begin records that a request begins to run.
@@ -395,7 +397,17 @@
 	return ""
 }
 
-func (h *simulatedHost) stop(retire bool) bool {
+// exit ends the process like crash, but its connections are closed instead of reset.
+func (h *simulatedHost) exit() {
+	if h.shutDown(false, h.fleet.network.Exit) {
+		time.AfterFunc(restartTime, h.start)
+	}
+}
+
+func (h *simulatedHost) stop(retire bool) bool { return h.shutDown(retire, h.fleet.network.Kill) }
+
+// shutDown ends the process if it runs, and its sockets with closeSockets.
+func (h *simulatedHost) shutDown(retire bool, closeSockets func(host string)) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.retire = h.retire || retire
@@ -404,7 +416,7 @@
 	}
 	h.up = false
 	close(h.ending)
-	h.fleet.network.Kill(h.name)
+	closeSockets(h.name)
 	return true
 }
 
@@ -474,6 +486,10 @@
 		h.runBadPart(part, attempt, id)
 		return false
 	}
+	if strings.Contains(body, "unframed") {
+		h.answerUnframed(c, r, attempt, kind, crashes)
+		return false
+	}
 	if crashes && kind != "stream" {
 		h.crash()
 		return false
--- a/pkg/entry/gateway_test.go
+++ b/pkg/entry/gateway_test.go
@@ -199,6 +199,8 @@
 	header http.Header
 	body   bytes.Buffer
 	cut    bool
+
+	lastWrite time.Time
 }
 
 func (r *recorder) Header() http.Header { return r.header }
@@ -208,6 +210,7 @@
 	if r.status == 0 {
 		r.status = http.StatusOK
 	}
+	r.lastWrite = time.Now()
 	return r.body.Write(b)
 }
 
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -87,8 +87,8 @@
 	w.standby = nil
 }
 
-// lift ends the watch of an attempt whose answer is forwarded and can't be replaced any more. It
-// returns an error if the standby has taken over.
+// lift ends the watch of an attempt from which nothing more is expected, or whose answer is forwarded
+// and can't be replaced any more. It returns an error if the standby has taken over.
 func (w *stallTimer) lift() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -240,6 +240,12 @@
 			return eris.Wrapf(errMismatchedAnswer, "an event exceeds %d bytes", maxEventBytes)
 		}
 		if err == io.EOF && !s.splitter.hasPartial() {
+			if err := w.lift(); err != nil {
+				return err
+			}
+			if err := s.call.confirmEnd(s.attempt.placement, s.attempt.resp); err != nil {
+				return err
+			}
 			return s.completed(t, header)
 		}
 		if err == io.EOF {
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -131,7 +131,7 @@
 }
 
 // settleRequest reports the end of the request to the quarantine. Only a run whose end was marked by
-// the upstream shows that the request is harmless.
+// the upstream, or survived by it, shows that the request is harmless.
 func (c *call) settleRequest() {
 	g := c.gateway
 	if c.outcome == served && c.status < 300 && c.framed {
