Take an upstream for alive only if it keeps a connection open for a moment

Cause: a process that ends may close its connections before its listener. A check in between found it alive: a short answer without a length counted as complete and cleared the request that had ended the upstream, and a broken attempt counted as an assumed crash.

Change: the connection of the check must stay open for 10 ms. If it does not, the address is tried once more, and what that says counts.

Ruled out: a second check later, which costs a connection each time; holding a connection that the upstream closes at once for an end (upstreams beyond their number of connections do that).

Figures: GOMAXPROCS=3 go test -p 2 -race ./pkg/entry passes in full, 70 s. Before the change TestUpstreamThatClosesItsListenerLastHasEnded failed ("whose listener closed 5ms after its connection is alive") and so did the rows "listener closed after 5ms" of TestUnframedAnswerOfAnEndedUpstreamIsNotComplete, as far as they ran: the first to fail, a stream, ended the test. TestUpstreamThatClosesNewConnectionsIsAlive passes before and after.

Conclusion: the end of an answer without a length, and the repeat after a connection that a living upstream broke, come 10 ms later.

--- a/pkg/entry/end_check.go
+++ b/pkg/entry/end_check.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -16,7 +18,7 @@
 // The values are metric labels.
 const (
 	upstreamEnded   endState = "ended"   // its address refuses connections
-	upstreamAlive   endState = "alive"   // its address accepts connections
+	upstreamAlive   endState = "alive"   // its address accepts connections and keeps them open
 	endStateUnknown endState = "unknown" // no reply
 )
 
@@ -27,6 +29,8 @@
 	// endCheckTTL is how long the result of a check may be shared: all requests of an upstream that
 	// ends fail within a few milliseconds.
 	endCheckTTL = 200 * time.Millisecond
+	// aliveAfter is how long an upstream must keep a connection open to count as alive.
+	aliveAfter = 10 * time.Millisecond
 )
 
 // endChecker finds out whether an upstream that closed a connection has ended, or only closed the
@@ -62,7 +66,7 @@
 	for {
 		c, created := e.join(closedAt, who)
 		if created {
-			c.state = e.dialOnce(address)
+			c.state = e.examine(address)
 			close(c.done)
 			return c.state
 		}
@@ -107,16 +111,41 @@
 	return c.state != upstreamAlive || c.began >= closedAt
 }
 
-func (e *endChecker) dialOnce(address string) endState {
+// examine returns the state of the upstream at an address. A process that ends closes its sockets in
+// any order, so a connection that does not stay open is followed by a second one.
+func (e *endChecker) examine(address string) endState {
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
+	conn, state := e.connect(ctx, address)
+	if conn == nil {
+		return state
+	}
+	defer func() { _ = conn.Close() }()
+	if staysOpen(conn) {
+		return upstreamAlive
+	}
+	again, state := e.connect(ctx, address)
+	if again != nil {
+		_ = again.Close()
+	}
+	return state
+}
+
+// connect opens a connection. The state is what the outcome says of the upstream.
+func (e *endChecker) connect(ctx context.Context, address string) (net.Conn, endState) {
 	conn, err := e.dial(ctx, address)
 	switch {
 	case err == nil:
-		_ = conn.Close()
-		return upstreamAlive
+		return conn, upstreamAlive
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return upstreamEnded
+		return nil, upstreamEnded
 	}
-	return endStateUnknown
+	return nil, endStateUnknown
+}
+
+// staysOpen reports whether the other end leaves a connection open for aliveAfter.
+func staysOpen(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(aliveAfter))
+	_, err := conn.Read(make([]byte, 1))
+	return err == nil || os.IsTimeout(err)
 }
--- a/pkg/entry/end_check_test.go
+++ b/pkg/entry/end_check_test.go
@@ -70,3 +70,39 @@
 		})
 	}
 }
+
+// TestUpstreamThatClosesItsListenerLastHasEnded: a process that ends closes its sockets in any
+// order.
+func TestUpstreamThatClosesItsListenerLastHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memconn.New(time.Millisecond)
+		n.Listen("p", "p:80")
+		e, _ := newTestEndChecker(n)
+		time.AfterFunc(5*time.Millisecond, func() { n.Exit("p") })
+		if state := e.check(e.now(), incarnation{"p", 1}, "p:80"); state != upstreamEnded {
+			t.Errorf("an upstream whose listener closed 5ms after its connection is %s", state)
+		}
+	})
+}
+
+// TestUpstreamThatClosesNewConnectionsIsAlive: it has as many connections as it accepts.
+func TestUpstreamThatClosesNewConnectionsIsAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memconn.New(time.Millisecond)
+		l := n.Listen("p", "p:80")
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_ = c.Close()
+			}
+		}()
+		e, dials := newTestEndChecker(n)
+		if state := e.check(e.now(), incarnation{"p", 1}, "p:80"); state != upstreamAlive || dials.Load() > 2 {
+			t.Errorf("it is %s after %d connections", state, dials.Load())
+		}
+		_ = l.Close()
+	})
+}
--- a/pkg/entry/unframed_answer_test.go
+++ b/pkg/entry/unframed_answer_test.go
@@ -126,6 +126,14 @@
 }
 
 func TestUnframedAnswerOfAnEndedUpstreamIsNotComplete(t *testing.T) {
+	for _, closeGap := range []time.Duration{0, 5 * time.Millisecond} {
+		t.Run(fmt.Sprint("listener closed after ", closeGap), func(t *testing.T) { testEndBehindUnframedAnswers(t, closeGap) })
+	}
+}
+
+// testEndBehindUnframedAnswers lets an upstream end that closes its connection first and its listener
+// closeGap later.
+func testEndBehindUnframedAnswers(t *testing.T, closeGap time.Duration) {
 	long := strings.Repeat("x", 2*maxBufferedAnswer)
 	half := func(status int) func(func()) answerFunc {
 		return func(end func()) answerFunc { return unframedAnswer(status, "half", end) }
@@ -162,7 +170,7 @@
 						first = false
 						mu.Unlock()
 						if ends {
-							return c.first(func() { b.network.Exit(id) })(conn, r, attempt)
+							return c.first(func() { _ = conn.Close(); time.Sleep(closeGap); b.network.Exit(id) })(conn, r, attempt)
 						}
 						return c.later(conn, r, attempt)
 					}
@@ -173,6 +181,7 @@
 				if w.status != c.status || w.cut != c.cut || c.body != "" && w.body.String() != c.body {
 					t.Errorf("answered %d, cut %v, %d bytes %.40q", w.status, w.cut, w.body.Len(), &w.body)
 				}
+				time.Sleep(time.Second) // let the upstream end
 				if b.total() != c.sent {
 					t.Errorf("sent %d times, want %d", b.total(), c.sent)
 				}
