Log an answer without a length whose end could not be checked

Cause: an upstream that does not reply to the check leaves open whether its answer was whole; the answer counts as complete and nothing said so.

Change: one log line, within the bound on lines about requests.

Ruled out: a counter; the case is rare and the line names the request.

Conclusion: such answers can be found.

--- a/pkg/entry/answer_end.go
+++ b/pkg/entry/answer_end.go
@@ -22,6 +22,11 @@
 		if !g.balancer.hasAnnouncedEnd(p) {
 			return eris.Wrap(upstream.ErrConnectionLost, "upstream ended behind an answer without a length")
 		}
+	case endStateUnknown:
+		if g.requestLog.allow(g.now(), false) {
+			g.cfg.Logger.Warn("end of an answer without a length could not be checked; taken as complete",
+				"request", c.r.Header.Get(g.cfg.Headers.Attempt), "upstream", u.ID, "born", u.StartedMS)
+		}
 	}
 	return nil
 }
--- a/pkg/entry/unframed_answer_test.go
+++ b/pkg/entry/unframed_answer_test.go
@@ -275,7 +275,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				var b *harness
 				var cutAt time.Time
-				b = newHarness(t, soundUnframed(func() {
+				var out bytes.Buffer
+				b = newLoggedHarness(t, logging.New(&out, logging.Options{Process: "entry"}), soundUnframed(func() {
 					cutAt = time.Now()
 					b.network.Cut("e1", "p1")
 					b.network.Cut("e1", "head1")
@@ -294,6 +295,7 @@
 				if !b.gateway.guard.Watches() {
 					t.Error("a run whose upstream did not reply clears the request")
 				}
+				assertFields(t, requestLineWith(t, &out, "a-1", "end of an answer without a length could not be checked; taken as complete"), "upstream=", "born=1")
 				b.network.HealAll()
 				time.Sleep(time.Minute)
 			})
