Hold parts of prompts responsible for upstreams that end, beside whole requests

Cause: the quarantine accused whole requests only. A part of a prompt that crashes upstreams comes in requests of which no two are alike, so each of them ran freely. Change: one mechanism, more that is accused. A crash accuses the request and each part of its prompt but the last; a part is a suspect once upstreams ended under two different requests with it. A completed run clears the request and all its parts. A trial is one of all suspects of a request, granted or denied together. A part is convicted when two upstreams ended in trials of which it is the only common suspect; suspects that complete elsewhere fall out of that set, so that the culprit is left without another trial. Whole requests are judged as before, and not while a part of theirs is undecided. A trial that reached no upstream is given back. New suspects wait 1 s for their first trial: runs with the culprit that are under way have ended by then. A part whose trials decided nothing gets further ones after 10 s, a convicted one after 10 min. The leader denies a busy trial without an entry in its log, and an entry host asks about a part every 0.25 s times the number of entry hosts, at most 2 s. Convicted entries leave a full list last. Ruled out: convicting by the most crashes, since the first part of a route has as many as the culprit; a verdict from trials of a request that is a suspect itself, since its crash could not be attributed; clearing by a first event, since crashed runs had sent some.

--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -115,29 +115,37 @@
 type FleetRunsRequest struct {
 	Process string             `json:"process"`
 	Crashed []FleetCrashedRun  `json:"crashed,omitempty"`
-	Cleared []view.Fingerprint `json:"cleared,omitempty"` // requests that ran to their end
+	Cleared []view.Fingerprint `json:"cleared,omitempty"` // requests that ran to their end, and the parts of their prompts
 	Ended   []FleetTrial       `json:"ended,omitempty"`   // trials that ended without a verdict
 }
 
-// FleetCrashedRun is a request that was running when its upstream ended.
+// FleetCrashedRun is a request, or a part of a prompt, that was running when its upstream ended.
 type FleetCrashedRun struct {
 	Fingerprint view.Fingerprint `json:"f"`
 	Crash       quarantine.Crash `json:"crash"`
 	Trial       string           `json:"trial,omitempty"` // the trial that the run was; empty if none
+	// Parts are the parts of the request's prompt that are accused with it.
+	Parts []view.Fingerprint `json:"parts,omitempty"`
 }
 
 // FleetTrial is a trial of a suspect.
 type FleetTrial struct {
 	Fingerprint view.Fingerprint `json:"f"`
 	Trial       string           `json:"trial"` // unique
+	// NotRun is set at the end of a trial if the request reached no upstream or was not run there.
+	NotRun bool `json:"notrun,omitempty"`
 }
 
 // FleetTrialRequest asks the leader for a trial of a suspect.
 type FleetTrialRequest struct {
 	Process string `json:"process"`
 	FleetTrial
-	Crashes     []quarantine.Crash `json:"crashes,omitempty"` // seen by this process
-	RemainingMS int64              `json:"left_ms"`           // until the request's deadline
+	Crashes []quarantine.Crash `json:"crashes,omitempty"` // seen by this process
+	// Parts are the parts of the request's prompt. The trial is one of all suspects among these and
+	// the request; all are granted or none.
+	Parts       []view.Fingerprint                      `json:"parts,omitempty"`
+	PartCrashes map[view.Fingerprint][]quarantine.Crash `json:"part_crashes,omitempty"` // seen by this process, by part
+	RemainingMS int64                                   `json:"left_ms"`                // until the request's deadline
 }
 
 // FleetTrialResult says whether the request may run.
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/durable"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
+	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
 // trialMargin is added to the time left of a request on trial until the trial counts as ended: the
@@ -34,18 +35,15 @@
 	}
 	now, nowMS := c.now(), time.Now().UnixMilli()
 	st, _ := r.store.State()
-	var changes []quarantine.Change
+	a := accusations{list: st.Quarantine, nowMS: nowMS}
 	for _, run := range req.Crashed {
-		known := l.crashes.Observe(now, run.Fingerprint, run.Crash)
-		entry := st.Quarantine.Find(run.Fingerprint)
-		if len(known) == 0 || entry == nil && !quarantine.Suspicious(known) {
-			continue
+		suspects := a.add(now, l.crashes, run)
+		if len(suspects) > 0 {
+			c.cfg.Logger.Warn("request ended upstreams", "fingerprint", run.Fingerprint, "suspects", suspects, "upstream", run.Crash.Upstream,
+				"born", run.Crash.StartedMS, "assumed", run.Crash.Assumed, "trial", run.Trial, "told_by", req.Process)
 		}
-		changes = append(changes, quarantine.Change{
-			Kind: quarantine.RecordCrashes, NowMS: nowMS, Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial, Convict: run.Trial != "" && !run.Crash.Assumed,
-		})
-		c.cfg.Logger.Warn("request ended upstreams", "fingerprint", run.Fingerprint, "upstreams", known, "trial", run.Trial, "told_by", req.Process)
 	}
+	changes := a.changes
 	for _, f := range req.Cleared {
 		l.crashes.Clear(now, f)
 		if st.Quarantine.Find(f) != nil {
@@ -54,8 +52,8 @@
 		}
 	}
 	for _, t := range req.Ended {
-		if e := st.Quarantine.Find(t.Fingerprint); e != nil && e.Trial == t.Trial {
-			changes = append(changes, quarantine.Change{Kind: quarantine.EndTrial, NowMS: nowMS, Fingerprint: t.Fingerprint, Trial: t.Trial})
+		if st.Quarantine.OnTrial(t.Trial) {
+			changes = append(changes, quarantine.Change{Kind: quarantine.EndTrial, NowMS: nowMS, Fingerprint: t.Fingerprint, Trial: t.Trial, NotRun: t.NotRun})
 		}
 	}
 	return changes, nil
@@ -69,7 +67,9 @@
 	if err != nil {
 		return control.FleetTrialResult{}, err
 	}
-	err = c.propose(ctx, durable.Command{Quarantine: changes})
+	if err = c.denied(changes); err == nil {
+		err = c.propose(ctx, durable.Command{Quarantine: changes})
+	}
 	result := control.FleetTrialResult{Verdict: quarantine.NeedsTrial}
 	switch {
 	case err == nil:
@@ -94,27 +94,42 @@
 	if l == nil {
 		return nil, notLeader("")
 	}
-	var known []quarantine.Crash
-	for _, crash := range req.Crashes {
-		known = l.crashes.Observe(c.now(), req.Fingerprint, crash)
+	r := c.replica.Load()
+	if r == nil {
+		return nil, notLeader("")
 	}
-	changes := []quarantine.Change{{Kind: quarantine.Expire, NowMS: nowMS}}
-	if quarantine.Suspicious(known) {
-		changes = append(changes, quarantine.Change{Kind: quarantine.RecordCrashes, NowMS: nowMS, Fingerprint: req.Fingerprint, Crashes: known})
+	st, _ := r.store.State()
+	a := accusations{list: st.Quarantine, nowMS: nowMS, changes: []quarantine.Change{{Kind: quarantine.Expire, NowMS: nowMS}}}
+	a.observe(c.now(), l.crashes, req.Fingerprint, req.Crashes)
+	for _, part := range req.Parts {
+		a.observe(c.now(), l.crashes, part, req.PartCrashes[part])
 	}
-	return append(changes, quarantine.Change{
-		Kind: quarantine.GrantTrial, NowMS: nowMS, Fingerprint: req.Fingerprint, Trial: req.Trial,
+	return append(a.changes, quarantine.Change{
+		Kind: quarantine.GrantTrial, NowMS: nowMS, Fingerprint: req.Fingerprint, Parts: req.Parts, Trial: req.Trial,
 		UntilMS: nowMS + req.RemainingMS + trialMargin.Milliseconds(),
 	}), nil
 }
 
-// quarantineExpiry returns when a refused request will be forgotten, in Unix milliseconds.
+// denied returns the error of a trial that is not granted now, so that the question needs no entry
+// in the log. It returns nil if the log decides.
+func (c *Coordinator) denied(changes []quarantine.Change) error {
+	r := c.replica.Load()
+	if r == nil {
+		return nil
+	}
+	st, _ := r.store.State()
+	_, err := st.Quarantine.Apply(changes)
+	if eris.Is(err, quarantine.ErrTrialRunning) {
+		return err
+	}
+	return nil
+}
+
+// quarantineExpiry returns when a refused request may be tried again, in Unix milliseconds.
 func (c *Coordinator) quarantineExpiry(req control.FleetTrialRequest) int64 {
 	if r := c.replica.Load(); r != nil {
 		st, _ := r.store.State()
-		if e := st.Quarantine.Find(req.Fingerprint); e != nil {
-			return e.ExpiresMS()
-		}
+		return st.Quarantine.RetryAtMS(time.Now().UnixMilli(), append([]view.Fingerprint{req.Fingerprint}, req.Parts...))
 	}
 	return 0
 }
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
@@ -32,12 +33,14 @@
 	body         []byte
 	deadline     time.Duration // the earlier of the client's and the route's
 
-	fingerprint        view.Fingerprint // see requestFingerprint
-	fingerprintOnce    sync.Once
-	parts              []view.Fingerprint // see partFingerprints; nil: not read yet
-	trial              string             // granted trial of a suspect that was not used yet or is running; empty if none
-	refusedUntilMS     int64              // when a refused request is forgotten, Unix milliseconds
-	framed             bool               // the last answer marked its own end, or its upstream was alive after it
+	fingerprint        view.Fingerprint     // see requestFingerprint
+	parts              []view.Fingerprint   // see partFingerprints
+	fingerprintOnce    sync.Once            // of both
+	trial              string               // granted trial of a suspect that was not used yet or is running; empty if none
+	judgement          quarantine.Judgement // the last one
+	sentBeforeTrial    int                  // sent when the trial was granted
+	refusedUntilMS     int64                // when a refused request may be tried again, Unix milliseconds
+	framed             bool                 // the last answer marked its own end, or its upstream was alive after it
 	tried              map[string]bool
 	sent               int         // upstreams to which the request was written
 	possibleExecutions int         // upstreams that may have run the request
--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -12,12 +12,27 @@
 // requestFingerprint identifies what the client asks for. It is the same for each arrival of the
 // request, at every entry host.
 func (c *call) requestFingerprint() view.Fingerprint {
-	c.fingerprintOnce.Do(func() {
-		c.fingerprint = suspect.ExactFingerprint(c.organisation, c.r.Host, c.r.RequestURI, c.body)
-	})
+	c.fingerprintOnce.Do(c.identify)
 	return c.fingerprint
 }
 
+// partFingerprints identifies the parts of the prompt but the last, which belongs to the request or
+// its session alone. It is empty if the request names none.
+func (c *call) partFingerprints() []view.Fingerprint {
+	c.fingerprintOnce.Do(c.identify)
+	return c.parts
+}
+
+func (c *call) identify() {
+	c.fingerprint = suspect.ExactFingerprint(c.organisation, c.r.Host, c.r.RequestURI, c.body)
+	c.parts = readPromptParts(c.r.Header.Values(c.gateway.cfg.Headers.PromptParts))
+}
+
+// fingerprints identifies the request and the parts of its prompt.
+func (c *call) fingerprints() []view.Fingerprint {
+	return append([]view.Fingerprint{c.requestFingerprint()}, c.partFingerprints()...)
+}
+
 // brokeOff reports whether an attempt failed because its upstream stopped sending. An upstream that
 // ended before it had received the request did not end because of it.
 func brokeOff(err error) bool {
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -26,6 +26,7 @@
 	budget          *retryBudget
 	ends            *endChecker
 	guard           *quarantine.Guard
+	questions       trialQuestions
 	reporter        *runReporter
 	trials          atomic.Uint64 // trials requested
 	demand          *demand
--- a/pkg/entry/prompt_parts.go
+++ b/pkg/entry/prompt_parts.go
@@ -12,15 +12,6 @@
 // maxPromptParts limits the parts of a prompt by which a request is known.
 const maxPromptParts = 16
 
-// partFingerprints identifies the parts of the prompt but the last, which belongs to the request or
-// its session alone. It is empty if the request names none.
-func (c *call) partFingerprints() []view.Fingerprint {
-	if c.parts == nil {
-		c.parts = readPromptParts(c.r.Header.Values(c.gateway.cfg.Headers.PromptParts))
-	}
-	return c.parts
-}
-
 // readPromptParts returns the fingerprints of the first maxPromptParts different parts, without the
 // last part. Malformed parts are ignored.
 func readPromptParts(values []string) []view.Fingerprint {
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -11,6 +11,7 @@
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
+	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
 const (
@@ -26,6 +27,7 @@
 	endsUpstreams      reason = "request ends the upstreams that run it"
 	trialRunning       reason = "another run of this request is on trial"
 	quarantineDeferred reason = "request may end upstreams and no coordinator grants a trial"
+	trialNeeded        reason = "request runs in a trial only" // never an answer
 )
 
 // mayRun returns noReason if the request may be sent to an upstream now, otherwise the reason why
@@ -35,67 +37,100 @@
 	if c.trial != "" || !g.guard.Watches() {
 		return noReason
 	}
-	verdict, expiresMS := g.guard.Decide(g.now(), time.Now().UnixMilli(), c.requestFingerprint())
-	switch verdict {
-	case quarantine.Free:
-		return noReason
-	case quarantine.MustRefuse:
-		c.refusedUntilMS = expiresMS
+	why := c.judge()
+	if why == trialNeeded {
+		why = c.requestTrial()
+		g.metrics.Quarantined.WithLabelValues(quarantineLabels[why]).Inc()
+	} else if why == endsUpstreams {
 		g.metrics.Quarantined.WithLabelValues("refused").Inc()
-		return endsUpstreams
 	}
-	why := c.requestTrial()
-	g.metrics.Quarantined.WithLabelValues(quarantineLabels[why]).Inc()
 	return why
 }
 
 // mayRunFreely reports whether the request may be sent to an upstream without a trial.
 func (c *call) mayRunFreely() bool {
 	g := c.gateway
-	if !g.guard.Watches() {
-		return true
+	return !g.guard.Watches() ||
+		g.guard.Judge(g.now(), time.Now().UnixMilli(), c.requestFingerprint(), c.partFingerprints()).Verdict == quarantine.Free
+}
+
+// judge asks the guard. It returns trialNeeded if the request may run in a trial only.
+func (c *call) judge() reason {
+	g := c.gateway
+	c.judgement = g.guard.Judge(g.now(), time.Now().UnixMilli(), c.requestFingerprint(), c.partFingerprints())
+	switch c.judgement.Verdict {
+	case quarantine.MustRefuse:
+		c.refusedUntilMS = c.judgement.RetryAtMS
+		return endsUpstreams
+	case quarantine.NeedsTrial:
+		return trialNeeded
 	}
-	verdict, _ := g.guard.Decide(g.now(), time.Now().UnixMilli(), c.requestFingerprint())
-	return verdict == quarantine.Free
+	return noReason
 }
 
 var quarantineLabels = map[reason]string{noReason: "allowed", endsUpstreams: "refused", trialRunning: "busy", quarantineDeferred: "no coordinator"}
 
-// requestTrial asks for a trial until it is granted, not needed or denied.
+// requestTrial asks for a trial until it is granted, not needed or denied. While a part of the prompt
+// is a suspect, the entry host asks about it from time to time only, on behalf of all its requests.
 func (c *call) requestTrial() reason {
 	g := c.gateway
-	f := c.requestFingerprint()
 	trial := g.cfg.Name + "/" + strconv.FormatInt(int64(g.started), 36) + "/" + strconv.FormatUint(g.trials.Add(1), 36)
 	giveUp := g.now() + min(trialWait, c.remaining()/3)
 	for {
-		result, err := g.askForTrial(c.ctx, control.FleetTrialRequest{
-			Process: g.cfg.Name, FleetTrial: control.FleetTrial{Fingerprint: f, Trial: trial},
-			Crashes: g.guard.CrashesOf(f), RemainingMS: c.remaining().Milliseconds(),
-		})
-		switch {
-		case err != nil:
-			c.cause = err
-			return quarantineDeferred
-		case result.Verdict == quarantine.Free:
-			g.guard.Forgive(f)
-			return noReason
-		case result.Verdict == quarantine.NeedsTrial:
-			c.trial = trial
-			return noReason
-		case !result.Busy:
-			c.refusedUntilMS = result.ExpiresMS
-			return endsUpstreams
+		if !c.judgement.Waits && g.questions.allow(g.now(), c.judgement.Parts, g.balancer.entryCount()) {
+			if why := c.askOnce(trial); why != trialRunning {
+				return why
+			}
 		}
 		if g.now() >= giveUp || c.ctx.Err() != nil {
 			return trialRunning
 		}
 		clock.Sleep(c.ctx, trialPollInterval)
-		if verdict, _ := g.guard.Decide(g.now(), time.Now().UnixMilli(), f); verdict == quarantine.Free {
-			return noReason
+		if why := c.judge(); why != trialNeeded {
+			return why
 		}
 	}
 }
 
+// askOnce asks for a trial of the request and all its parts. It returns trialRunning if the leader
+// may grant it later.
+func (c *call) askOnce(trial string) reason {
+	g := c.gateway
+	f := c.requestFingerprint()
+	result, err := g.askForTrial(c.ctx, control.FleetTrialRequest{
+		Process: g.cfg.Name, FleetTrial: control.FleetTrial{Fingerprint: f, Trial: trial}, Crashes: g.guard.CrashesOf(f),
+		Parts: c.partFingerprints(), PartCrashes: c.partCrashes(), RemainingMS: c.remaining().Milliseconds(),
+	})
+	switch {
+	case err != nil:
+		c.cause = err
+		return quarantineDeferred
+	case result.Verdict == quarantine.Free:
+		for _, f := range c.fingerprints() {
+			g.guard.Forgive(f)
+		}
+		return noReason
+	case result.Verdict == quarantine.NeedsTrial:
+		c.trial, c.sentBeforeTrial = trial, c.sent
+		return noReason
+	case !result.Busy:
+		c.refusedUntilMS = result.ExpiresMS
+		return endsUpstreams
+	}
+	return trialRunning
+}
+
+// partCrashes returns the crashes that this entry host has seen of the request's parts.
+func (c *call) partCrashes() map[view.Fingerprint][]quarantine.Crash {
+	seen := map[view.Fingerprint][]quarantine.Crash{}
+	for _, part := range c.partFingerprints() {
+		if crashes := c.gateway.guard.CrashesOf(part); crashes != nil {
+			seen[part] = crashes
+		}
+	}
+	return seen
+}
+
 // askForTrial asks the leading coordinator, and once more if another one leads. It does not wait
 // longer than trialWait, so that a request that cannot be served is refused soon.
 func (g *Gateway) askForTrial(ctx context.Context, req control.FleetTrialRequest) (control.FleetTrialResult, error) {
@@ -117,37 +152,49 @@
 		return
 	}
 	if !errors.Is(err, upstream.ErrNotSent) {
-		c.endTrial()
+		c.endTrial(errors.Is(err, errNotRun))
 	}
 }
 
-// accuse reports to the quarantine that an upstream broke off the request.
+// accuse reports that an upstream broke off the request or is silent: it accuses the request and the
+// parts of its prompt that have not completed lately.
 func (c *call) accuse(u *fleet.Upstream, state endState, trial string) {
-	g := c.gateway
+	g, f := c.gateway, c.requestFingerprint()
 	crash := quarantine.Crash{Upstream: u.ID, StartedMS: u.StartedMS, Assumed: state != upstreamEnded}
-	if g.guard.Crashed(g.now(), c.requestFingerprint(), crash) || trial != "" {
-		g.reporter.crashed(control.FleetCrashedRun{Fingerprint: c.requestFingerprint(), Crash: crash, Trial: trial})
+	run := control.FleetCrashedRun{Fingerprint: f, Crash: crash, Trial: trial}
+	counts := g.guard.Crashed(g.now(), f, crash)
+	crash.Request = f
+	for _, part := range c.partFingerprints() {
+		if g.guard.Crashed(g.now(), part, crash) {
+			run.Parts = append(run.Parts, part)
+		}
+	}
+	if counts || trial != "" {
+		g.reporter.crashed(run)
 	}
 }
 
 // settleRequest reports the end of the request to the quarantine. Only a run whose end was marked by
-// the upstream, or survived by it, shows that the request is harmless.
+// the upstream, or survived by it, shows that the request, and each part of its prompt, is harmless.
 func (c *call) settleRequest() {
 	g := c.gateway
 	if c.outcome == served && c.status < 300 && c.framed {
-		if g.guard.Completed(g.now(), c.requestFingerprint()) {
-			g.reporter.cleared(c.requestFingerprint())
-			c.trial = ""
+		onTrial := c.trial != ""
+		for _, f := range c.fingerprints() {
+			if g.guard.Completed(g.now(), f) || onTrial {
+				g.reporter.cleared(f)
+			}
 		}
 	}
-	c.endTrial()
+	c.endTrial(c.sent == c.sentBeforeTrial)
 }
 
-// endTrial reports that the trial, if there is one, ended without a verdict.
-func (c *call) endTrial() {
+// endTrial reports that the trial, if there is one, ended without a crash. notRun says that the
+// request reached no upstream or was not run there.
+func (c *call) endTrial(notRun bool) {
 	if c.trial == "" {
 		return
 	}
-	c.gateway.reporter.trialEnded(control.FleetTrial{Fingerprint: c.requestFingerprint(), Trial: c.trial})
+	c.gateway.reporter.trialEnded(control.FleetTrial{Fingerprint: c.requestFingerprint(), Trial: c.trial, NotRun: notRun})
 	c.trial = ""
 }
--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/view"
@@ -19,7 +20,7 @@
 	maxCrashes = 8
 )
 
-// Entry is a request under quarantine.
+// Entry is a request, or a part of prompts, under quarantine.
 type Entry struct {
 	Fingerprint   view.Fingerprint `json:"f"`
 	Crashes       []Crash          `json:"c"` // in the order of their report
@@ -28,23 +29,31 @@
 	TrialUntilMS  int64            `json:"tu,omitempty"` // the trial has ended by then, Unix milliseconds
 	Trials        int              `json:"n,omitempty"`  // granted since LimitedCrashes was reached
 	CrashedTrials int              `json:"x,omitempty"`
-	Convicted     bool             `json:"k,omitempty"`
+	Convicted     bool             `json:"k,omitempty"` // only of a request; see partConvicted
+
+	// The following are set for parts only.
+	SinceMS     int64              `json:"s,omitempty"`  // when it became a suspect, Unix milliseconds
+	LastTrialMS int64              `json:"lt,omitempty"` // when the last trial was granted, Unix milliseconds
+	With        []view.Fingerprint `json:"w,omitempty"`  // suspects, this one among them, that were part of each of its CrashedTrials
 }
 
 // ExpiresMS returns when the entry is forgotten, in Unix milliseconds.
 func (e *Entry) ExpiresMS() int64 {
 	ttl := SuspectTTL
-	if e.Convicted || len(e.Crashes) >= LimitedCrashes {
+	if e.Convicted || e.partConvicted() || len(e.Crashes) >= LimitedCrashes {
 		ttl = RefusedTTL
 	}
 	return e.LastCrashMS + ttl.Milliseconds()
 }
 
-// Refused reports whether the request must not run any more.
+// Refused reports whether the request, or any request with the part, must not run any more.
 func (e *Entry) Refused(nowMS int64) bool {
 	if nowMS >= e.ExpiresMS() {
 		return false
 	}
+	if e.isPart() {
+		return e.partConvicted() && nowMS < e.refusedUntilMS()
+	}
 	return e.Convicted || e.trialsSpent() && !e.trialRuns(nowMS)
 }
 
@@ -54,6 +63,14 @@
 
 func (e *Entry) trialRuns(nowMS int64) bool { return e.Trial != "" && nowMS < e.TrialUntilMS }
 
+// Holds reports whether the crashes would add nothing to the entry.
+func (e *Entry) Holds(crashes []Crash) bool {
+	return !slices.ContainsFunc(crashes, func(c Crash) bool {
+		_, adds := addCrash(e.Crashes, c)
+		return adds
+	})
+}
+
 // addCrashes adds crashes that are not known yet.
 func (e *Entry) addCrashes(nowMS int64, cs []Crash) {
 	for _, c := range cs {
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -27,8 +27,9 @@
 	MustRefuse Verdict = "refused" // do not run it
 )
 
-// Guard is an entry host's knowledge of requests under quarantine: the list in force, the crashes
-// that it has seen itself, and the requests that completed here. It is safe for concurrent use.
+// Guard is an entry host's knowledge of requests and parts of prompts under quarantine: the list in
+// force, the crashes that it has seen itself, and what completed here. Where it says request, the same
+// holds for parts. It is safe for concurrent use.
 type Guard struct {
 	mu       sync.Mutex
 	inForce  List
@@ -57,25 +58,62 @@
 	return len(g.inForce) > 0 || len(g.own) > 0
 }
 
-// Decide returns how to treat a request, and for MustRefuse when it will be forgotten, in Unix
-// milliseconds.
-func (g *Guard) Decide(now time.Duration, nowMS int64, f view.Fingerprint) (Verdict, int64) {
+// Judgement says how an entry host must treat a request, and why.
+type Judgement struct {
+	Verdict Verdict
+	// RetryAtMS is when a refused request may be tried again, Unix milliseconds; with MustRefuse.
+	RetryAtMS int64
+	// Parts are the suspect parts of the request; with NeedsTrial.
+	Parts []view.Fingerprint
+	// Waits is set if no trial is granted now, because another one runs or is due first; with
+	// NeedsTrial and Parts.
+	Waits bool
+}
+
+// Judge decides how to treat a request that holds these parts of a prompt.
+func (g *Guard) Judge(now time.Duration, nowMS int64, request view.Fingerprint, parts []view.Fingerprint) Judgement {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.completedLately(now, f) {
-		return Free, 0
+	j := Judgement{Verdict: Free}
+	parts = without(parts, func(f view.Fingerprint) bool { return g.completedLately(now, f) })
+	for _, f := range parts {
+		g.judgePart(now, nowMS, f, parts, &j)
+	}
+	if j.Verdict != MustRefuse && !g.completedLately(now, request) {
+		g.judgeRequest(now, nowMS, request, &j)
 	}
+	return j
+}
+
+func (g *Guard) judgePart(now time.Duration, nowMS int64, f view.Fingerprint, parts []view.Fingerprint, j *Judgement) {
 	e := g.inForce.Find(f)
 	switch {
 	case e != nil && e.Refused(nowMS):
-		return MustRefuse, e.ExpiresMS()
-	case e != nil:
-		return NeedsTrial, 0
+		j.Verdict = MustRefuse
+		j.RetryAtMS = max(j.RetryAtMS, e.refusedUntilMS())
+	case j.Verdict == MustRefuse:
+	case e != nil || g.suspects(now, f):
+		j.Verdict = NeedsTrial
+		j.Parts = append(j.Parts, f)
+		j.Waits = j.Waits || e != nil && e.partWaits(nowMS, parts)
 	}
-	if own := g.own[f]; own != nil && Suspicious(own.crashes) && now-own.lastAt < SuspectTTL {
-		return NeedsTrial, 0
+}
+
+func (g *Guard) judgeRequest(now time.Duration, nowMS int64, f view.Fingerprint, j *Judgement) {
+	e := g.inForce.Find(f)
+	switch {
+	case e != nil && e.Refused(nowMS):
+		j.Verdict, j.RetryAtMS = MustRefuse, e.refusedUntilMS()
+	case e != nil || g.suspects(now, f):
+		j.Verdict = NeedsTrial
+		j.Waits = j.Waits || len(j.Parts) > 0 // its crash could not be attributed
 	}
-	return Free, 0
+}
+
+// suspects reports whether the crashes seen here alone make a suspect.
+func (g *Guard) suspects(now time.Duration, f view.Fingerprint) bool {
+	own := g.own[f]
+	return own != nil && Suspicious(own.crashes) && now-own.lastAt < SuspectTTL
 }
 
 func (g *Guard) completedLately(now time.Duration, f view.Fingerprint) bool {
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -11,8 +11,7 @@
 const nowMS = 5000
 
 func decide(g *Guard, now time.Duration, f view.Fingerprint) Verdict {
-	v, _ := g.Decide(now, nowMS, f)
-	return v
+	return g.Judge(now, nowMS, f, nil).Verdict
 }
 
 func TestSecondCrashNeedsATrial(t *testing.T) {
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -10,8 +10,8 @@
 // maxEntries limits the entries of a list. The entry with the oldest crash makes room.
 const maxEntries = 256
 
-// List is the replicated state: all requests under quarantine, sorted by fingerprint. It is
-// read-only; Apply returns a new one.
+// List is the replicated state: all requests and parts under quarantine, sorted by fingerprint. It
+// is read-only; Apply returns a new one.
 type List []Entry
 
 // Find returns the entry of a request, or nil if there is none.
@@ -39,12 +39,12 @@
 			next = next.recordCrashes(c)
 		case GrantTrial:
 			err = next.grantTrial(c)
+		case CrashTrial:
+			next.crashTrial(c)
 		case EndTrial:
-			if e := next.Find(c.Fingerprint); e != nil && e.Trial == c.Trial {
-				e.Trial = ""
-			}
+			next.endTrial(c)
 		case Clear:
-			next = slices.DeleteFunc(next, func(e Entry) bool { return e.Fingerprint == c.Fingerprint })
+			next = next.clear(c.Fingerprint)
 		case Expire:
 			next = slices.DeleteFunc(next, func(e Entry) bool { return c.NowMS >= e.ExpiresMS() })
 		}
@@ -60,6 +60,9 @@
 			i, _ = l.search(c.Fingerprint)
 		}
 		l = slices.Insert(l, i, Entry{Fingerprint: c.Fingerprint})
+		if accusesPart(c.Crashes) {
+			l[i].SinceMS = c.NowMS
+		}
 	}
 	e := &l[i]
 	e.addCrashes(c.NowMS, c.Crashes)
@@ -74,29 +77,118 @@
 // convictingTrials is the number of trials with an assumed crash that convicts a request.
 const convictingTrials = 2
 
+// clear removes what is harmless, also from what explains crashes of others.
+func (l List) clear(f view.Fingerprint) List {
+	l = slices.DeleteFunc(l, func(e Entry) bool { return e.Fingerprint == f })
+	for i := range l {
+		if slices.Contains(l[i].With, f) {
+			l[i].With = without(l[i].With, func(w view.Fingerprint) bool { return w == f })
+		}
+	}
+	return l
+}
+
+// RetryAtMS returns when a request is not refused any more, in Unix milliseconds; 0 if it is not. fs
+// are its fingerprint and those of its parts.
+func (l List) RetryAtMS(nowMS int64, fs []view.Fingerprint) int64 {
+	at := int64(0)
+	for _, f := range fs {
+		if e := l.Find(f); e != nil && e.Refused(nowMS) {
+			at = max(at, e.refusedUntilMS())
+		}
+	}
+	return at
+}
+
+// OnTrial reports whether a trial is running.
+func (l List) OnTrial(trial string) bool {
+	return trial != "" && slices.ContainsFunc(l, func(e Entry) bool { return e.Trial == trial })
+}
+
+func (l List) endTrial(c Change) {
+	for i := range l {
+		if e := &l[i]; c.Trial != "" && e.Trial == c.Trial {
+			e.Trial = ""
+			if c.NotRun {
+				e.Trials = max(e.Trials-1, 0)
+			}
+		}
+	}
+}
+
+// crashTrial ends the trial of parts whose upstream ended. An end that is assumed only decides
+// nothing.
+func (l List) crashTrial(c Change) {
+	var suspects []view.Fingerprint
+	for i := range l {
+		if l[i].isPart() && l[i].Trial == c.Trial {
+			suspects = append(suspects, l[i].Fingerprint)
+		}
+	}
+	for _, f := range suspects {
+		e := l.Find(f)
+		e.Trial = ""
+		if c.Convict {
+			e.crashPartTrial(suspects)
+		}
+	}
+}
+
+// dropOldest removes the entry with the oldest crash, a convicted one only if there is no other.
 func (l List) dropOldest() List {
 	oldest := 0
 	for i := range l {
-		if l[i].LastCrashMS < l[oldest].LastCrashMS {
+		a, b := &l[i], &l[oldest]
+		kept := a.Convicted || a.partConvicted()
+		if oldestKept := b.Convicted || b.partConvicted(); kept != oldestKept {
+			if oldestKept {
+				oldest = i
+			}
+			continue
+		}
+		if a.LastCrashMS < b.LastCrashMS {
 			oldest = i
 		}
 	}
 	return slices.Delete(l, oldest, oldest+1)
 }
 
+// grantTrial grants a trial of all suspects of a request, or of none.
 func (l List) grantTrial(c Change) error {
-	e := l.Find(c.Fingerprint)
+	whole, parts := l.suspectsOf(c)
+	suspects := parts
+	if whole != nil {
+		suspects = append(slices.Clone(parts), whole)
+	}
 	switch {
-	case e == nil:
+	case len(suspects) == 0:
 		return ErrNotSuspect
-	case e.Trial == c.Trial && e.trialRuns(c.NowMS):
+	case !slices.ContainsFunc(suspects, func(e *Entry) bool { return e.Trial != c.Trial || !e.trialRuns(c.NowMS) }):
 		return nil // sent again
-	case e.Refused(c.NowMS):
+	case slices.ContainsFunc(suspects, func(e *Entry) bool { return e.Refused(c.NowMS) }):
 		return ErrRefused
-	case e.trialRuns(c.NowMS):
+	case whole != nil && len(parts) > 0: // the crash could not be attributed
+		return ErrTrialRunning
+	case slices.ContainsFunc(suspects, func(e *Entry) bool { return e.trialRuns(c.NowMS) }),
+		slices.ContainsFunc(parts, func(e *Entry) bool { return e.partWaits(c.NowMS, c.Parts) }):
 		return ErrTrialRunning
 	}
-	e.Trial, e.TrialUntilMS = c.Trial, c.UntilMS
-	e.Trials++
+	for _, e := range suspects {
+		if e.isPart() {
+			e.startPartTrial(c.NowMS)
+		}
+		e.Trial, e.TrialUntilMS = c.Trial, c.UntilMS
+		e.Trials++
+	}
 	return nil
 }
+
+// suspectsOf returns the entries of a request and of its parts.
+func (l List) suspectsOf(c Change) (whole *Entry, parts []*Entry) {
+	for _, f := range c.Parts {
+		if e := l.Find(f); e != nil {
+			parts = append(parts, e)
+		}
+	}
+	return l.Find(c.Fingerprint), parts
+}
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -15,7 +15,7 @@
 	clearanceTime = 5 * time.Second
 )
 
-// Tracker remembers which requests ran on upstreams that ended. It is not safe for concurrent use.
+// Tracker remembers which requests, and parts of prompts, ran on upstreams that ended. It is not safe for concurrent use.
 type Tracker struct {
 	requests map[view.Fingerprint]*trackedRequest
 }
