Attribute the end of an upstream in a trial to all that may have caused it

Change: a trial is about all parts of the request that have not completed lately, and these are suspects once it has crashed. Two trials on one upstream share its end. A part is convicted by trials of two different requests in which nothing else is left, not by what trials have in common; that only makes further ones wait. The verdict on a request falls if a convicted part was running on the same upstream. Ruled out: one trial in the deployment at a time, some seconds for each suspect. Conclusion: one end of an upstream is one fact, whoever was on trial.

--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -141,8 +141,8 @@
 	Process string `json:"process"`
 	FleetTrial
 	Crashes []quarantine.Crash `json:"crashes,omitempty"` // seen by this process
-	// Parts are the parts of the request's prompt. The trial is one of all suspects among these and
-	// the request; all are granted or none.
+	// Parts are the parts of the request's prompt that are not known to be harmless. The trial is one
+	// of all suspects among these and the request; all are granted or none.
 	Parts       []view.Fingerprint                      `json:"parts,omitempty"`
 	PartCrashes map[view.Fingerprint][]quarantine.Crash `json:"part_crashes,omitempty"` // seen by this process, by part
 	RemainingMS int64                                   `json:"left_ms"`                // until the request's deadline
--- a/pkg/coordinator/accusations.go
+++ b/pkg/coordinator/accusations.go
@@ -22,7 +22,7 @@
 	ended := run.Trial != "" && !run.Crash.Assumed
 	if known, suspect := a.known(now, t, run.Fingerprint, []quarantine.Crash{run.Crash}); suspect {
 		suspects = append(suspects, run.Fingerprint)
-		a.record(quarantine.Change{Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial, Convict: ended})
+		a.record(quarantine.Change{Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial, Convict: ended, TrialCrash: run.Crash})
 	}
 	crash := run.Crash
 	crash.Request = run.Fingerprint
@@ -32,7 +32,7 @@
 		}
 	}
 	if a.list.OnTrial(run.Trial) {
-		a.changes = append(a.changes, quarantine.Change{Kind: quarantine.CrashTrial, NowMS: a.nowMS, Trial: run.Trial, Convict: ended})
+		a.changes = append(a.changes, quarantine.Change{Kind: quarantine.CrashTrial, NowMS: a.nowMS, Fingerprint: run.Fingerprint, Crashes: []quarantine.Crash{crash}, Trial: run.Trial, Convict: ended})
 	}
 	return suspects
 }
--- a/pkg/entry/crashing_part_test.go
+++ b/pkg/entry/crashing_part_test.go
@@ -17,12 +17,14 @@
 type soundAttempt struct {
 	arrival
 	began bool // its answer began
+	whole bool // its answer is complete
 }
 
 // partPlay plays requests with a bad part among sound ones, no two alike, on a testFleet.
 type partPlay struct {
 	fleet     *testFleet
 	bad       string // ID of the bad part
+	long      bool   // answers of sound requests take two seconds
 	companion string // ID of a part that comes only with the bad one; empty if there is none
 	began     time.Time
 	mu        sync.Mutex
@@ -50,10 +52,13 @@
 	n := p.sent
 	p.work.Go(func() {
 		c := clientRequest{kind: "stream", body: fmt.Sprint("sound ", n), parts: p.soundParts(n)}
+		if p.long {
+			c.body = "long " + c.body
+		}
 		at, entry := time.Now(), p.fleet.randomEntry()
 		w := p.fleet.send(entry, c)
 		p.mu.Lock()
-		p.sound = append(p.sound, soundAttempt{arrival{at: at, upstream: p.fleet.entries[entry].name}, w.status == 200})
+		p.sound = append(p.sound, soundAttempt{arrival{at: at, upstream: p.fleet.entries[entry].name}, w.status == 200, w.status == 200 && !w.cut})
 		p.mu.Unlock()
 		if w.status != 200 {
 			time.Sleep(500 * time.Millisecond)
@@ -66,7 +71,7 @@
 	p.sent++
 	n := p.sent
 	p.work.Go(func() {
-		p.fleet.client(clientRequest{kind: "stream", body: fmt.Sprint("unsound ", n), parts: p.badParts(n)})
+		p.fleet.client(clientRequest{kind: "stream", body: fmt.Sprint("unsound ", p.bad, n), parts: p.badParts(n)})
 	})
 }
 
@@ -119,8 +124,11 @@
 		return
 	}
 	from := crashes[min(len(crashes), boundedCrash)-1].Add(2 * contactTime)
-	var before, after, beganBefore, beganAfter int
+	var before, after, beganBefore, beganAfter, cut int
 	for _, a := range p.sound {
+		if a.began && !a.whole {
+			cut++
+		}
 		switch {
 		case a.at.Before(p.began):
 			before++
@@ -134,7 +142,7 @@
 			}
 		}
 	}
-	f.t.Logf("sound requests: %d of %d began before, %d of %d afterwards", beganBefore, before, beganAfter, after)
+	f.t.Logf("sound requests: %d of %d began before, %d of %d afterwards; %d of %d cut", beganBefore, before, beganAfter, after, cut, len(p.sound))
 	if after < fewestCounted {
 		f.t.Errorf("only %d sound requests to judge by", after)
 	}
@@ -176,6 +184,7 @@
 		entries   int
 		warm      int // seconds of sound requests before the first bad one
 		companion string
+		long      bool
 		disturb   func(f *testFleet, second int)
 	}{
 		{name: "calm", entries: 4, warm: 5},
@@ -206,6 +215,8 @@
 		{name: "nothing completed before", entries: 4},
 		{name: "nothing completed before, many entry hosts", entries: 30},
 		{name: "75 entry hosts", entries: 75, warm: 5},
+		{name: "long answers", entries: 7, warm: 5, long: true},
+		{name: "long answers, nothing completed before", entries: 7, long: true},
 		{name: "with a rare sound part", entries: 4, warm: 5, companion: "dd"},
 		{name: "with a rare sound part, nothing completed before", entries: 4, companion: "dd"},
 	} {
@@ -213,7 +224,10 @@
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f := newTestFleet(t, 6, fleetSize{entries: c.entries, plain: 2, engines: 14})
-				p := &partPlay{fleet: f, bad: "bad0", companion: c.companion}
+				p := &partPlay{fleet: f, bad: "bad0", companion: c.companion, long: c.long}
+				if c.long {
+					f.prefill = 600 * time.Millisecond
+				}
 				p.play(c.warm, false, nil)
 				p.began = time.Now()
 				p.play(30, true, c.disturb)
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -54,14 +54,13 @@
 	senders  map[string]string // entry host by attempt
 	faults   []fault
 
+	prefill     time.Duration          // from the arrival of a request with a bad part until its answer begins
 	partCrashes map[string][]time.Time // ends of upstreams under a bad part, by its ID
 	partSends   map[string][]arrival   // runs of requests with a bad part, by its ID
 }
 
-const (
-	badPart    = "bad"
-	prefillFor = 120 * time.Millisecond // from the arrival of a request with a bad part until its answer begins
-)
+// badPart begins the ID of a part that ends upstreams.
+const badPart = "bad"
 
 // fault is a disturbance of a process.
 type fault struct {
@@ -101,7 +100,7 @@
 type fleetSize struct{ entries, plain, engines int }
 
 func newTestFleet(t *testing.T, seed uint64, size fleetSize) *testFleet {
-	f := &testFleet{t: t, network: memconn.New(time.Millisecond), rand: rand.New(rand.NewPCG(seed, 1)), senders: map[string]string{},
+	f := &testFleet{t: t, network: memconn.New(time.Millisecond), rand: rand.New(rand.NewPCG(seed, 1)), senders: map[string]string{}, prefill: 120 * time.Millisecond,
 		partCrashes: map[string][]time.Time{}, partSends: map[string][]arrival{}}
 	if *crashLog != "" {
 		out, err := os.Create(*crashLog)
@@ -376,7 +375,7 @@
 	f.mu.Lock()
 	f.partSends[part] = append(f.partSends[part], arrival{at: time.Now(), attempt: attempt, upstream: id})
 	f.mu.Unlock()
-	time.Sleep(prefillFor)
+	time.Sleep(f.prefill)
 	h.mu.Lock()
 	same := h.record.ID == id
 	h.mu.Unlock()
@@ -505,6 +504,9 @@
 		_ = streamFrom(10, 1, "s", func(net.Conn) { h.crash() })(c, r, attempt)
 		return false
 	}
+	if strings.HasPrefix(body, "long") {
+		return streamFrom(100, 100, "s", nil)(c, r, attempt)
+	}
 	return streamFrom(10, 10, "s", nil)(c, r, attempt)
 }
 
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -99,7 +99,7 @@
 	f := c.requestFingerprint()
 	result, err := g.askForTrial(c.ctx, control.FleetTrialRequest{
 		Process: g.cfg.Name, FleetTrial: control.FleetTrial{Fingerprint: f, Trial: trial}, Crashes: g.guard.CrashesOf(f),
-		Parts: c.partFingerprints(), PartCrashes: c.partCrashes(), RemainingMS: c.remaining().Milliseconds(),
+		Parts: c.judgement.Unproven, PartCrashes: c.partCrashes(), RemainingMS: c.remaining().Milliseconds(),
 	})
 	switch {
 	case err != nil:
@@ -123,7 +123,7 @@
 // partCrashes returns the crashes that this entry host has seen of the request's parts.
 func (c *call) partCrashes() map[view.Fingerprint][]quarantine.Crash {
 	seen := map[view.Fingerprint][]quarantine.Crash{}
-	for _, part := range c.partFingerprints() {
+	for _, part := range c.judgement.Unproven {
 		if crashes := c.gateway.guard.CrashesOf(part); crashes != nil {
 			seen[part] = crashes
 		}
--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -30,11 +30,13 @@
 	Trials        int              `json:"n,omitempty"`  // granted since LimitedCrashes was reached
 	CrashedTrials int              `json:"x,omitempty"`
 	Convicted     bool             `json:"k,omitempty"` // only of a request; see partConvicted
+	ConvictedBy   Crash            `json:"cb,omitzero"` // the end of an upstream in the last trial
 
 	// The following are set for parts only.
 	SinceMS     int64              `json:"s,omitempty"`  // when it became a suspect, Unix milliseconds
 	LastTrialMS int64              `json:"lt,omitempty"` // when the last trial was granted, Unix milliseconds
-	With        []view.Fingerprint `json:"w,omitempty"`  // suspects, this one among them, that were part of each of its CrashedTrials
+	TrialParts  []view.Fingerprint `json:"p,omitempty"`  // the parts that the running trial is about
+	CrashedIn   []CrashedTrial     `json:"w,omitempty"`  // the last crashed trials
 }
 
 // ExpiresMS returns when the entry is forgotten, in Unix milliseconds.
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -65,6 +65,8 @@
 	RetryAtMS int64
 	// Parts are the suspect parts of the request; with NeedsTrial.
 	Parts []view.Fingerprint
+	// Unproven are all parts of the request that did not complete here lately.
+	Unproven []view.Fingerprint
 	// Waits is set if no trial is granted now, because another one runs or is due first; with
 	// NeedsTrial and Parts.
 	Waits bool
@@ -75,9 +77,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	j := Judgement{Verdict: Free}
-	parts = without(parts, func(f view.Fingerprint) bool { return g.completedLately(now, f) })
 	for _, f := range parts {
-		g.judgePart(now, nowMS, f, parts, &j)
+		if !g.completedLately(now, f) {
+			j.Unproven = append(j.Unproven, f)
+			g.judgePart(now, nowMS, f, &j)
+		}
+	}
+	for _, f := range j.Parts {
+		e := g.inForce.Find(f)
+		j.Waits = j.Waits || e != nil && e.partWaits(nowMS, j.Parts)
 	}
 	if j.Verdict != MustRefuse && !g.completedLately(now, request) {
 		g.judgeRequest(now, nowMS, request, &j)
@@ -85,7 +93,7 @@
 	return j
 }
 
-func (g *Guard) judgePart(now time.Duration, nowMS int64, f view.Fingerprint, parts []view.Fingerprint, j *Judgement) {
+func (g *Guard) judgePart(now time.Duration, nowMS int64, f view.Fingerprint, j *Judgement) {
 	e := g.inForce.Find(f)
 	switch {
 	case e != nil && e.Refused(nowMS):
@@ -95,7 +103,6 @@
 	case e != nil || g.suspects(now, f):
 		j.Verdict = NeedsTrial
 		j.Parts = append(j.Parts, f)
-		j.Waits = j.Waits || e != nil && e.partWaits(nowMS, parts)
 	}
 }
 
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -40,7 +40,7 @@
 		case GrantTrial:
 			err = next.grantTrial(c)
 		case CrashTrial:
-			next.crashTrial(c)
+			next = next.crashTrial(c)
 		case EndTrial:
 			next.endTrial(c)
 		case Clear:
@@ -49,6 +49,7 @@
 			next = slices.DeleteFunc(next, func(e Entry) bool { return c.NowMS >= e.ExpiresMS() })
 		}
 	}
+	next.revise()
 	return next, err
 }
 
@@ -70,10 +71,30 @@
 		e.Trial = ""
 		e.CrashedTrials++
 		e.Convicted = e.Convicted || c.Convict || e.CrashedTrials >= convictingTrials
+		e.ConvictedBy = c.TrialCrash
 	}
 	return l
 }
 
+// revise takes back the verdict on a request whose upstream ended in a single trial if a convicted
+// part was running there too. A request that holds the part stays refused because of it.
+func (l List) revise() {
+	for i := range l {
+		e := &l[i]
+		if !e.Convicted || e.CrashedTrials >= convictingTrials || !l.explained(e.ConvictedBy) {
+			continue
+		}
+		e.Convicted = false
+		e.Trials = max(e.Trials-1, 0)
+	}
+}
+
+func (l List) explained(c Crash) bool {
+	return c.Upstream != "" && slices.ContainsFunc(l, func(e Entry) bool {
+		return e.partConvicted() && slices.ContainsFunc(e.Crashes, c.sameIncarnation)
+	})
+}
+
 // convictingTrials is the number of trials with an assumed crash that convicts a request.
 const convictingTrials = 2
 
@@ -81,9 +102,7 @@
 func (l List) clear(f view.Fingerprint) List {
 	l = slices.DeleteFunc(l, func(e Entry) bool { return e.Fingerprint == f })
 	for i := range l {
-		if slices.Contains(l[i].With, f) {
-			l[i].With = without(l[i].With, func(w view.Fingerprint) bool { return w == f })
-		}
+		l[i].acquit(f)
 	}
 	return l
 }
@@ -108,7 +127,7 @@
 func (l List) endTrial(c Change) {
 	for i := range l {
 		if e := &l[i]; c.Trial != "" && e.Trial == c.Trial {
-			e.Trial = ""
+			e.Trial, e.TrialParts = "", nil
 			if c.NotRun {
 				e.Trials = max(e.Trials-1, 0)
 			}
@@ -116,22 +135,42 @@
 	}
 }
 
-// crashTrial ends the trial of parts whose upstream ended. An end that is assumed only decides
-// nothing.
-func (l List) crashTrial(c Change) {
-	var suspects []view.Fingerprint
+// crashTrial ends the trial of parts whose upstream ended. If that is known, all parts that the trial
+// was about are suspects from then on: any of them may be the cause. An end that is assumed only
+// decides nothing.
+func (l List) crashTrial(c Change) List {
+	var about []view.Fingerprint
 	for i := range l {
-		if l[i].isPart() && l[i].Trial == c.Trial {
-			suspects = append(suspects, l[i].Fingerprint)
+		if e := &l[i]; e.isPart() && e.Trial == c.Trial {
+			about = e.TrialParts
+			e.Trial, e.TrialParts = "", nil
+			if c.Convict {
+				e.Trials = max(e.Trials-1, 0) // CrashedTrials counts it
+			}
 		}
 	}
-	for _, f := range suspects {
-		e := l.Find(f)
-		e.Trial = ""
-		if c.Convict {
-			e.crashPartTrial(suspects)
+	if !c.Convict || len(about) == 0 || len(c.Crashes) == 0 {
+		return l
+	}
+	t := l.joinTrials(CrashedTrial{Upstream: c.Crashes[0].Upstream, StartedMS: c.Crashes[0].StartedMS, Request: c.Fingerprint, Parts: about})
+	for _, f := range t.Parts {
+		l = l.recordCrashes(Change{NowMS: c.NowMS, Fingerprint: f, Crashes: c.Crashes})
+		l.Find(f).crashPartTrial(t)
+	}
+	return l
+}
+
+// joinTrials adds to a crashed trial the parts of other trials that ran on the same upstream: each
+// of them may have ended it.
+func (l List) joinTrials(t CrashedTrial) CrashedTrial {
+	for i := range l {
+		for _, other := range l[i].CrashedIn {
+			if t.sameIncarnation(other) {
+				t = t.join(other)
+			}
 		}
 	}
+	return t
 }
 
 // dropOldest removes the entry with the oldest crash, a convicted one only if there is no other.
@@ -157,6 +196,10 @@
 func (l List) grantTrial(c Change) error {
 	whole, parts := l.suspectsOf(c)
 	suspects := parts
+	var suspectParts []view.Fingerprint
+	for _, e := range parts {
+		suspectParts = append(suspectParts, e.Fingerprint)
+	}
 	if whole != nil {
 		suspects = append(slices.Clone(parts), whole)
 	}
@@ -170,12 +213,13 @@
 	case whole != nil && len(parts) > 0: // the crash could not be attributed
 		return ErrTrialRunning
 	case slices.ContainsFunc(suspects, func(e *Entry) bool { return e.trialRuns(c.NowMS) }),
-		slices.ContainsFunc(parts, func(e *Entry) bool { return e.partWaits(c.NowMS, c.Parts) }):
+		slices.ContainsFunc(parts, func(e *Entry) bool { return e.partWaits(c.NowMS, suspectParts) }):
 		return ErrTrialRunning
 	}
 	for _, e := range suspects {
 		if e.isPart() {
 			e.startPartTrial(c.NowMS)
+			e.TrialParts = c.Parts
 		}
 		e.Trial, e.TrialUntilMS = c.Trial, c.UntilMS
 		e.Trials++
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -12,18 +12,35 @@
 	// suspects that are running by then, and may end the upstream of the trial, have ended.
 	partTrialDelay = time.Second
 	// undecidedPause is how long after its last trial a part whose trials decided nothing gets
-	// further ones.
+	// further ones. It grows pauseGrowth times with each further trial that ended its upstream.
 	undecidedPause = 10 * time.Second
-	// convictedPause is the same for a convicted part, and for parts that ended upstreams together
-	// in more than convictingTrials: a wrong verdict must not last.
+	pauseGrowth    = 4
+	// convictedPause is the same for a convicted part, so that a wrong verdict does not last, and
+	// the limit of the other pause.
 	convictedPause = 10 * time.Minute
+	// maxCrashedIn limits the crashed trials that are kept of a part.
+	maxCrashedIn = 4
 )
 
 func (e *Entry) isPart() bool { return accusesPart(e.Crashes) }
 
-// partConvicted reports whether upstreams ended in enough trials of which this part is the only
-// common suspect.
-func (e *Entry) partConvicted() bool { return e.CrashedTrials >= convictingTrials && len(e.With) == 1 }
+// partConvicted reports whether upstreams ended in enough trials of which this part is the only one
+// left that may have ended them.
+func (e *Entry) partConvicted() bool {
+	return e.crashedTrialsWithin([]view.Fingerprint{e.Fingerprint}) >= convictingTrials
+}
+
+// crashedTrialsWithin returns under how many requests a trial crashed of which all parts left are
+// among these.
+func (e *Entry) crashedTrialsWithin(parts []view.Fingerprint) int {
+	var requests []view.Fingerprint
+	for _, t := range e.CrashedIn {
+		if contains(parts, t.Parts) && !slices.Contains(requests, t.Request) {
+			requests = append(requests, t.Request)
+		}
+	}
+	return len(requests)
+}
 
 // refusedUntilMS returns when a refused request may try again, in Unix milliseconds.
 func (e *Entry) refusedUntilMS() int64 {
@@ -33,8 +50,9 @@
 	return e.ExpiresMS()
 }
 
-// partWaits reports whether a request with these parts gets no trial now, because of this one.
-func (e *Entry) partWaits(nowMS int64, parts []view.Fingerprint) bool {
+// partWaits reports whether a trial of these suspects, of which this part is one, must wait because
+// of it.
+func (e *Entry) partWaits(nowMS int64, suspects []view.Fingerprint) bool {
 	if nowMS >= e.ExpiresMS() {
 		return false
 	}
@@ -44,17 +62,33 @@
 		return true
 	case e.Trials >= MaxTrials && since < undecidedPause.Milliseconds():
 		return true
-	case e.CrashedTrials < convictingTrials || !e.explainedWithin(parts):
+	}
+	return e.wouldCrash(suspects) && since < e.crashedPause().Milliseconds()
+}
+
+// wouldCrash reports whether earlier trials predict that a trial of these suspects ends its upstream:
+// the suspects that all of them had in common are among these. The common ones by themselves are
+// tried, unless a trial of no others has crashed: two parts that crash may have them in common.
+func (e *Entry) wouldCrash(suspects []view.Fingerprint) bool {
+	if len(e.CrashedIn) < convictingTrials {
 		return false
-	case e.CrashedTrials == convictingTrials && len(e.With) > 1:
-		return since < undecidedPause.Milliseconds()
 	}
-	return since < convictedPause.Milliseconds()
+	common := e.CrashedIn[0].Parts
+	for _, t := range e.CrashedIn[1:] {
+		common = without(common, func(f view.Fingerprint) bool { return !slices.Contains(t.Parts, f) })
+	}
+	if !contains(suspects, common) {
+		return e.crashedTrialsWithin(suspects) >= convictingTrials
+	}
+	return !contains(common, suspects) || e.crashedTrialsWithin(suspects) > 0
 }
 
-// explainedWithin reports whether all suspects that were part of each crashed trial are among parts.
-func (e *Entry) explainedWithin(parts []view.Fingerprint) bool {
-	return !slices.ContainsFunc(e.With, func(f view.Fingerprint) bool { return !slices.Contains(parts, f) })
+func (e *Entry) crashedPause() time.Duration {
+	pause := undecidedPause
+	for n := convictingTrials; n < e.CrashedTrials && pause < convictedPause; n++ {
+		pause *= pauseGrowth
+	}
+	return min(pause, convictedPause)
 }
 
 // startPartTrial records a granted trial.
@@ -65,15 +99,33 @@
 	e.LastTrialMS = nowMS
 }
 
-// crashPartTrial records that the upstream of a trial of these suspects is known to have ended.
-func (e *Entry) crashPartTrial(suspects []view.Fingerprint) {
-	e.Trials = max(e.Trials-1, 0) // CrashedTrials counts it
-	e.CrashedTrials++
-	if e.CrashedTrials == 1 {
-		e.With = suspects
+// crashPartTrial records that the upstream of a trial of this part is known to have ended.
+func (e *Entry) crashPartTrial(t CrashedTrial) {
+	next := slices.Clone(e.CrashedIn)
+	if i := slices.IndexFunc(next, t.sameIncarnation); i >= 0 {
+		next[i] = next[i].join(t)
+	} else {
+		e.CrashedTrials++
+		next = append(next, t)
+	}
+	e.CrashedIn = next[max(len(next)-maxCrashedIn, 0):]
+}
+
+// acquit removes a harmless part from the crashed trials.
+func (e *Entry) acquit(f view.Fingerprint) {
+	if len(e.CrashedIn) == 0 {
 		return
 	}
-	e.With = without(e.With, func(f view.Fingerprint) bool { return !slices.Contains(suspects, f) })
+	rest := slices.Clone(e.CrashedIn)
+	for i := range rest {
+		rest[i].Parts = without(rest[i].Parts, func(p view.Fingerprint) bool { return p == f })
+	}
+	e.CrashedIn = rest
+}
+
+// contains reports whether all of some fingerprints are among fs.
+func contains(fs, some []view.Fingerprint) bool {
+	return !slices.ContainsFunc(some, func(f view.Fingerprint) bool { return !slices.Contains(fs, f) })
 }
 
 // without returns the fingerprints that are not dropped, in a new slice.
