--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -23,7 +23,30 @@
 	if err != nil || len(changes) == 0 {
 		return struct{}{}, err
 	}
-	return struct{}{}, c.toRPCError(c.propose(ctx, durable.Command{Quarantine: changes}))
+	before := c.quarantineList()
+	err = c.propose(ctx, durable.Command{Quarantine: changes})
+	c.logConvictions(before, c.quarantineList())
+	return struct{}{}, c.toRPCError(err)
+}
+
+func (c *Coordinator) quarantineList() quarantine.List {
+	r := c.replica.Load()
+	if r == nil {
+		return nil
+	}
+	st, _ := r.store.State()
+	return st.Quarantine
+}
+
+// logConvictions logs what is refused in the second list only.
+func (c *Coordinator) logConvictions(before, after quarantine.List) {
+	nowMS := time.Now().UnixMilli()
+	for i := range after {
+		e := &after[i]
+		if b := before.Find(e.Fingerprint); e.Refused(nowMS) && (b == nil || !b.Refused(nowMS)) {
+			c.cfg.Logger.Warn("refused from now on, it ends upstreams", "fingerprint", e.Fingerprint, "part", e.IsPart(), "crashes", len(e.Crashes), "crashed_trials", e.CrashedTrials)
+		}
+	}
 }
 
 func (c *Coordinator) changesOfRuns(req control.FleetRunsRequest) ([]quarantine.Change, error) {
@@ -83,7 +106,7 @@
 		return control.FleetTrialResult{}, c.toRPCError(err)
 	}
 	c.metrics.Trials.WithLabelValues(trialOutcome(result)).Inc()
-	c.cfg.Logger.Info("trial of a suspect requested", "fingerprint", req.Fingerprint, "trial", req.Trial, "process_name", req.Process, "outcome", trialOutcome(result))
+	c.cfg.Logger.Info("trial of a suspect requested", "fingerprint", req.Fingerprint, "parts", req.Parts, "trial", req.Trial, "process_name", req.Process, "outcome", trialOutcome(result))
 	return result, nil
 }
 
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -4,11 +4,19 @@
 // run in between makes it a suspect. Where an upstream only broke off or fell silent, the fourth
 // does.
 //
-// A suspect runs in trials only. A trial is granted by the leading coordinator through the
-// replicated log, one at a time for each suspect, and at most MaxTrials once the suspect has ended
-// three upstreams. The end of the upstream in a trial convicts the request; an end that is assumed
-// only, the second time. A completed run, in a trial or not, shows that the request is harmless and
-// clears it.
+// Not only a request may be the cause, also a part of prompts that many requests hold. A crash
+// accuses the request and each of these parts; a part is a suspect once upstreams ended under two
+// different requests with it.
+//
+// Suspects run in trials only. A trial is granted by the leading coordinator through the replicated
+// log, for all suspects of a request together and one at a time for each of them. A completed run,
+// in a trial or not, shows that the request and all parts of its prompt are harmless and clears them.
+//
+// A request under suspicion gets at most MaxTrials once it has ended three upstreams. The end of the
+// upstream in a trial convicts it; an end that is assumed only, the second time. A part is convicted
+// by two trials, of different requests, that ended their upstreams and in which every other part has
+// turned out harmless since. Trials on one upstream share its end. A verdict on a request that a
+// convicted part explains is taken back.
 //
 // List is the replicated state, Tracker the leader's memory of upstreams that ended, and Guard the
 // part of an entry host. All are free of I/O; times come in as arguments.
--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -53,7 +53,7 @@
 	if nowMS >= e.ExpiresMS() {
 		return false
 	}
-	if e.isPart() {
+	if e.IsPart() {
 		return e.partConvicted() && nowMS < e.refusedUntilMS()
 	}
 	return e.Convicted || e.trialsSpent() && !e.trialRuns(nowMS)
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -141,7 +141,7 @@
 func (l List) crashTrial(c Change) List {
 	var about []view.Fingerprint
 	for i := range l {
-		if e := &l[i]; e.isPart() && e.Trial == c.Trial {
+		if e := &l[i]; e.IsPart() && e.Trial == c.Trial {
 			about = e.TrialParts
 			e.Trial, e.TrialParts = "", nil
 			if c.Convict {
@@ -217,7 +217,7 @@
 		return ErrTrialRunning
 	}
 	for _, e := range suspects {
-		if e.isPart() {
+		if e.IsPart() {
 			e.startPartTrial(c.NowMS)
 			e.TrialParts = c.Parts
 		}
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -22,7 +22,8 @@
 	maxCrashedIn = 4
 )
 
-func (e *Entry) isPart() bool { return accusesPart(e.Crashes) }
+// IsPart reports whether the entry is about a part of prompts.
+func (e *Entry) IsPart() bool { return accusesPart(e.Crashes) }
 
 // partConvicted reports whether upstreams ended in enough trials of which this part is the only one
 // left that may have ended them.
@@ -44,7 +45,7 @@
 
 // refusedUntilMS returns when a refused request may try again, in Unix milliseconds.
 func (e *Entry) refusedUntilMS() int64 {
-	if e.isPart() {
+	if e.IsPart() {
 		return min(e.ExpiresMS(), e.LastTrialMS+convictedPause.Milliseconds())
 	}
 	return e.ExpiresMS()
