Let suspects that ran beside a trial explain its end, and try a request once

Change: each crashed trial is explained by all suspect parts known to have run on its upstream, also if they become suspects later. A request that crashed a trial of a part gets no second one. Ruled out: a pause after any crash, which would hold back trials while upstreams end for other reasons.

--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -85,7 +85,7 @@
 	}
 	for _, f := range j.Parts {
 		e := g.inForce.Find(f)
-		j.Waits = j.Waits || e != nil && e.partWaits(nowMS, j.Parts)
+		j.Waits = j.Waits || e != nil && e.partWaits(nowMS, request, j.Parts)
 	}
 	if j.Verdict != MustRefuse && !g.completedLately(now, request) {
 		g.judgeRequest(now, nowMS, request, &j)
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -67,6 +67,11 @@
 	}
 	e := &l[i]
 	e.addCrashes(c.NowMS, c.Crashes)
+	if e.IsPart() {
+		for _, end := range c.Crashes {
+			l.joinExplanations(end)
+		}
+	}
 	if c.Trial != "" && e.Trial == c.Trial {
 		e.Trial = ""
 		e.CrashedTrials++
@@ -152,25 +157,31 @@
 	if !c.Convict || len(about) == 0 || len(c.Crashes) == 0 {
 		return l
 	}
-	t := l.joinTrials(CrashedTrial{Upstream: c.Crashes[0].Upstream, StartedMS: c.Crashes[0].StartedMS, Request: c.Fingerprint, Parts: about})
-	for _, f := range t.Parts {
+	end := c.Crashes[0]
+	t := CrashedTrial{Upstream: end.Upstream, StartedMS: end.StartedMS, Request: c.Fingerprint, Parts: about}
+	for _, f := range about {
 		l = l.recordCrashes(Change{NowMS: c.NowMS, Fingerprint: f, Crashes: c.Crashes})
 		l.Find(f).crashPartTrial(t)
 	}
+	l.joinExplanations(end)
 	return l
 }
 
-// joinTrials adds to a crashed trial the parts of other trials that ran on the same upstream: each
-// of them may have ended it.
-func (l List) joinTrials(t CrashedTrial) CrashedTrial {
+// joinExplanations makes all parts that were running when an upstream ended explain each crashed
+// trial that it was.
+func (l List) joinExplanations(end Crash) {
+	if !slices.ContainsFunc(l, func(e Entry) bool { return slices.ContainsFunc(e.CrashedIn, end.wasTrial) }) {
+		return
+	}
+	var running []view.Fingerprint
 	for i := range l {
-		for _, other := range l[i].CrashedIn {
-			if t.sameIncarnation(other) {
-				t = t.join(other)
-			}
+		if e := &l[i]; e.IsPart() && (slices.ContainsFunc(e.CrashedIn, end.wasTrial) || slices.ContainsFunc(e.Crashes, end.sameIncarnation)) {
+			running = append(running, e.Fingerprint)
 		}
 	}
-	return t
+	for i := range l {
+		l[i].explainBy(end, running)
+	}
 }
 
 // dropOldest removes the entry with the oldest crash, a convicted one only if there is no other.
@@ -213,7 +224,7 @@
 	case whole != nil && len(parts) > 0: // the crash could not be attributed
 		return ErrTrialRunning
 	case slices.ContainsFunc(suspects, func(e *Entry) bool { return e.trialRuns(c.NowMS) }),
-		slices.ContainsFunc(parts, func(e *Entry) bool { return e.partWaits(c.NowMS, suspectParts) }):
+		slices.ContainsFunc(parts, func(e *Entry) bool { return e.partWaits(c.NowMS, c.Fingerprint, suspectParts) }):
 		return ErrTrialRunning
 	}
 	for _, e := range suspects {
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -52,8 +52,8 @@
 }
 
 // partWaits reports whether a trial of these suspects, of which this part is one, must wait because
-// of it.
-func (e *Entry) partWaits(nowMS int64, suspects []view.Fingerprint) bool {
+// of it. A second trial with the same request would prove nothing.
+func (e *Entry) partWaits(nowMS int64, request view.Fingerprint, suspects []view.Fingerprint) bool {
 	if nowMS >= e.ExpiresMS() {
 		return false
 	}
@@ -61,6 +61,8 @@
 	switch {
 	case nowMS < e.SinceMS+partTrialDelay.Milliseconds(), e.trialRuns(nowMS):
 		return true
+	case slices.ContainsFunc(e.CrashedIn, func(t CrashedTrial) bool { return t.Request == request }):
+		return true
 	case e.Trials >= MaxTrials && since < undecidedPause.Milliseconds():
 		return true
 	}
@@ -102,13 +104,13 @@
 
 // crashPartTrial records that the upstream of a trial of this part is known to have ended.
 func (e *Entry) crashPartTrial(t CrashedTrial) {
-	next := slices.Clone(e.CrashedIn)
-	if i := slices.IndexFunc(next, t.sameIncarnation); i >= 0 {
-		next[i] = next[i].join(t)
-	} else {
-		e.CrashedTrials++
-		next = append(next, t)
+	end := Crash{Upstream: t.Upstream, StartedMS: t.StartedMS}
+	if slices.ContainsFunc(e.CrashedIn, end.wasTrial) {
+		e.explainBy(end, t.Parts)
+		return
 	}
+	e.CrashedTrials++
+	next := append(slices.Clone(e.CrashedIn), t)
 	e.CrashedIn = next[max(len(next)-maxCrashedIn, 0):]
 }
 
