Try a wrongly convicted part again after a minute

Change: the first further trial of a convicted part comes after 1 min, then four times as long each time, at most 10 min. Ruled out: convicted requests as an explanation of a part's trial (tried): of a request and a part that end one upstream each would free the other. Figures: go test ./pkg/quarantine -rapid.checks=3000: ok. Conclusion: two upstreams that end by chance cost a cold part a minute.

--- a/pkg/quarantine/crashed_trial.go
+++ b/pkg/quarantine/crashed_trial.go
@@ -14,7 +14,7 @@
 	Upstream  string             `json:"u"`
 	StartedMS int64              `json:"b"`
 	Request   view.Fingerprint   `json:"r"`
-	Parts     []view.Fingerprint `json:"p"` // that may have ended it: those of the trial, and suspects that ran beside it, that are not known to be harmless
+	Parts     []view.Fingerprint `json:"p"` // that may have ended it: those of the trial and suspects beside it, not known to be harmless
 }
 
 // wasTrial reports whether the end of an upstream is that of a trial.
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -67,17 +67,17 @@
 	}
 	e := &l[i]
 	e.addCrashes(c.NowMS, c.Crashes)
-	if e.IsPart() {
-		for _, end := range c.Crashes {
-			l.joinExplanations(end)
-		}
-	}
 	if c.Trial != "" && e.Trial == c.Trial {
 		e.Trial = ""
 		e.CrashedTrials++
 		e.Convicted = e.Convicted || c.Convict || e.CrashedTrials >= convictingTrials
 		e.ConvictedBy = c.TrialCrash
 	}
+	if e.IsPart() {
+		for _, end := range e.Crashes {
+			l.joinExplanations(end)
+		}
+	}
 	return l
 }
 
@@ -167,8 +167,8 @@
 	return l
 }
 
-// joinExplanations makes all parts that were running when an upstream ended explain each crashed
-// trial that it was.
+// joinExplanations makes all suspect parts that were running when an upstream ended explain each
+// crashed trial that it was.
 func (l List) joinExplanations(end Crash) {
 	if !slices.ContainsFunc(l, func(e Entry) bool { return slices.ContainsFunc(e.CrashedIn, end.wasTrial) }) {
 		return
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -12,12 +12,13 @@
 	// suspects that are running by then, and may end the upstream of the trial, have ended.
 	partTrialDelay = time.Second
 	// undecidedPause is how long after its last trial a part whose trials decided nothing gets
-	// further ones. It grows pauseGrowth times with each further trial that ended its upstream.
+	// further ones, and convictedPause the same for a convicted part: a wrong verdict must not last.
+	// Each further trial that ends its upstream makes the pause pauseGrowth times longer, up to
+	// maxPause.
 	undecidedPause = 10 * time.Second
+	convictedPause = time.Minute
 	pauseGrowth    = 4
-	// convictedPause is the same for a convicted part, so that a wrong verdict does not last, and
-	// the limit of the other pause.
-	convictedPause = 10 * time.Minute
+	maxPause       = 10 * time.Minute
 	// maxCrashedIn limits the crashed trials that are kept of a part.
 	maxCrashedIn = 4
 )
@@ -46,7 +47,7 @@
 // refusedUntilMS returns when a refused request may try again, in Unix milliseconds.
 func (e *Entry) refusedUntilMS() int64 {
 	if e.IsPart() {
-		return min(e.ExpiresMS(), e.LastTrialMS+convictedPause.Milliseconds())
+		return min(e.ExpiresMS(), e.LastTrialMS+e.crashedPause().Milliseconds())
 	}
 	return e.ExpiresMS()
 }
@@ -88,10 +89,13 @@
 
 func (e *Entry) crashedPause() time.Duration {
 	pause := undecidedPause
-	for n := convictingTrials; n < e.CrashedTrials && pause < convictedPause; n++ {
+	if e.partConvicted() {
+		pause = convictedPause
+	}
+	for n := convictingTrials; n < e.CrashedTrials && pause < maxPause; n++ {
 		pause *= pauseGrowth
 	}
-	return min(pause, convictedPause)
+	return min(pause, maxPause)
 }
 
 // startPartTrial records a granted trial.
