Give sound requests a trial beside two parts that crash

A sound request held what the trials had in common and one suspect more, so it waited, the bad ones took the next trial, and no request of the route began any more (0 of 99). Change: a trial of fewer suspects than any that crashed is granted. Ruled out: not waiting for what is in common at all: a bad part in changing company would get a trial each time. Conclusion: what was never tried is tried.

--- a/pkg/quarantine/crashed_trial.go
+++ b/pkg/quarantine/crashed_trial.go
@@ -14,9 +14,13 @@
 	Upstream  string             `json:"u"`
 	StartedMS int64              `json:"b"`
 	Request   view.Fingerprint   `json:"r"`
+	Tried     int                `json:"n"` // number of parts that the trial was about
 	Parts     []view.Fingerprint `json:"p"` // that may have ended it: those of the trial and suspects beside it, not known to be harmless
 }
 
+// suspects returns how many parts of the trial itself are left that may have ended its upstream.
+func (t CrashedTrial) suspects() int { return min(t.Tried, len(t.Parts)) }
+
 // wasTrial reports whether the end of an upstream is that of a trial.
 func (c Crash) wasTrial(t CrashedTrial) bool {
 	return c.Upstream == t.Upstream && c.StartedMS == t.StartedMS
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -158,7 +158,7 @@
 		return l
 	}
 	end := c.Crashes[0]
-	t := CrashedTrial{Upstream: end.Upstream, StartedMS: end.StartedMS, Request: c.Fingerprint, Parts: about}
+	t := CrashedTrial{Upstream: end.Upstream, StartedMS: end.StartedMS, Request: c.Fingerprint, Tried: len(about), Parts: about}
 	for _, f := range about {
 		l = l.recordCrashes(Change{NowMS: c.NowMS, Fingerprint: f, Crashes: c.Crashes})
 		l.Find(f).crashPartTrial(t)
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -71,20 +71,20 @@
 }
 
 // wouldCrash reports whether earlier trials predict that a trial of these suspects ends its upstream:
-// the suspects that all of them had in common are among these. The common ones by themselves are
-// tried, unless a trial of no others has crashed: two parts that crash may have them in common.
+// two of them were of no others, or the suspects that all of them had in common are among these, and
+// these are not fewer than in each of them. Fewer are worth a trial, since parts that two crashing ones
+// come with are in common too.
 func (e *Entry) wouldCrash(suspects []view.Fingerprint) bool {
 	if len(e.CrashedIn) < convictingTrials {
 		return false
 	}
-	common := e.CrashedIn[0].Parts
+	within := e.crashedTrialsWithin(suspects)
+	common, fewest := e.CrashedIn[0].Parts, e.CrashedIn[0].suspects()
 	for _, t := range e.CrashedIn[1:] {
 		common = without(common, func(f view.Fingerprint) bool { return !slices.Contains(t.Parts, f) })
+		fewest = min(fewest, t.suspects())
 	}
-	if !contains(suspects, common) {
-		return e.crashedTrialsWithin(suspects) >= convictingTrials
-	}
-	return !contains(common, suspects) || e.crashedTrialsWithin(suspects) > 0
+	return within >= convictingTrials || contains(suspects, common) && (within > 0 || len(suspects) >= fewest)
 }
 
 func (e *Entry) crashedPause() time.Duration {
--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -128,6 +128,18 @@
 	mustApply(t, l, grantParts("c", 4000, "r5", "sound"))
 }
 
+// TestSoundRequestsGetATrialBesideTwoCrashingParts: everything is a suspect, and what is sound is in
+// each crashed trial.
+func TestSoundRequestsGetATrialBesideTwoCrashingParts(t *testing.T) {
+	l := accuse(t, "first", "second", "a", "b", "x", "y")
+	l = mustApply(t, l, grantParts("t0", 2000, "r3", "first", "second", "x", "a"), crashIn("t0", 2100, 10, "r3"))
+	l = mustApply(t, l, grantParts("t1", 3000, "r4", "first", "second", "y", "b"), crashIn("t1", 3100, 11, "r4"))
+	if _, err := l.Apply([]Change{grantParts("t2", 4000, "r5", "first", "second", "x", "b")}); !eris.Is(err, ErrTrialRunning) {
+		t.Errorf("third trial with a crashing part: %v", err)
+	}
+	mustApply(t, l, grantParts("t3", 4000, "r6", "first", "second", "b"))
+}
+
 func TestPartThatWasNoSuspectMayExplainACrashedTrial(t *testing.T) {
 	l := accuse(t, "sound")
 	for i, request := range (fs{"r3", "r4"}) {
