Try parts that crashed a trial one at a time, and constant companions seldom

Trials of two bad parts ended the same upstreams together, which decides nothing, so each got further ones; and a bad part with a constant companion got a third trial after 10 s. Change: a part that crashed a trial is tried only while no other such part is on trial. Parts of which two trials of no others crashed wait 1 min, like a convicted one. The test of trials that share an end plays its further trials one after the other, since two at once are not granted any more; it now also checks that neither part is convicted by its second end. Ruled out: one trial at a time from the start, some seconds for each harmless suspect.

--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -224,7 +224,8 @@
 	case whole != nil && len(parts) > 0: // the crash could not be attributed
 		return ErrTrialRunning
 	case slices.ContainsFunc(suspects, func(e *Entry) bool { return e.trialRuns(c.NowMS) }),
-		slices.ContainsFunc(parts, func(e *Entry) bool { return e.partWaits(c.NowMS, c.Fingerprint, suspectParts) }):
+		slices.ContainsFunc(parts, func(e *Entry) bool { return e.partWaits(c.NowMS, c.Fingerprint, suspectParts) }),
+		slices.ContainsFunc(parts, func(e *Entry) bool { return len(e.CrashedIn) > 0 }) && l.crashedPartRuns(c.NowMS):
 		return ErrTrialRunning
 	}
 	for _, e := range suspects {
@@ -238,6 +239,12 @@
 	return nil
 }
 
+// crashedPartRuns reports whether a part that crashed a trial is on trial again. Two of them at a time
+// could end one upstream, which decides nothing.
+func (l List) crashedPartRuns(nowMS int64) bool {
+	return slices.ContainsFunc(l, func(e Entry) bool { return len(e.CrashedIn) > 0 && e.trialRuns(nowMS) })
+}
+
 // suspectsOf returns the entries of a request and of its parts.
 func (l List) suspectsOf(c Change) (whole *Entry, parts []*Entry) {
 	for _, f := range c.Parts {
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -12,7 +12,8 @@
 	// suspects that are running by then, and may end the upstream of the trial, have ended.
 	partTrialDelay = time.Second
 	// undecidedPause is how long after its last trial a part whose trials decided nothing gets
-	// further ones, and convictedPause the same for a convicted part: a wrong verdict must not last.
+	// further ones, and convictedPause the same for a convicted part, and for parts of which two
+	// trials of no others ended their upstreams: a wrong verdict must not last.
 	// Each further trial that ends its upstream makes the pause pauseGrowth times longer, up to
 	// maxPause.
 	undecidedPause = 10 * time.Second
@@ -47,7 +48,7 @@
 // refusedUntilMS returns when a refused request may try again, in Unix milliseconds.
 func (e *Entry) refusedUntilMS() int64 {
 	if e.IsPart() {
-		return min(e.ExpiresMS(), e.LastTrialMS+e.crashedPause().Milliseconds())
+		return min(e.ExpiresMS(), e.LastTrialMS+e.crashedPause([]view.Fingerprint{e.Fingerprint}).Milliseconds())
 	}
 	return e.ExpiresMS()
 }
@@ -67,7 +68,7 @@
 	case e.Trials >= MaxTrials && since < undecidedPause.Milliseconds():
 		return true
 	}
-	return e.wouldCrash(suspects) && since < e.crashedPause().Milliseconds()
+	return e.wouldCrash(suspects) && since < e.crashedPause(suspects).Milliseconds()
 }
 
 // wouldCrash reports whether earlier trials predict that a trial of these suspects ends its upstream:
@@ -87,9 +88,10 @@
 	return within >= convictingTrials || contains(suspects, common) && (within > 0 || len(suspects) >= fewest)
 }
 
-func (e *Entry) crashedPause() time.Duration {
+// crashedPause returns how long after the last trial another one of these suspects waits.
+func (e *Entry) crashedPause(suspects []view.Fingerprint) time.Duration {
 	pause := undecidedPause
-	if e.partConvicted() {
+	if e.crashedTrialsWithin(suspects) >= convictingTrials {
 		pause = convictedPause
 	}
 	for n := convictingTrials; n < e.CrashedTrials && pause < maxPause; n++ {
--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -152,22 +152,32 @@
 }
 
 func TestTrialsOnOneUpstreamShareItsEnd(t *testing.T) {
-	l := accuse(t, "sound", "x")
-	for i := range 2 {
-		nowMS := int64(2000 + 20_000*i)
-		a, b := fmt.Sprint("a", i), fmt.Sprint("b", i)
-		l = mustApply(t, l, grantParts(a, nowMS, view.Fingerprint(a), "sound"), grantParts(b, nowMS, view.Fingerprint(b), "x"))
-		l = mustApply(t, l, crashIn(a, nowMS+100, 10+i, view.Fingerprint(a)), crashIn(b, nowMS+100, 10+i, view.Fingerprint(b)))
-	}
-	if l.Find("sound").Refused(23_000) || l.Find("sound").CrashedTrials != 2 {
-		t.Errorf("%+v", l.Find("sound"))
+	l := mustApply(t, accuse(t, "sound", "x"), grantParts("a", 2000, "r3", "sound"), grantParts("b", 2000, "r4", "x"))
+	l = mustApply(t, l, crashIn("a", 2100, 10, "r3"), crashIn("b", 2100, 10, "r4"))
+	l = mustApply(t, l, grantParts("c", 22_000, "r5", "sound"), crashIn("c", 22_100, 11, "r5"))
+	l = mustApply(t, l, grantParts("d", 23_000, "r6", "x"), crashIn("d", 23_100, 12, "r6"))
+	for _, f := range (fs{"sound", "x"}) {
+		if e := l.Find(f); e.Refused(23_200) || e.CrashedTrials != 2 {
+			t.Errorf("%s: %+v", f, e)
+		}
 	}
 	l = mustApply(t, l, Change{Kind: Clear, Fingerprint: "sound"})
-	if !l.Find("x").Refused(23_000) {
+	if !l.Find("x").Refused(23_200) {
 		t.Error("the part that is left is not convicted")
 	}
 }
 
+func TestPartsThatCrashedATrialAreTriedOneAtATime(t *testing.T) {
+	l := mustApply(t, accuse(t, "x", "y", "z"), grantParts("a", 2000, "r3", "x"), grantParts("b", 2000, "r4", "y"))
+	l = mustApply(t, l, crashIn("a", 2100, 10, "r3"), crashIn("b", 2100, 10, "r4"))
+	l = mustApply(t, l, grantParts("c", 3000, "r5", "x"), grantParts("d", 3000, "r6", "z"))
+	if _, err := l.Apply([]Change{grantParts("e", 3000, "r7", "y")}); !eris.Is(err, ErrTrialRunning) {
+		t.Errorf("trial beside another one: %v", err)
+	}
+	l = mustApply(t, l, crashIn("c", 3100, 11, "r5"))
+	mustApply(t, l, grantParts("e", 3200, "r7", "y"))
+}
+
 func TestPartThatRanBesideATrialMayExplainItsEnd(t *testing.T) {
 	l := accuse(t, "sound")
 	for i, request := range (fs{"r3", "r4"}) {
