Keep trials that may clear sound parts frequent

Change: the pause grows only for trials of more suspects than the smallest that crashed, and for parts of which two trials of no others crashed. Ruled out: none.

--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -80,18 +80,31 @@
 		return false
 	}
 	within := e.crashedTrialsWithin(suspects)
-	common, fewest := e.CrashedIn[0].Parts, e.CrashedIn[0].suspects()
+	common := e.CrashedIn[0].Parts
 	for _, t := range e.CrashedIn[1:] {
 		common = without(common, func(f view.Fingerprint) bool { return !slices.Contains(t.Parts, f) })
+	}
+	return within >= convictingTrials || contains(suspects, common) && (within > 0 || len(suspects) >= e.fewestTried())
+}
+
+// fewestTried returns the smallest number of suspects of a crashed trial.
+func (e *Entry) fewestTried() int {
+	fewest := e.CrashedIn[0].suspects()
+	for _, t := range e.CrashedIn[1:] {
 		fewest = min(fewest, t.suspects())
 	}
-	return within >= convictingTrials || contains(suspects, common) && (within > 0 || len(suspects) >= fewest)
+	return fewest
 }
 
-// crashedPause returns how long after the last trial another one of these suspects waits.
+// crashedPause returns how long after the last trial another one of these suspects waits. It is short,
+// whatever has crashed, if the trial may clear sound parts.
 func (e *Entry) crashedPause(suspects []view.Fingerprint) time.Duration {
 	pause := undecidedPause
-	if e.crashedTrialsWithin(suspects) >= convictingTrials {
+	pure := e.crashedTrialsWithin(suspects) >= convictingTrials
+	switch {
+	case len(e.CrashedIn) == 0, !pure && len(suspects) <= e.fewestTried():
+		return pause
+	case pure:
 		pause = convictedPause
 	}
 	for n := convictingTrials; n < e.CrashedTrials && pause < maxPause; n++ {
