Keep a silent buffered attempt until another upstream has answered

Cause: attemptLimit cancelled the attempt of an idempotent request at 0.4 of its time as soon as another upstream had room. If that one then refused, broke off, answered 500 or was silent too, the client got 502, 500 or 504 although the first upstream would have answered in time. Change: bufferedAttempts keeps the attempt and tries another upstream beside it, within the route's attempts, one of the retry budget each, and not for a suspect or a trial. The first answer below 500 is forwarded and ends the others; the failure of one waits for the others; the last error answer is forwarded if all fail. The request's goroutine alone records results, so an answer's end is confirmed there. balancer.hasAlternative has no callers left. A trial of a silent upstream now lasts until its deadline. Ruled out (by reading): two attempts at once at most, which loses the third attempt of a route that allows three when the first two upstreams are lost; accusing an upstream that was dropped while silent, which plain services were not before either. Figures: go test -run 'Buffered|MustNotRunTwice' ./pkg/entry: on the code before 9 cases of four tests fail (502, 500 or 504 where the first upstream answers after 1.5 s); with the change, -race -count=20: ok. go test -race ./pkg/entry: ok in 145 s. Conclusion: a buffered request is no longer lost to a silence of its first upstream.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -332,15 +332,3 @@
 	defer b.mu.Unlock()
 	return b.rand.Float64()
 }
-
-// hasAlternative reports whether another upstream could take the request now.
-func (b *balancer) hasAlternative(now time.Duration, req placementRequest) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, t := range b.candidates(req) {
-		if b.exclusionReason(now, t, req) == noReason {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -9,7 +9,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
@@ -17,48 +16,35 @@
 // forwarded.
 func (c *call) serveBuffered() {
 	g := c.gateway
-	var lastFailure *upstreamAnswer
+	attempts := newBufferedAttempts(c)
 	for {
 		if why := c.mayRun(); why != noReason {
-			c.endBuffered(why, lastFailure)
+			c.endBuffered(why, attempts.failure)
 			return
 		}
 		req := placementRequest{service: c.service, tried: c.tried}
 		p, why := g.balancer.choose(g.now(), req)
 		if p == nil {
 			c.choiceSummary = g.balancer.choiceSummary(g.now(), req)
-			c.endBuffered(why, lastFailure)
+			c.endBuffered(why, attempts.failure)
 			return
 		}
-		t := p.target
-		a, err := c.tryBuffered(p)
-		g.balancer.release(p)
-		if err == nil && (a.status < 500 || c.route.Kind != catalog.Idempotent) {
-			g.balancer.recordAnswer(g.now(), t, a.status < 500)
-			lastFailure.close()
+		a, err := attempts.run(p)
+		if err == nil {
+			attempts.failure.close()
 			c.forwardAnswer(a)
 			return
 		}
-		if err == nil {
-			g.balancer.recordAnswer(g.now(), t, false)
-			lastFailure.close()
-			lastFailure = a
-			err = eris.Errorf("upstream answered %d", a.status)
-		} else {
-			c.recordUpstreamFailure(p, err)
-		}
-		c.recordFailedAttempt(err)
 		if c.clientGone() {
 			c.outcome = clientLeft
 			return
 		}
 		if c.ctx.Err() != nil {
-			c.endBuffered(processStops, lastFailure)
+			c.endBuffered(processStops, attempts.failure)
 			return
 		}
-		c.inspectFailure(&p.upstream, err)
 		if !c.mayRepeat(err) {
-			c.endBuffered(c.reason, lastFailure)
+			c.endBuffered(c.reason, attempts.failure)
 			return
 		}
 	}
@@ -91,22 +77,22 @@
 	stop      context.CancelFunc
 }
 
-// tryBuffered sends the request to one upstream and reads the answer.
-func (c *call) tryBuffered(p *placement) (*upstreamAnswer, error) {
-	limit := c.limitAttempt(&p.upstream)
-	resp, err := c.exchange(limit.ctx, &p.upstream, "")
-	c.recordExchange(&p.upstream, resp, err)
+// readAnswer reads an answer up to maxBufferedAnswer and confirms its end. If there is more, it calls
+// lift, after which the attempt must not be ended before the deadline. stop ends the attempt; it is
+// called once the answer is complete, unusable or closed.
+func (c *call) readAnswer(p *placement, resp *upstream.Response, lift func() error, stop context.CancelFunc) (*upstreamAnswer, error) {
+	a, err := c.fetchAnswer(p, resp, lift, stop)
+	if err == nil && a.rest == nil {
+		err = c.confirmEnd(p, resp)
+	}
 	if err != nil {
-		limit.end()
 		return nil, err
 	}
-	return c.readAnswer(p, resp, limit.lift, limit.end)
+	return a, nil
 }
 
-// readAnswer reads an answer up to maxBufferedAnswer. If there is more, it calls lift, after which
-// the attempt must not be ended before the deadline. stop ends the attempt; it is called once the
-// answer is complete, unusable or closed.
-func (c *call) readAnswer(p *placement, resp *upstream.Response, lift func() error, stop context.CancelFunc) (*upstreamAnswer, error) {
+// fetchAnswer is readAnswer without the confirmation of the answer's end. It does not change c.
+func (c *call) fetchAnswer(p *placement, resp *upstream.Response, lift func() error, stop context.CancelFunc) (*upstreamAnswer, error) {
 	a := &upstreamAnswer{placement: p, status: resp.Status, header: resp.Header, rest: resp, stop: stop}
 	if err := c.verifyAnswer(a); err != nil {
 		a.close()
@@ -125,9 +111,6 @@
 	if err != io.EOF {
 		return nil, err
 	}
-	if err := c.confirmEnd(p, resp); err != nil {
-		return nil, err
-	}
 	a.rest = nil
 	return a, nil
 }
