Reproduce a request that crashes upstreams after it completed, known to be red

Callers saw requests of one service unanswered for minutes: all of its upstreams ended again and again under one request. Conclusion: the exemption by completed runs of the last 30 s is the first hypothesis.

--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -38,7 +38,7 @@
 // testFleet is a deployment with real coordinators and entry hosts, simulated upstreams, an
 // in-memory network and virtual time. A request whose body starts with "crash" ends each upstream
 // that runs it. So does a stream whose prompt holds a part of which the ID starts with badPart, when
-// its answer begins. A request whose body contains "unframed" is answered without a length.
+// its answer begins. Before soundUntil they complete. A request whose body contains "unframed" is answered without a length.
 type testFleet struct {
 	t       *testing.T
 	network *memconn.Network
@@ -54,6 +54,7 @@
 	senders  map[string]string // entry host by attempt
 	faults   []fault
 
+	soundUntil  time.Time              // until then no request and no part ends upstreams
 	prefill     time.Duration          // from the arrival of a request with a bad part until its answer begins
 	partCrashes map[string][]time.Time // ends of upstreams under a bad part, by its ID
 	partSends   map[string][]arrival   // runs of requests with a bad part, by its ID
@@ -357,6 +358,20 @@
 	go h.announceLoop(h.ending)
 }
 
+// isSoundYet reports whether bad requests and parts complete as others do.
+func (f *testFleet) isSoundYet() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.soundUntil)
+}
+
+// turnBadIn lets bad requests and parts complete for a time.
+func (f *testFleet) turnBadIn(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.soundUntil = time.Now().Add(d)
+}
+
 // crash ends the process. It is back after restartTime.
 func (h *simulatedHost) crash() { h.end() }
 
@@ -478,10 +493,11 @@
 		return fixedAnswer(http.StatusMisdirectedRequest, "", "other")(c, r, attempt)
 	}
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	crashes := strings.HasPrefix(body, "crash")
 	time.Sleep(20 * time.Millisecond)
+	sound := h.fleet.isSoundYet()
+	crashes := !sound && strings.HasPrefix(body, "crash")
 	h.fleet.begin(clientRequest{kind: kind, body: body}.key(), attempt, id, crashes)
-	if part := badPartOf(r.Header.Get(testHeaders.PromptParts)); part != "" {
+	if part := badPartOf(r.Header.Get(testHeaders.PromptParts)); part != "" && !sound {
 		h.runBadPart(part, attempt, id)
 		return false
 	}
