--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -116,16 +116,23 @@
 	Process string             `json:"process"`
 	Crashed []FleetCrashedRun  `json:"crashed,omitempty"`
 	Cleared []view.Fingerprint `json:"cleared,omitempty"` // requests that ran to their end, and the parts of their prompts
-	Ended   []FleetTrial       `json:"ended,omitempty"`   // trials that ended without a verdict
+	// ClearedBy are the runs of Cleared, in the same order.
+	ClearedBy []FleetCompletedRun `json:"cleared_by,omitempty"`
+	// Progressed are runs that write their answers, by request and part: how long ago the last of them
+	// began, in microseconds.
+	Progressed map[view.Fingerprint]int64 `json:"progressed,omitempty"`
+	Ended      []FleetTrial               `json:"ended,omitempty"` // trials that ended without a verdict
 }
 
 // FleetCrashedRun is a request, or a part of a prompt, that was running when its upstream ended.
 type FleetCrashedRun struct {
 	Fingerprint view.Fingerprint `json:"f"`
-	Crash       quarantine.Crash `json:"crash"`
+	Crash       FleetCrash       `json:"crash"`
 	Trial       string           `json:"trial,omitempty"` // the trial that the run was; empty if none
 	// Parts are the parts of the request's prompt that are accused with it.
 	Parts []view.Fingerprint `json:"parts,omitempty"`
+	// Completed are the last completed runs of the request and its parts at the reporting process.
+	Completed map[view.Fingerprint]FleetCompletedRun `json:"completed,omitempty"`
 }
 
 // FleetTrial is a trial of a suspect.
@@ -140,12 +147,12 @@
 type FleetTrialRequest struct {
 	Process string `json:"process"`
 	FleetTrial
-	Crashes []quarantine.Crash `json:"crashes,omitempty"` // seen by this process
+	Crashes []FleetCrash `json:"crashes,omitempty"` // seen by this process
 	// Parts are the parts of the request's prompt that are not known to be harmless. The trial is one
 	// of all suspects among these and the request; all are granted or none.
-	Parts       []view.Fingerprint                      `json:"parts,omitempty"`
-	PartCrashes map[view.Fingerprint][]quarantine.Crash `json:"part_crashes,omitempty"` // seen by this process, by part
-	RemainingMS int64                                   `json:"left_ms"`                // until the request's deadline
+	Parts       []view.Fingerprint                `json:"parts,omitempty"`
+	PartCrashes map[view.Fingerprint][]FleetCrash `json:"part_crashes,omitempty"` // seen by this process, by part
+	RemainingMS int64                             `json:"left_ms"`                // until the request's deadline
 }
 
 // FleetTrialResult says whether the request may run.
--- a/pkg/coordinator/accusations.go
+++ b/pkg/coordinator/accusations.go
@@ -20,25 +20,28 @@
 func (a *accusations) add(now time.Duration, t *quarantine.Tracker, run control.FleetCrashedRun) []view.Fingerprint {
 	var suspects []view.Fingerprint
 	ended := run.Trial != "" && !run.Crash.Assumed
-	if known, suspect := a.known(now, t, run.Fingerprint, []quarantine.Crash{run.Crash}); suspect {
+	for f, completed := range run.Completed {
+		t.Completed(now, f, completed.Proof(now))
+	}
+	if known, suspect := a.known(now, t, run.Fingerprint, []control.FleetCrash{run.Crash}); suspect {
 		suspects = append(suspects, run.Fingerprint)
-		a.record(quarantine.Change{Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial, Convict: ended, TrialCrash: run.Crash})
+		a.record(quarantine.Change{Fingerprint: run.Fingerprint, Crashes: known, Trial: run.Trial, Convict: ended, TrialCrash: run.Crash.Crash})
 	}
 	crash := run.Crash
 	crash.Request = run.Fingerprint
 	for _, part := range run.Parts {
-		if a.observe(now, t, part, []quarantine.Crash{crash}) {
+		if a.observe(now, t, part, []control.FleetCrash{crash}) {
 			suspects = append(suspects, part)
 		}
 	}
 	if a.list.OnTrial(run.Trial) {
-		a.changes = append(a.changes, quarantine.Change{Kind: quarantine.CrashTrial, NowMS: a.nowMS, Fingerprint: run.Fingerprint, Crashes: []quarantine.Crash{crash}, Trial: run.Trial, Convict: ended})
+		a.changes = append(a.changes, quarantine.Change{Kind: quarantine.CrashTrial, NowMS: a.nowMS, Fingerprint: run.Fingerprint, Crashes: []quarantine.Crash{crash.Crash}, Trial: run.Trial, Convict: ended})
 	}
 	return suspects
 }
 
 // observe adds crashes of a request or part. It reports whether that is a suspect.
-func (a *accusations) observe(now time.Duration, t *quarantine.Tracker, f view.Fingerprint, crashes []quarantine.Crash) bool {
+func (a *accusations) observe(now time.Duration, t *quarantine.Tracker, f view.Fingerprint, crashes []control.FleetCrash) bool {
 	known, suspect := a.known(now, t, f, crashes)
 	if suspect {
 		a.record(quarantine.Change{Fingerprint: f, Crashes: known})
@@ -47,12 +50,15 @@
 }
 
 // known returns all crashes known of a request or part, and whether that is a suspect.
-func (a *accusations) known(now time.Duration, t *quarantine.Tracker, f view.Fingerprint, crashes []quarantine.Crash) ([]quarantine.Crash, bool) {
+func (a *accusations) known(now time.Duration, t *quarantine.Tracker, f view.Fingerprint, crashes []control.FleetCrash) ([]quarantine.Crash, bool) {
 	var known []quarantine.Crash
+	suspicious := false
 	for _, crash := range crashes {
-		known = t.Observe(now, f, crash)
+		if all, makeSuspect := t.Observe(now, f, crash.Seen(now)); all != nil {
+			known, suspicious = all, makeSuspect
+		}
 	}
-	return known, len(known) > 0 && (a.list.Find(f) != nil || quarantine.Suspicious(known))
+	return known, len(known) > 0 && (a.list.Find(f) != nil || suspicious)
 }
 
 // record adds the change unless the list or a later change holds the same crashes.
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -65,7 +65,7 @@
 		probeAnswers:  map[string]time.Duration{},
 		cordonedHeads: map[string]bool{},
 		cachedResults: map[resultKey]cachedResult{},
-		crashes:       quarantine.NewTracker(),
+		crashes:       quarantine.NewTracker(now),
 	}
 	// The upstreams are known from the former leader. Treat each as just heard, so that it has time
 	// to announce itself here.
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -67,9 +67,18 @@
 		}
 	}
 	changes := a.changes
-	for _, f := range req.Cleared {
-		l.crashes.Clear(now, f)
-		if st.Quarantine.Find(f) != nil {
+	for f, began := range req.Progressed {
+		l.crashes.Progressed(f, now-time.Duration(began)*time.Microsecond)
+	}
+	for i, f := range req.Cleared {
+		run := req.ClearedRun(i)
+		harmless := l.crashes.Prove(f, run.Proof(now))
+		e := st.Quarantine.Find(f)
+		if e == nil {
+			continue
+		}
+		// A trial began after all crashes that a former leader knew.
+		if harmless || run.Trial != "" && e.Trial == run.Trial && !l.crashes.CrashedSince(f) {
 			changes = append(changes, quarantine.Change{Kind: quarantine.Clear, NowMS: nowMS, Fingerprint: f})
 			c.cfg.Logger.Info("request cleared, it ran to its end", "fingerprint", f, "told_by", req.Process)
 		}
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -170,7 +170,7 @@
 	if brokeOff(err) {
 		c.recordUpstreamFailure(a.placement, err)
 	}
-	c.inspectFailure(&a.placement.upstream, err)
+	c.inspectFailure(a.placement, err)
 }
 
 // copyHeader copies end-to-end headers of an answer to the client's answer.
--- a/pkg/entry/buffered_attempts.go
+++ b/pkg/entry/buffered_attempts.go
@@ -96,7 +96,7 @@
 // forwarded.
 func (r *bufferedAttempts) settle(a *bufferedAttempt) error {
 	c, g, p := r.call, r.call.gateway, a.placement
-	c.recordExchange(&p.upstream, a.resp, a.err)
+	c.recordExchange(p, a.resp, a.err)
 	err := a.err
 	if err == nil && a.answer.rest == nil {
 		err = c.confirmEnd(p, a.resp)
@@ -116,7 +116,7 @@
 	}
 	c.recordFailedAttempt(err)
 	if c.ctx.Err() == nil {
-		c.inspectFailure(&p.upstream, err)
+		c.inspectFailure(p, err)
 	}
 	return err
 }
@@ -130,7 +130,7 @@
 // dropOthers ends the attempts that still run beside the one whose answer is forwarded.
 func (r *bufferedAttempts) dropOthers() {
 	c := r.call
-	upstream, framed := c.upstream, c.framed
+	upstream, framed, began := c.upstream, c.framed, c.runBegan
 	for len(r.done) > 0 {
 		r.discard(<-r.done)
 	}
@@ -140,7 +140,7 @@
 	for len(r.running) > 0 {
 		r.discardDropped(<-r.done)
 	}
-	c.upstream, c.framed = upstream, framed
+	c.upstream, c.framed, c.runBegan = upstream, framed, began
 }
 
 // discardDropped records an attempt that was dropped while it ran. One that had not been silent for
@@ -151,7 +151,7 @@
 		r.discard(a)
 		return
 	}
-	c.recordExchange(&a.placement.upstream, a.resp, a.err)
+	c.recordExchange(a.placement, a.resp, a.err)
 	r.release(a)
 	if !provesNotRun(a.err) {
 		c.possibleExecutions++
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -40,6 +40,7 @@
 	judgement          quarantine.Judgement // the last one
 	sentBeforeTrial    int                  // sent when the trial was granted
 	refusedUntilMS     int64                // when a refused request may be tried again, Unix milliseconds
+	runBegan           time.Duration        // when the upstream of the last answer was chosen
 	framed             bool                 // the last answer marked its own end, or its upstream was alive after it
 	tried              map[string]bool
 	sent               int         // upstreams to which the request was written
--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -52,14 +52,15 @@
 
 // inspectFailure finds out whether the upstream of a failed attempt has ended, logs it and tells the
 // quarantine.
-func (c *call) inspectFailure(u *fleet.Upstream, err error) {
+func (c *call) inspectFailure(p *placement, err error) {
+	g, u := c.gateway, &p.upstream
+	noticed := g.now()
 	if !brokeOff(err) {
-		c.settleAttempt(u, endStateUnknown, err)
+		c.settleAttempt(p, noticed, endStateUnknown, err)
 		return
 	}
-	g := c.gateway
 	state := g.endStateOf(u, err)
-	c.settleAttempt(u, state, err)
+	c.settleAttempt(p, noticed, state, err)
 	g.metrics.BrokenAttempts.WithLabelValues(string(state)).Inc()
 	if g.requestLog.allow(g.now(), false) {
 		g.cfg.Logger.Info("upstream broke off a request", "request", c.r.Header.Get(g.cfg.Headers.Attempt), "fingerprint", c.requestFingerprint(), "parts", c.partFingerprints(),
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -55,7 +55,7 @@
 		hosted:          newHostedPlacements(),
 		budget:          newRetryBudget(cfg.RetryRatio, cfg.RetryBurst),
 		guard:           quarantine.NewGuard(),
-		reporter:        newRunReporter(cfg.Name),
+		reporter:        newRunReporter(),
 		demand:          newDemand(),
 		metrics:         NewMetrics(),
 	}
@@ -148,7 +148,7 @@
 	newer := result.Index >= syncRequest.Index && (result.Index != syncRequest.Index || result.Full)
 	if newer {
 		for _, f := range g.guard.PutInForce(g.now(), result.Quarantine) {
-			g.reporter.cleared(f)
+			g.reporter.cleared(f, g.guard.ProofOf(f), "")
 		}
 	}
 	// Only afterwards, so that a new entry host serves nothing before it knows the quarantine.
@@ -160,7 +160,7 @@
 	g.lastSync.Store(int64(g.now()))
 	if result.Session != syncRequest.Session {
 		g.cfg.Logger.Info("following a new leader session", "session", result.Session, "before", syncRequest.Session, "upstreams", len(result.Upstreams), "index", result.Index)
-		g.reporter.resend(g.guard.OwnCrashes(g.now()))
+		g.reporter.resend(g.guard, g.now())
 	}
 	syncRequest.Session = result.Session
 	syncRequest.Revision = result.Revision
--- a/pkg/entry/placement.go
+++ b/pkg/entry/placement.go
@@ -11,6 +11,7 @@
 type placement struct {
 	target            *target
 	upstream          fleet.Upstream // the target's record when it was chosen; may be read without the lock
+	chosenAt          time.Duration  // before the request is sent
 	tokens            int            // of the prompt
 	responseStarted   bool
 	forOtherEntryHost bool
@@ -25,7 +26,7 @@
 	}
 	t.own.add(tokens)
 	t.recentStarts = append(t.recentStarts, now)
-	return &placement{target: t, upstream: t.Upstream, tokens: tokens}
+	return &placement{target: t, upstream: t.Upstream, chosenAt: now, tokens: tokens}
 }
 
 // acceptPlacement counts a request that a remote placer assigned to head. It returns nil if the
--- a/pkg/entry/run_reporter.go
+++ b/pkg/entry/run_reporter.go
@@ -27,39 +27,45 @@
 // has acknowledged them.
 type runReporter struct {
 	mu       sync.Mutex
-	pending  control.FleetRunsRequest
+	pending  pendingReports
 	overflow bool
 	wake     chan struct{}
 }
 
-func newRunReporter(process string) *runReporter {
-	return &runReporter{pending: control.FleetRunsRequest{Process: process}, wake: make(chan struct{}, 1)}
+func newRunReporter() *runReporter {
+	return &runReporter{wake: make(chan struct{}, 1)}
 }
 
-func (r *runReporter) crashed(run control.FleetCrashedRun) {
-	r.add(func(p *control.FleetRunsRequest) { p.Crashed = append(p.Crashed, run) })
+func (r *runReporter) crashed(run crashReport) {
+	r.add(func(p *pendingReports) { p.crashed = append(p.crashed, run) })
 }
 
-func (r *runReporter) cleared(f view.Fingerprint) {
-	r.add(func(p *control.FleetRunsRequest) { p.Cleared = append(p.Cleared, f) })
+func (r *runReporter) cleared(f view.Fingerprint, p quarantine.Proof, trial string) {
+	r.add(func(pending *pendingReports) {
+		pending.cleared = append(pending.cleared, clearReport{f, p, trial})
+	})
+}
+
+func (r *runReporter) progressed(f view.Fingerprint, began time.Duration) {
+	r.add(func(p *pendingReports) { p.progressed = append(p.progressed, progressReport{f, began}) })
 }
 
 func (r *runReporter) trialEnded(t control.FleetTrial) {
-	r.add(func(p *control.FleetRunsRequest) { p.Ended = append(p.Ended, t) })
+	r.add(func(p *pendingReports) { p.ended = append(p.ended, t) })
 }
 
 // resend reports all crashes again that still count.
-func (r *runReporter) resend(all map[view.Fingerprint][]quarantine.Crash) {
-	for f, crashes := range all {
+func (r *runReporter) resend(g *quarantine.Guard, now time.Duration) {
+	for f, crashes := range g.OwnCrashes(now) {
 		for _, c := range crashes {
-			r.crashed(control.FleetCrashedRun{Fingerprint: f, Crash: c})
+			r.crashed(crashReport{fingerprint: f, crash: c, completed: map[view.Fingerprint]quarantine.Proof{f: g.ProofOf(f)}})
 		}
 	}
 }
 
-func (r *runReporter) add(appendTo func(*control.FleetRunsRequest)) {
+func (r *runReporter) add(appendTo func(*pendingReports)) {
 	r.mu.Lock()
-	if len(r.pending.Crashed)+len(r.pending.Cleared)+len(r.pending.Ended) < maxPendingReports {
+	if r.pending.count() < maxPendingReports {
 		appendTo(&r.pending)
 	} else {
 		r.overflow = true
@@ -72,12 +78,11 @@
 }
 
 // take returns the pending reports, and whether some were dropped since the last call.
-func (r *runReporter) take() (control.FleetRunsRequest, bool) {
+func (r *runReporter) take() (pendingReports, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	batch, overflow := r.pending, r.overflow
-	r.pending = control.FleetRunsRequest{Process: batch.Process}
-	r.overflow = false
+	r.pending, r.overflow = pendingReports{}, false
 	return batch, overflow
 }
 
@@ -93,29 +98,29 @@
 		batch, overflow := r.take()
 		g.deliverReports(ctx, batch)
 		if overflow {
-			r.resend(g.guard.OwnCrashes(g.now()))
+			r.resend(g.guard, g.now())
 		}
 	}
 }
 
 // deliverReports sends a batch until the leader has acknowledged it.
-func (g *Gateway) deliverReports(ctx context.Context, batch control.FleetRunsRequest) {
+func (g *Gateway) deliverReports(ctx context.Context, batch pendingReports) {
 	for delay := reportRetryDelay; ; delay = min(2*delay, maxReportRetryDelay) {
 		err := g.sendReports(ctx, batch)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
 		if delay == reportRetryDelay {
-			g.cfg.Logger.Warn("reports about ended upstreams are not acknowledged; sending them again", "crashed", len(batch.Crashed),
-				"cleared", len(batch.Cleared), "trials", len(batch.Ended), "cause", err)
+			g.cfg.Logger.Warn("reports about ended upstreams are not acknowledged; sending them again", "crashed", len(batch.crashed),
+				"cleared", len(batch.cleared), "trials", len(batch.ended), "cause", err)
 		}
 		clock.Sleep(ctx, delay)
 	}
 }
 
-func (g *Gateway) sendReports(ctx context.Context, batch control.FleetRunsRequest) error {
+func (g *Gateway) sendReports(ctx context.Context, batch pendingReports) error {
 	calling, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	var none struct{}
-	return g.suspects.CallOnce(calling, control.MethodFleetRuns, batch, &none)
+	return g.suspects.CallOnce(calling, control.MethodFleetRuns, batch.request(g.cfg.Name, g.now()), &none)
 }
--- a/pkg/entry/run_reporter_test.go
+++ b/pkg/entry/run_reporter_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/clock"
-	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/logging"
 )
 
@@ -31,7 +30,7 @@
 			defer close(done)
 			g.reporter.run(ctx, g)
 		}()
-		g.reporter.crashed(control.FleetCrashedRun{Fingerprint: "f"})
+		g.reporter.crashed(crashReport{fingerprint: "f"})
 		time.Sleep(10 * time.Second)
 		if n := calls.Load(); n < 20 || n > 30 {
 			t.Errorf("called %d times in 10 s", n)
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -99,9 +99,9 @@
 }
 
 // recordExchange records the result of an exchange with an upstream.
-func (c *call) recordExchange(u *fleet.Upstream, resp *upstream.Response, err error) {
-	c.upstream = u.ID
-	c.tried[u.ID] = true
+func (c *call) recordExchange(p *placement, resp *upstream.Response, err error) {
+	c.upstream, c.runBegan = p.upstream.ID, p.chosenAt
+	c.tried[p.upstream.ID] = true
 	if !errors.Is(err, upstream.ErrNotSent) {
 		c.sent++
 	}
--- a/pkg/entry/silent_buffered_test.go
+++ b/pkg/entry/silent_buffered_test.go
@@ -148,7 +148,7 @@
 					b.grantTrials()
 					f := suspect.ExactFingerprint("acme", "shop.example", c.path, []byte("x"))
 					for _, id := range []string{"gone1", "gone2"} {
-						b.gateway.guard.Crashed(b.gateway.now(), f, quarantine.Crash{Upstream: id, StartedMS: 1})
+						b.gateway.guard.Crashed(b.gateway.now(), f, quarantine.SeenCrash{Crash: quarantine.Crash{Upstream: id, StartedMS: 1}, At: b.gateway.now()})
 					}
 				}
 				w := b.send("POST", c.path, "x", nil)
--- a/pkg/entry/silent_trial_test.go
+++ b/pkg/entry/silent_trial_test.go
@@ -30,11 +30,11 @@
 				b.grantTrials()
 				f := suspect.ExactFingerprint("acme", "shop.example", "/stream/1", []byte("prompt"))
 				for _, id := range []string{"gone1", "gone2"} {
-					b.gateway.guard.Crashed(b.gateway.now(), f, quarantine.Crash{Upstream: id, StartedMS: 1})
+					b.gateway.guard.Crashed(b.gateway.now(), f, quarantine.SeenCrash{Crash: quarantine.Crash{Upstream: id, StartedMS: 1}, At: b.gateway.now()})
 				}
 				time.AfterFunc(silenceBegin+silence-time.Millisecond, func() {
-					if runs, _ := b.gateway.reporter.take(); len(runs.Crashed) > 0 {
-						t.Errorf("reported while the trial runs: %+v", runs.Crashed)
+					if runs, _ := b.gateway.reporter.take(); len(runs.crashed) > 0 {
+						t.Errorf("reported while the trial runs: %+v", runs.crashed)
 					}
 				})
 				w := b.send("POST", "/stream/1", "prompt", nil)
@@ -42,7 +42,7 @@
 					t.Errorf("answered %d, cut %v, body %q", w.status, w.cut, w.body.String())
 				}
 				runs, _ := b.gateway.reporter.take()
-				if len(runs.Crashed) != c.crashed || c.crashed > 0 && runs.Crashed[0].Trial == "" || c.crashed == 0 && len(runs.Cleared) != 1 {
+				if len(runs.crashed) != c.crashed || c.crashed > 0 && runs.crashed[0].trial == "" || c.crashed == 0 && len(runs.cleared) != 1 {
 					t.Errorf("reported at the end: %+v", runs)
 				}
 				time.Sleep(2 * time.Minute) // let the head end
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -159,7 +159,7 @@
 // lock.
 func (w *stallTimer) accuse() {
 	if !w.accused && w.trial == "" {
-		w.call.accuse(&w.current.placement.upstream, endStateUnknown, "")
+		w.call.accuse(w.current.placement, w.call.gateway.now(), endStateUnknown, "")
 	}
 	w.accused = true
 }
@@ -219,7 +219,7 @@
 	if sb.dropped || w.takenOver {
 		return
 	}
-	w.call.accuse(&sb.placement.upstream, endStateUnknown, "")
+	w.call.accuse(sb.placement, w.call.gateway.now(), endStateUnknown, "")
 	if w.runs()+1 < w.call.route.MaxAttempts {
 		sb.late = true
 		sb.cancel()
@@ -274,9 +274,9 @@
 	}
 	c.recordUpstreamFailure(sb.placement, err)
 	if brokeOff(err) {
-		u := sb.placement.upstream
+		p, noticed := sb.placement, c.gateway.now()
 		c.requestFingerprint() // while nothing else reads it
-		go func() { c.accuse(&u, c.gateway.endStateOf(&u, err), "") }()
+		go func() { c.accuse(p, noticed, c.gateway.endStateOf(&p.upstream, err), "") }()
 	}
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -94,7 +94,7 @@
 		return true
 	}
 	c.recordUpstreamFailure(p, err)
-	c.inspectFailure(&p.upstream, err)
+	c.inspectFailure(p, err)
 	if s.standby == nil && !c.mayRepeat(err) {
 		c.endStream(c.reason)
 		return true
@@ -150,8 +150,10 @@
 	splitter        eventSplitter
 	lastEventAt     time.Duration // when the last event was forwarded
 	attempt         *streamAttempt
-	responseStarted bool     // the attempt has received events
-	standby         *standby // of the last attempt; it becomes the next one
+	responseStarted bool          // the attempt has received events
+	startedAt       time.Duration // when it received the first
+	progressed      bool          // the quarantine knows that its upstream survives it
+	standby         *standby      // of the last attempt; it becomes the next one
 }
 
 // relayAttempt relays the stream from the upstream of the attempt. It returns nil if the client has
@@ -159,16 +161,16 @@
 func (s *streamRelay) relayAttempt() error {
 	c, a := s.call, s.attempt
 	defer a.close()
-	s.responseStarted = false
+	s.responseStarted, s.progressed = false, false
 	w := startStallTimer(s)
 	if a.resp == nil && a.err == nil {
 		a.send()
 	}
-	c.recordExchange(&a.placement.upstream, a.resp, a.err)
+	c.recordExchange(a.placement, a.resp, a.err)
 	err := w.wrapError(s.relayAnswer(w))
 	s.standby = w.stop(err == nil)
 	if w.silentTrial() && err != nil && !brokeOff(err) && !provesNotRun(err) {
-		c.accuse(&a.placement.upstream, endStateUnknown, c.trial)
+		c.accuse(a.placement, c.gateway.now(), endStateUnknown, c.trial)
 		c.trial = ""
 	}
 	return err
@@ -223,12 +225,13 @@
 				return errAbandoned
 			}
 			if count > 0 && !s.responseStarted {
-				s.responseStarted = true
+				s.responseStarted, s.startedAt = true, now
 				g.responseStarted(s.attempt.placement)
 			}
 			if count > 0 {
 				g.balancer.recordProgress(now, t, now-last, s.expectedInterval(last == began))
 				last = now
+				s.noteProgress(now)
 				err := s.writeEvents(now, header, whole)
 				w.forwarded()
 				if err != nil {
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -8,7 +8,6 @@
 
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
-	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 	"github.com/sesamemux/sesamemux/pkg/view"
@@ -98,7 +97,7 @@
 	g := c.gateway
 	f := c.requestFingerprint()
 	result, err := g.askForTrial(c.ctx, control.FleetTrialRequest{
-		Process: g.cfg.Name, FleetTrial: control.FleetTrial{Fingerprint: f, Trial: trial}, Crashes: g.guard.CrashesOf(f),
+		Process: g.cfg.Name, FleetTrial: control.FleetTrial{Fingerprint: f, Trial: trial}, Crashes: g.crashesOf(f),
 		Parts: c.judgement.Unproven, PartCrashes: c.partCrashes(), RemainingMS: c.remaining().Milliseconds(),
 	})
 	switch {
@@ -121,16 +120,26 @@
 }
 
 // partCrashes returns the crashes that this entry host has seen of the request's parts.
-func (c *call) partCrashes() map[view.Fingerprint][]quarantine.Crash {
-	seen := map[view.Fingerprint][]quarantine.Crash{}
+func (c *call) partCrashes() map[view.Fingerprint][]control.FleetCrash {
+	seen := map[view.Fingerprint][]control.FleetCrash{}
 	for _, part := range c.judgement.Unproven {
-		if crashes := c.gateway.guard.CrashesOf(part); crashes != nil {
+		if crashes := c.gateway.crashesOf(part); crashes != nil {
 			seen[part] = crashes
 		}
 	}
 	return seen
 }
 
+// crashesOf returns the crashes of a request that this entry host has seen, for a message that is
+// sent now.
+func (g *Gateway) crashesOf(f view.Fingerprint) []control.FleetCrash {
+	var crashes []control.FleetCrash
+	for _, c := range g.guard.CrashesOf(f) {
+		crashes = append(crashes, control.NewFleetCrash(g.now(), c))
+	}
+	return crashes
+}
+
 // askForTrial asks the leading coordinator, and once more if another one leads. It does not wait
 // longer than trialWait, so that a request that cannot be served is refused soon.
 func (g *Gateway) askForTrial(ctx context.Context, req control.FleetTrialRequest) (control.FleetTrialResult, error) {
@@ -145,9 +154,9 @@
 }
 
 // settleAttempt reports a failed attempt to the quarantine.
-func (c *call) settleAttempt(u *fleet.Upstream, state endState, err error) {
+func (c *call) settleAttempt(p *placement, noticed time.Duration, state endState, err error) {
 	if brokeOff(err) {
-		c.accuse(u, state, c.trial)
+		c.accuse(p, noticed, state, c.trial)
 		c.trial = ""
 		return
 	}
@@ -157,21 +166,20 @@
 }
 
 // accuse reports that an upstream broke off the request or is silent: it accuses the request and the
-// parts of its prompt that have not completed lately.
-func (c *call) accuse(u *fleet.Upstream, state endState, trial string) {
+// parts of its prompt.
+func (c *call) accuse(p *placement, noticed time.Duration, state endState, trial string) {
 	g, f := c.gateway, c.requestFingerprint()
-	crash := quarantine.Crash{Upstream: u.ID, StartedMS: u.StartedMS, Assumed: state != upstreamEnded}
-	run := control.FleetCrashedRun{Fingerprint: f, Crash: crash, Trial: trial}
-	counts := g.guard.Crashed(g.now(), f, crash)
-	crash.Request = f
-	for _, part := range c.partFingerprints() {
-		if g.guard.Crashed(g.now(), part, crash) {
-			run.Parts = append(run.Parts, part)
-		}
+	crash := quarantine.SeenCrash{
+		Crash: quarantine.Crash{Upstream: p.upstream.ID, StartedMS: p.upstream.StartedMS, Assumed: state != upstreamEnded},
+		Began: p.chosenAt, At: noticed,
 	}
-	if counts || trial != "" {
-		g.reporter.crashed(run)
+	report := crashReport{fingerprint: f, crash: crash, trial: trial, parts: c.partFingerprints(), completed: map[view.Fingerprint]quarantine.Proof{}}
+	report.completed[f] = g.guard.Crashed(g.now(), f, crash)
+	crash.Request = f
+	for _, part := range report.parts {
+		report.completed[part] = g.guard.Crashed(g.now(), part, crash)
 	}
+	g.reporter.crashed(report)
 }
 
 // settleRequest reports the end of the request to the quarantine. Only a run whose end was marked by
@@ -179,16 +187,35 @@
 func (c *call) settleRequest() {
 	g := c.gateway
 	if c.outcome == served && c.status < 300 && c.framed {
-		onTrial := c.trial != ""
+		proof := quarantine.NewProof(c.runBegan, g.now())
 		for _, f := range c.fingerprints() {
-			if g.guard.Completed(g.now(), f) || onTrial {
-				g.reporter.cleared(f)
+			if g.guard.Completed(f, proof) || c.trial != "" {
+				g.reporter.cleared(f, proof, c.trial)
 			}
 		}
 	}
 	c.endTrial(c.sent == c.sentBeforeTrial)
 }
 
+// progressTime is how long an upstream must have written an answer to show that the request did not
+// end it by running.
+const progressTime = 250 * time.Millisecond
+
+// noteProgress tells the quarantine once that the upstream survives the stream.
+func (s *streamRelay) noteProgress(now time.Duration) {
+	g := s.call.gateway
+	if s.progressed || now-s.startedAt < progressTime || !g.guard.Watches() {
+		return
+	}
+	s.progressed = true
+	began := s.attempt.placement.chosenAt
+	for _, f := range s.call.fingerprints() {
+		if g.guard.Progressed(now, f, began) {
+			g.reporter.progressed(f, began)
+		}
+	}
+}
+
 // endTrial reports that the trial, if there is one, ended without a crash. notRun says that the
 // request reached no upstream or was not run there.
 func (c *call) endTrial(notRun bool) {
--- a/pkg/entry/turning_bad_test.go
+++ b/pkg/entry/turning_bad_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/quarantine"
 )
 
 // soundCount counts sound requests and those of them that were served.
@@ -118,3 +121,84 @@
 		}
 	}
 }
+
+// TestPopularRequestIsNotWithheldWhileUpstreamsEndInSeries: one upstream after the other ends while many
+// clients send the same harmless request, or different ones that share parts.
+func TestPopularRequestIsNotWithheldWhileUpstreamsEndInSeries(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		request  clientRequest
+		interval time.Duration
+	}{
+		{"again", clientRequest{kind: "again", body: "popular"}, 20 * time.Millisecond},
+		{"stream", clientRequest{kind: "stream", body: "popular"}, 20 * time.Millisecond},
+		{"long stream", clientRequest{kind: "stream", body: "long popular"}, 100 * time.Millisecond},
+	} {
+		for _, gap := range []time.Duration{30 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond} {
+			t.Run(fmt.Sprint(c.name, " ", gap), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newTestFleet(t, 2, fleetSize{entries: 4, plain: 9, engines: 12})
+					all := f.playOutages(30*time.Second, c.interval, gap, func(int) clientRequest { return c.request })
+					t.Logf("%d of %d served", all.served, all.sent)
+					if n := f.withheld(); n > 0 {
+						t.Errorf("the quarantine withheld %d requests", n)
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestPopularPartsAreFreeWhileUpstreamsEndInSeries(t *testing.T) {
+	for _, gap := range []time.Duration{30 * time.Millisecond, 150 * time.Millisecond, 400 * time.Millisecond} {
+		for _, kind := range []string{"", "long "} {
+			t.Run(fmt.Sprint(kind, gap), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					f := newTestFleet(t, 2, fleetSize{entries: 4, plain: 9, engines: 12})
+					p := &partPlay{fleet: f}
+					f.playOutages(30*time.Second, 100*time.Millisecond, gap, func(n int) clientRequest {
+						if f.suspectEverywhere(p.soundParts(n)) {
+							t.Errorf("a sound part is a suspect after %d requests", n)
+						}
+						return clientRequest{kind: "stream", body: fmt.Sprint(kind, n), parts: p.soundParts(n)}
+					})
+				})
+			})
+		}
+	}
+}
+
+// suspectEverywhere reports whether no entry host lets a request with these parts run freely.
+func (f *testFleet) suspectEverywhere(parts string) bool {
+	return !slices.ContainsFunc(f.entries, func(p *entryProcess) bool {
+		g := p.g.Load()
+		return g.guard.Judge(g.now(), time.Now().UnixMilli(), "another", readPromptParts([]string{parts})).Verdict == quarantine.Free
+	})
+}
+
+// playOutages sends a request in each interval while domains end in turn, their upstreams with a gap
+// between them.
+func (f *testFleet) playOutages(long, interval, gap time.Duration, request func(n int) clientRequest) *soundCount {
+	var work sync.WaitGroup
+	all := &soundCount{}
+	outages := 0
+	for n := range int(long / interval) {
+		c := request(n)
+		work.Go(func() { all.add(f.client(c)) })
+		time.Sleep(interval)
+		if time.Duration(n)*interval >= time.Duration(10+5*outages)*time.Second {
+			domain := outages % 2
+			outages++
+			work.Go(func() {
+				f.endDomain(domain, func(h *simulatedHost) {
+					h.crash()
+					time.Sleep(gap)
+				})
+			})
+		}
+	}
+	work.Wait()
+	return all
+}
--- a/pkg/entry/unframed_answer_test.go
+++ b/pkg/entry/unframed_answer_test.go
@@ -311,5 +311,5 @@
 func (b *harness) accuse(kind string) {
 	path := "/" + kind + "/1"
 	c := &call{gateway: b.gateway, organisation: "acme", body: []byte("x"), r: &http.Request{Host: "shop.example", RequestURI: path, URL: &url.URL{Path: path}}}
-	b.gateway.guard.Crashed(b.gateway.now(), c.requestFingerprint(), quarantine.Crash{Upstream: "other", StartedMS: 1})
+	b.gateway.guard.Crashed(b.gateway.now(), c.requestFingerprint(), quarantine.SeenCrash{Crash: quarantine.Crash{Upstream: "other", StartedMS: 1}, At: b.gateway.now()})
 }
--- a/pkg/quarantine/crash.go
+++ b/pkg/quarantine/crash.go
@@ -34,13 +34,17 @@
 	if accusesPart(crashes) && !underSeveralRequests(crashes) {
 		return false
 	}
+	return knownCrashes(crashes) >= suspectCrashes || len(crashes) >= suspectFailures
+}
+
+func knownCrashes(crashes []Crash) int {
 	known := 0
 	for _, c := range crashes {
 		if !c.Assumed {
 			known++
 		}
 	}
-	return known >= suspectCrashes || len(crashes) >= suspectFailures
+	return known
 }
 
 func accusesPart(crashes []Crash) bool { return len(crashes) > 0 && crashes[0].Request != "" }
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -10,7 +10,10 @@
 //
 // Suspects run in trials only. A trial is granted by the leading coordinator through the replicated
 // log, for all suspects of a request together and one at a time for each of them. A completed run,
-// in a trial or not, shows that the request and all parts of its prompt are harmless and clears them.
+// in a trial or not, shows that the request and all parts of its prompt did not end the upstreams of
+// runs that began before it, and clears them of these. It proves nothing about later runs. Something
+// that completed shortly before its first crash is probably popular; it becomes a suspect only if
+// later runs neither complete nor make progress.
 //
 // A request under suspicion gets at most MaxTrials once it has ended three upstreams. The end of the
 // upstream in a trial convicts it; an end that is assumed only, the second time. A part is convicted
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -9,11 +9,17 @@
 )
 
 const (
-	// completionTTL is how long a completed run shows that a request is harmless.
+	// completionTTL is how long after a completed run a request probably is harmless and popular.
 	completionTTL = 30 * time.Second
 	// maxCompletions limits the completed requests that a guard remembers, in each of two
 	// generations.
 	maxCompletions = 8192
+	// completionMargin is how much longer than disproofTime runs are reported after a crash.
+	completionMargin = 2 * time.Second
+	// tellInterval is the time between the beginnings of runs of one request that are reported.
+	tellInterval = 100 * time.Millisecond
+	// maxTold limits the requests of which such reports are remembered.
+	maxTold = 4096
 	// maxOwnCrashes limits the requests whose crashes a guard remembers.
 	maxOwnCrashes = 2048
 )
@@ -33,20 +39,21 @@
 type Guard struct {
 	mu       sync.Mutex
 	inForce  List
-	own      map[view.Fingerprint]*ownCrashes
-	complete [2]map[view.Fingerprint]time.Duration // time of the last completed run; newer generation first
-}
+	heard    map[view.Fingerprint]time.Duration // when the last crash of an entry in force was heard of
+	own      map[view.Fingerprint]*history
+	complete [2]map[view.Fingerprint]Proof // the completed run that began last; newer generation first
 
-type ownCrashes struct {
-	crashes []Crash
-	lastAt  time.Duration
+	lastCrashAt time.Duration                      // of any request
+	told        map[view.Fingerprint]time.Duration // when the last run began that the leader was told of
 }
 
 // NewGuard returns a guard that knows nothing.
 func NewGuard() *Guard {
 	return &Guard{
-		own:      map[view.Fingerprint]*ownCrashes{},
-		complete: [2]map[view.Fingerprint]time.Duration{{}, {}},
+		heard:    map[view.Fingerprint]time.Duration{},
+		own:      map[view.Fingerprint]*history{},
+		complete: [2]map[view.Fingerprint]Proof{{}, {}},
+		told:     map[view.Fingerprint]time.Duration{},
 	}
 }
 
@@ -65,7 +72,7 @@
 	RetryAtMS int64
 	// Parts are the suspect parts of the request; with NeedsTrial.
 	Parts []view.Fingerprint
-	// Unproven are all parts of the request that did not complete here lately.
+	// Unproven are all parts of the request that are not known to be harmless.
 	Unproven []view.Fingerprint
 	// Waits is set if no trial is granted now, because another one runs or is due first; with
 	// NeedsTrial and Parts.
@@ -78,7 +85,7 @@
 	defer g.mu.Unlock()
 	j := Judgement{Verdict: Free}
 	for _, f := range parts {
-		if !g.completedLately(now, f) {
+		if !g.harmless(now, f) {
 			j.Unproven = append(j.Unproven, f)
 			g.judgePart(now, nowMS, f, &j)
 		}
@@ -87,7 +94,7 @@
 		e := g.inForce.Find(f)
 		j.Waits = j.Waits || e != nil && e.partWaits(nowMS, request, j.Parts)
 	}
-	if j.Verdict != MustRefuse && !g.completedLately(now, request) {
+	if j.Verdict != MustRefuse && !g.harmless(now, request) {
 		g.judgeRequest(now, nowMS, request, &j)
 	}
 	return j
@@ -120,35 +127,45 @@
 // suspects reports whether the crashes seen here alone make a suspect.
 func (g *Guard) suspects(now time.Duration, f view.Fingerprint) bool {
 	own := g.own[f]
-	return own != nil && Suspicious(own.crashes) && now-own.lastAt < SuspectTTL
+	return own != nil && own.suspicious(now) && now-own.lastAt < SuspectTTL
 }
 
-func (g *Guard) completedLately(now time.Duration, f view.Fingerprint) bool {
-	for _, generation := range g.complete {
-		if at, ok := generation[f]; ok && now-at < completionTTL {
-			return true
-		}
+// harmless reports whether a request completed lately, in a run that disproves what makes it a
+// suspect.
+func (g *Guard) harmless(now time.Duration, f view.Fingerprint) bool {
+	p := g.proofOf(f)
+	return p.recentAt(now) && !g.suspects(now, f) && (g.inForce.Find(f) == nil || p.Began > g.heard[f])
+}
+
+func (g *Guard) proofOf(f view.Fingerprint) Proof {
+	if p, ok := g.complete[0][f]; ok {
+		return p
 	}
-	return false
+	return g.complete[1][f]
 }
 
-// Crashed records that a request was running when an upstream ended. It reports whether that counts
-// against the request.
-func (g *Guard) Crashed(now time.Duration, f view.Fingerprint, c Crash) bool {
+// ProofOf returns the last run of a request that completed here.
+func (g *Guard) ProofOf(f view.Fingerprint) Proof {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.proofOf(f)
+}
+
+// Crashed records that a request was running when an upstream ended. It returns the last run of the
+// request that completed here.
+func (g *Guard) Crashed(now time.Duration, f view.Fingerprint, c SeenCrash) Proof {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.completedLately(now, f) {
-		return false
-	}
 	own := g.own[f]
 	if own == nil {
 		g.makeRoom(now)
-		own = &ownCrashes{}
+		own = &history{}
 		g.own[f] = own
 	}
-	own.lastAt = now
-	own.crashes, _ = addCrash(own.crashes, c)
-	return true
+	own.prove(g.proofOf(f))
+	own.add(c)
+	g.lastCrashAt = now
+	return own.proof
 }
 
 // makeRoom forgets expired crashes, and if there are too many the oldest.
@@ -171,19 +188,58 @@
 	}
 }
 
-// Completed records that a request ran to its end. It reports whether the request was under
-// suspicion.
-func (g *Guard) Completed(now time.Duration, f view.Fingerprint) bool {
+// Completed records that a request ran to its end. It reports whether the leader must know: the
+// request was under suspicion, or may be at other entry hosts.
+func (g *Guard) Completed(f view.Fingerprint, p Proof) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.complete[0]) >= maxCompletions {
 		g.complete[1] = g.complete[0]
-		g.complete[0] = map[view.Fingerprint]time.Duration{}
+		g.complete[0] = map[view.Fingerprint]Proof{}
 	}
-	g.complete[0][f] = now
-	_, crashed := g.own[f]
-	delete(g.own, f)
-	return crashed || g.inForce.Find(f) != nil
+	tell := g.tells(p.Ended, f, p.Began)
+	p = p.merge(g.proofOf(f))
+	g.complete[0][f] = p
+	own := g.own[f]
+	if own != nil {
+		if own.prove(p); len(own.crashes) == 0 {
+			delete(g.own, f)
+		}
+	}
+	return tell || own != nil || g.inForce.Find(f) != nil
+}
+
+// tells reports whether the leader must know of a run of something that completed before: upstreams
+// ended lately, under runs of other entry hosts too.
+func (g *Guard) tells(now time.Duration, f view.Fingerprint, began time.Duration) bool {
+	if now-g.lastCrashAt >= disproofTime+completionMargin || !g.proofOf(f).recentAt(now) {
+		return false
+	}
+	if last, ok := g.told[f]; ok && began-last < tellInterval {
+		return false
+	}
+	if len(g.told) >= maxTold {
+		clear(g.told)
+	}
+	g.told[f] = began
+	return true
+}
+
+// Progressed records that a run which began at a time writes its answer. It reports whether the leader
+// must know: earlier crashes of the request are disregarded because of that, here or elsewhere.
+func (g *Guard) Progressed(now time.Duration, f view.Fingerprint, began time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	tell := g.tells(now, f, began)
+	own := g.own[f]
+	if own == nil {
+		return tell
+	}
+	before := len(own.crashes)
+	if own.progressed(began); len(own.crashes) == 0 {
+		delete(g.own, f)
+	}
+	return tell || len(own.crashes) < before
 }
 
 // Forgive forgets the crashes of a request that the leader has cleared.
@@ -193,23 +249,29 @@
 	delete(g.own, f)
 }
 
-// PutInForce replaces the list in force. It returns the requests of the list that are harmless,
-// because they completed here lately.
+// PutInForce replaces the list in force. It returns the requests of the list that completed here
+// lately: their runs may have begun after the last crash.
 func (g *Guard) PutInForce(now time.Duration, l List) []view.Fingerprint {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.inForce = l
-	var harmless []view.Fingerprint
+	heard := make(map[view.Fingerprint]time.Duration, len(l))
+	var completed []view.Fingerprint
 	for _, e := range l {
-		if g.completedLately(now, e.Fingerprint) {
-			harmless = append(harmless, e.Fingerprint)
+		f := e.Fingerprint
+		heard[f] = now
+		if known := g.inForce.Find(f); known != nil && known.LastCrashMS == e.LastCrashMS {
+			heard[f] = g.heard[f]
+		}
+		if g.proofOf(f).recentAt(now) {
+			completed = append(completed, f)
 		}
 	}
-	return harmless
+	g.inForce, g.heard = l, heard
+	return completed
 }
 
 // CrashesOf returns the crashes of a request that this entry host has seen.
-func (g *Guard) CrashesOf(f view.Fingerprint) []Crash {
+func (g *Guard) CrashesOf(f view.Fingerprint) []SeenCrash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if own := g.own[f]; own != nil {
@@ -219,16 +281,18 @@
 }
 
 // OwnCrashes returns all crashes that this entry host has seen and that still count, by request.
-func (g *Guard) OwnCrashes(now time.Duration) map[view.Fingerprint][]Crash {
+func (g *Guard) OwnCrashes(now time.Duration) map[view.Fingerprint][]SeenCrash {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	all := make(map[view.Fingerprint][]Crash, len(g.own))
+	all := make(map[view.Fingerprint][]SeenCrash, len(g.own))
 	for f, own := range g.own {
 		if now-own.lastAt >= SuspectTTL {
 			delete(g.own, f)
 			continue
 		}
-		all[f] = slices.Clone(own.crashes)
+		if len(own.crashes) > 0 {
+			all[f] = slices.Clone(own.crashes)
+		}
 	}
 	return all
 }
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -14,17 +14,22 @@
 	return g.Judge(now, nowMS, f, nil).Verdict
 }
 
+// seen returns the end of upstream n, noticed at a time under a run that began at another.
+func seen(n int, began, at time.Duration) SeenCrash {
+	return SeenCrash{Crash: crashNumber(n), Began: began, At: at}
+}
+
 func TestSecondCrashNeedsATrial(t *testing.T) {
 	g := NewGuard()
 	if g.Watches() {
 		t.Error("watches without a crash")
 	}
-	g.Crashed(time.Second, "f", crashNumber(1))
-	g.Crashed(time.Second, "f", crashNumber(1)) // the same end of the upstream
+	g.Crashed(time.Second, "f", seen(1, 0, time.Second))
+	g.Crashed(time.Second, "f", seen(1, 0, time.Second)) // the same end of the upstream
 	if v := decide(g, time.Second, "f"); v != Free {
 		t.Errorf("after one crash: %s", v)
 	}
-	g.Crashed(2*time.Second, "f", crashNumber(2))
+	g.Crashed(2*time.Second, "f", seen(2, time.Second, 2*time.Second))
 	if v := decide(g, 3*time.Second, "f"); v != NeedsTrial || len(g.OwnCrashes(3 * time.Second)["f"]) != 2 {
 		t.Errorf("after two crashes: %s", v)
 	}
@@ -33,60 +38,138 @@
 	}
 }
 
-func TestCompletedRunClears(t *testing.T) {
+func TestCompletedRunClearsCrashesOfRunsThatBeganBeforeIt(t *testing.T) {
 	g := NewGuard()
-	g.Crashed(0, "f", crashNumber(1))
-	g.Crashed(0, "f", crashNumber(2))
-	if !g.Completed(time.Second, "f") || decide(g, time.Second, "f") != Free {
-		t.Error("not cleared by a completed run")
+	g.Crashed(2*time.Second, "f", seen(1, time.Second, 2*time.Second))
+	g.Crashed(2*time.Second, "f", seen(2, time.Second, 2*time.Second))
+	if !g.Completed("f", NewProof(time.Second-1, 2*time.Second)) || decide(g, 2*time.Second, "f") != Free || len(g.CrashesOf("f")) != 2 {
+		t.Error("cleared by a run that began before those that crashed, or withheld because of them at once")
+	}
+	if !g.Completed("f", NewProof(time.Second, 2*time.Second)) || decide(g, 2*time.Second, "f") != Free || len(g.CrashesOf("f")) > 0 {
+		t.Error("not cleared by a run that began after the crashes")
 	}
-	if g.Completed(time.Second, "other") {
+	if g.Completed("other", NewProof(time.Second, 2*time.Second)) {
 		t.Error("reports a request that was never suspected")
 	}
-	if g.Crashed(2*time.Second, "f", crashNumber(3)) {
-		t.Error("a crash counts although the request completed lately")
+}
+
+func TestCompletedRunExemptsFromNoLaterCrashes(t *testing.T) {
+	g := NewGuard()
+	second := time.Second
+	g.Completed("f", NewProof(second, 2*second))
+	for n := range LimitedCrashes {
+		if v := decide(g, 3*second, "f"); v != Free {
+			t.Errorf("after %d crashes: %s", n, v)
+		}
+		at := 3*second + time.Duration(n)*100*time.Millisecond
+		g.Crashed(at, "f", seen(n, at-50*time.Millisecond, at))
+	}
+	if v := decide(g, 4*second, "f"); v != NeedsTrial {
+		t.Errorf("after the last crash: %s", v)
 	}
 	l := List{{Fingerprint: "f", Crashes: []Crash{crashNumber(1), crashNumber(2)}, LastCrashMS: nowMS, Convicted: true}}
-	if harmless := g.PutInForce(2*time.Second, l); len(harmless) != 1 || decide(g, 2*time.Second, "f") != Free {
-		t.Errorf("told %v", harmless)
+	if completed := g.PutInForce(4*second, l); len(completed) != 1 || decide(g, 4*second, "f") != MustRefuse {
+		t.Errorf("told %v, judged %s", completed, decide(g, 4*second, "f"))
 	}
-	later := 2*time.Second + completionTTL
-	if v := decide(g, later, "f"); v != MustRefuse {
+	g.Completed("f", NewProof(4*second-1, 5*second)) // before the conviction was heard of
+	if v := decide(g, 5*second, "f"); v != MustRefuse {
+		t.Errorf("after a run that began earlier: %s", v)
+	}
+	g.Completed("f", NewProof(4*second+1, 5*second))
+	if v := decide(g, 5*second, "f"); v != Free {
+		t.Errorf("after a run that began later: %s", v)
+	}
+	if v := decide(g, 5*second+completionTTL, "f"); v != MustRefuse {
 		t.Errorf("long after the completed run: %s", v)
 	}
 }
 
+func TestUpstreamsThatEndTogetherMakeNoSuspectOfWhatCompletedLately(t *testing.T) {
+	for _, f := range (fs{"request", "part"}) {
+		g := NewGuard()
+		g.Completed(f, NewProof(time.Second, 2*time.Second))
+		for n := range 3 * maxCrashes {
+			c := seen(n, 2*time.Second, 3*time.Second+time.Duration(n)*time.Millisecond)
+			if f == "part" {
+				c.Request = view.Fingerprint(fmt.Sprint("r", n))
+			}
+			g.Crashed(c.At, f, c)
+		}
+		if v := decide(g, 10*time.Second, f); v != Free || g.Judge(10*time.Second, nowMS, "r", fs{f}).Verdict != Free {
+			t.Errorf("%s: %s", f, v)
+		}
+	}
+}
+
+func TestPartThatCompletedLatelyHasTimeToDisproveItsCrashes(t *testing.T) {
+	g := NewGuard()
+	second := time.Second
+	g.Completed("x", NewProof(second, 2*second))
+	for n := range 5 {
+		at := 3*second + time.Duration(n)*100*time.Millisecond
+		c := seen(n, at-50*time.Millisecond, at)
+		c.Request = view.Fingerprint(fmt.Sprint("r", n))
+		g.Crashed(at, "x", c)
+	}
+	if v := g.Judge(4*second-1, nowMS, "r9", fs{"x"}).Verdict; v != Free {
+		t.Errorf("before disproofTime: %s", v)
+	}
+	if v := g.Judge(4*second, nowMS, "r9", fs{"x"}).Verdict; v != NeedsTrial {
+		t.Errorf("after it: %s", v)
+	}
+	if !g.Progressed(4*second, "x", 3*second+300*time.Millisecond) || g.Judge(4*second, nowMS, "r9", fs{"x"}).Verdict != Free {
+		t.Error("withheld although a later run makes progress")
+	}
+}
+
 func TestGuardIsBounded(t *testing.T) {
 	g := NewGuard()
 	for i := range 3 * maxCompletions {
 		f := view.Fingerprint(fmt.Sprint(i))
-		g.Crashed(time.Duration(i), f, crashNumber(1))
+		g.Crashed(time.Duration(i), f, seen(1, 0, time.Duration(i)))
 	}
 	if n := len(g.OwnCrashes(0)); n > maxOwnCrashes {
 		t.Errorf("%d requests with crashes kept", n)
 	}
 	for i := range 3 * maxCompletions {
-		g.Completed(time.Second, view.Fingerprint(fmt.Sprint(i)))
+		g.Completed(view.Fingerprint(fmt.Sprint(i)), NewProof(time.Second, time.Second))
 	}
 	if n := len(g.complete[0]) + len(g.complete[1]); n > 2*maxCompletions {
 		t.Errorf("%d completed requests kept", n)
 	}
 }
 
-func TestTrackerIgnoresLateReportsOfAClearedRequest(t *testing.T) {
-	tr := NewTracker()
-	tr.Observe(0, "f", crashNumber(1))
-	tr.Clear(time.Second, "f")
-	if known := tr.Observe(2*time.Second, "f", crashNumber(2)); len(known) != 0 {
+func TestTrackerIgnoresLateReportsOfADisprovedCrashOnly(t *testing.T) {
+	second := time.Second
+	tr := NewTracker(0)
+	tr.Observe(0, "f", seen(1, 0, 0))
+	if !tr.Prove("f", NewProof(second, 2*second)) {
+		t.Error("the first crash is not disproved")
+	}
+	if known, _ := tr.Observe(3*second, "f", seen(2, second, 2*second)); len(known) != 0 {
 		t.Errorf("knows %v", known)
 	}
-	if known := tr.Observe(time.Second+clearanceTime, "f", crashNumber(3)); len(known) != 1 {
+	if known, _ := tr.Observe(3*second, "f", seen(3, second+1, 2*second)); len(known) != 1 {
 		t.Errorf("knows %v", known)
 	}
+	if tr.Prove("f", NewProof(second, 3*second)) || !tr.CrashedSince("f") {
+		t.Error("a run that began before one that crashed disproves the crash")
+	}
 	for i := range 2 * maxTracked {
-		tr.Observe(time.Duration(i)*time.Microsecond, view.Fingerprint(fmt.Sprint(i)), crashNumber(1))
+		at := time.Duration(i) * time.Microsecond
+		tr.Observe(at, view.Fingerprint(fmt.Sprint(i)), seen(1, at, at))
 	}
 	if len(tr.requests) > maxTracked {
 		t.Errorf("%d requests tracked", len(tr.requests))
 	}
 }
+
+func TestNewLeaderDoesNotLetOlderRunsClearTheList(t *testing.T) {
+	tr := NewTracker(5 * time.Second)
+	if tr.Prove("f", NewProof(5*time.Second-1, 6*time.Second)) {
+		t.Error("a run that began before the leadership disproves crashes of which the leader does not know when they were")
+	}
+	if !NewTracker(5*time.Second).Prove("f", NewProof(5*time.Second, 6*time.Second)) {
+		t.Error("a run that began later does not clear")
+	}
+}
--- a/pkg/quarantine/list_test.go
+++ b/pkg/quarantine/list_test.go
@@ -98,12 +98,13 @@
 func TestCrashingRequestIsNeverGrantedMoreThanMaxTrialsAfterItsThirdCrash(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var l List
-		tracker := NewTracker()
+		tracker := NewTracker(0)
 		nowMS, crashes, trials, grantedAfter := int64(0), 0, 0, 0
 		var open []string
 		report := func(n int, trial string) {
-			known := tracker.Observe(time.Duration(nowMS)*time.Millisecond, "f", crashNumber(n))
-			if l.Find("f") == nil && !Suspicious(known) {
+			now := time.Duration(nowMS) * time.Millisecond
+			known, suspicious := tracker.Observe(now, "f", seen(n, now, now))
+			if l.Find("f") == nil && !suspicious {
 				return
 			}
 			l, _ = l.Apply([]Change{{Kind: RecordCrashes, NowMS: nowMS, Fingerprint: "f", Crashes: known, Trial: trial, Convict: rapid.Bool().Draw(t, "known")}})
@@ -144,7 +145,7 @@
 					report(rapid.IntRange(1, crashes).Draw(t, "again"), "")
 				}
 			case 5:
-				tracker = NewTracker()
+				tracker = NewTracker(time.Duration(nowMS) * time.Millisecond)
 			}
 			if grantedAfter > MaxTrials {
 				t.Fatalf("%d trials granted after the third crash", grantedAfter)
--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -268,10 +268,11 @@
 	if j := g.Judge(second, 1000, "r9", fs{"x", "y"}); j.Verdict != Free || !slices.Equal(j.Unproven, fs{"x", "y"}) {
 		t.Errorf("without a list: %+v", j)
 	}
-	g.Completed(second, "y")
 	l := accuse(t, "x", "y")
-	if harmless := g.PutInForce(second, l); !slices.Equal(harmless, fs{"y"}) {
-		t.Errorf("harmless: %v", harmless)
+	g.PutInForce(second/2, l)
+	g.Completed("y", NewProof(second/2+1, second))
+	if completed := g.PutInForce(second, l); !slices.Equal(completed, fs{"y"}) {
+		t.Errorf("completed: %v", completed)
 	}
 	if j := g.Judge(second, 500, "r9", fs{"x", "y"}); j.Verdict != NeedsTrial || !j.Waits || !slices.Equal(j.Parts, fs{"x"}) || !slices.Equal(j.Unproven, fs{"x"}) {
 		t.Errorf("before the first trial is due: %+v", j)
@@ -298,10 +299,11 @@
 	pool := fs{"a", "b", "c", "d", "x"}
 	rapid.Check(t, func(t *rapid.T) {
 		var l List
-		tracker := NewTracker()
+		tracker := NewTracker(0)
 		nowMS, crashes, granted := int64(0), 0, 0
 		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
 			nowMS += rapid.Int64Range(0, 500).Draw(t, "wait")
+			now := time.Duration(nowMS) * time.Millisecond
 			parts := slices.DeleteFunc(slices.Clone(pool), func(view.Fingerprint) bool { return rapid.Bool().Draw(t, "without") })
 			request, trial := view.Fingerprint(fmt.Sprint("r", step)), ""
 			if slices.ContainsFunc(parts, func(f view.Fingerprint) bool { return l.Find(f) != nil }) {
@@ -317,7 +319,7 @@
 					continue
 				}
 				for _, f := range parts {
-					tracker.Clear(time.Duration(nowMS)*time.Millisecond, f)
+					tracker.Prove(f, NewProof(now, now))
 					l, _ = l.Apply([]Change{{Kind: Clear, NowMS: nowMS, Fingerprint: f}})
 				}
 				continue
@@ -328,14 +330,14 @@
 			}
 			for range rapid.IntRange(1, 2).Draw(t, "reports") {
 				for _, f := range parts {
-					if known := tracker.Observe(time.Duration(nowMS)*time.Millisecond, f, under(crashes, request)); len(known) > 0 && (l.Find(f) != nil || Suspicious(known)) {
+					if known, suspicious := tracker.Observe(now, f, SeenCrash{under(crashes, request), now, now}); len(known) > 0 && (l.Find(f) != nil || suspicious) {
 						l, _ = l.Apply([]Change{{Kind: RecordCrashes, NowMS: nowMS, Fingerprint: f, Crashes: known}})
 					}
 				}
 				l, _ = l.Apply([]Change{crashIn(trial, nowMS, crashes, request)})
 			}
 			if rapid.IntRange(0, 19).Draw(t, "new leader") == 0 {
-				tracker = NewTracker()
+				tracker = NewTracker(now)
 			}
 			for _, e := range l {
 				if e.Fingerprint != "x" && e.Refused(nowMS) {
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -1,59 +1,76 @@
 package quarantine
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
 
-const (
-	// maxTracked limits the requests that a tracker remembers.
-	maxTracked = 16384
-	// clearanceTime is how long after a completed run crashes of the request are ignored. Reports
-	// of one failure of many upstreams arrive within that time.
-	clearanceTime = 5 * time.Second
-)
+// maxTracked limits the requests that a tracker remembers.
+const maxTracked = 16384
 
-// Tracker remembers which requests, and parts of prompts, ran on upstreams that ended. It is not safe for concurrent use.
+// Tracker remembers which requests, and parts of prompts, ran on upstreams that ended, and which
+// completed. It is not safe for concurrent use.
 type Tracker struct {
-	requests map[view.Fingerprint]*trackedRequest
+	since    time.Duration // the tracker's start; crashes of the list are older
+	requests map[view.Fingerprint]*history
 }
 
-type trackedRequest struct {
-	crashes   []Crash
-	lastAt    time.Duration
-	clearedAt time.Duration // 0: never
+// NewTracker returns a tracker that knows nothing.
+func NewTracker(now time.Duration) *Tracker {
+	return &Tracker{since: now, requests: map[view.Fingerprint]*history{}}
 }
 
-// NewTracker returns an empty tracker.
-func NewTracker() *Tracker {
-	return &Tracker{requests: map[view.Fingerprint]*trackedRequest{}}
+func (t *Tracker) history(now time.Duration, f view.Fingerprint) *history {
+	t.expire(now)
+	h := t.requests[f]
+	if h == nil {
+		h = &history{lastAt: now}
+		t.requests[f] = h
+	}
+	return h
 }
 
 // Observe records that a request was running when an upstream ended. It returns all crashes known
-// of the request.
-func (t *Tracker) Observe(now time.Duration, f view.Fingerprint, c Crash) []Crash {
-	t.expire(now)
-	r := t.requests[f]
-	if r == nil {
-		r = &trackedRequest{}
-		t.requests[f] = r
+// of the request that no completed run disproves, none if this one is disproved, and whether they
+// make a suspect.
+func (t *Tracker) Observe(now time.Duration, f view.Fingerprint, c SeenCrash) ([]Crash, bool) {
+	h := t.history(now, f)
+	if now-h.lastAt >= SuspectTTL {
+		h.crashes = nil
 	}
-	if r.clearedAt != 0 && now-r.clearedAt < clearanceTime {
-		return nil
+	if !h.add(c) {
+		return nil, false
 	}
-	if now-r.lastAt >= SuspectTTL {
-		r.crashes = nil
+	return plainCrashes(h.crashes), h.suspicious(now)
+}
+
+// Completed records a completed run of a request that is observed next.
+func (t *Tracker) Completed(now time.Duration, f view.Fingerprint, p Proof) {
+	t.history(now, f).prove(p)
+}
+
+// Prove records a completed run. It reports whether the run disproves all crashes of the request.
+func (t *Tracker) Prove(f view.Fingerprint, p Proof) bool {
+	h := t.requests[f]
+	if h == nil {
+		return p.Began >= t.since
+	}
+	h.prove(p)
+	return len(h.crashes) == 0
+}
+
+// Progressed records that a run which began at a time writes its answer.
+func (t *Tracker) Progressed(f view.Fingerprint, began time.Duration) {
+	if h := t.requests[f]; h != nil {
+		h.progressed(began)
 	}
-	r.lastAt = now
-	r.crashes, _ = addCrash(r.crashes, c)
-	return slices.Clone(r.crashes)
 }
 
-// Clear records that a request ran to its end.
-func (t *Tracker) Clear(now time.Duration, f view.Fingerprint) {
-	t.requests[f] = &trackedRequest{lastAt: now, clearedAt: max(now, 1)}
+// CrashedSince reports whether a crash of the request is known that no completed run disproves.
+func (t *Tracker) CrashedSince(f view.Fingerprint) bool {
+	h := t.requests[f]
+	return h != nil && len(h.crashes) > 0
 }
 
 // expire forgets the oldest requests if there are too many.
@@ -63,8 +80,8 @@
 	}
 	keep := SuspectTTL
 	for len(t.requests) >= maxTracked {
-		for f, r := range t.requests {
-			if now-r.lastAt >= keep {
+		for f, h := range t.requests {
+			if now-max(h.lastAt, h.proof.Ended) >= keep {
 				delete(t.requests, f)
 			}
 		}
