Clear a suspect of the own interface by its trial alone

A run that began before its request became a suspect cleared it when it completed, at every gate that had one in flight. Change: only a trial clears. All other runs began before the gate knew of the suspicion. Ruled out: times of crashes at the gates; the trial is granted at once. Figures: TestRunThatBeganBeforeASuspicionDoesNotClearIt fails before (cleared [f]). go test ./pkg/suspect ./pkg/prove/once ./pkg/gate ./pkg/prove/matrix: ok.

--- a/pkg/suspect/guard.go
+++ b/pkg/suspect/guard.go
@@ -125,6 +125,9 @@
 		delete(g.trials, r.fingerprint)
 	}
 	if how == RunCompleted {
+		if !r.trial { // it began before the request was a suspect
+			return
+		}
 		g.recordCleared(r.fingerprint)
 		return
 	}
--- a/pkg/suspect/guard_test.go
+++ b/pkg/suspect/guard_test.go
@@ -68,6 +68,24 @@
 	}
 }
 
+func TestRunThatBeganBeforeASuspicionDoesNotClearIt(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	v := view.New()
+	g := NewGuard("g1", func() *view.View { return v })
+	earlier, ok := g.Start(now, "f", "o", "u1", 1)
+	if !ok {
+		t.Fatal("not started")
+	}
+	v.Quarantines.Put("f", view.Quarantine{Fingerprint: "f", Crashes: 1, Isolate: true, Trial: "g1", Until: view.Time(now.Add(time.Hour).UnixNano())}, 1)
+	earlier.End(now.Add(time.Second), RunCompleted)
+	if cleared := g.TakeCleared(); len(cleared) > 0 {
+		t.Errorf("cleared %v", cleared)
+	}
+	if trial, ok := g.Start(now.Add(time.Second), "f", "o", "u2", 1); !ok || !trial.Trial() {
+		t.Error("no trial")
+	}
+}
+
 // A trial breaks off while its upstream stays up. The suspect must be tried again soon and not
 // only when its quarantine expires.
 func TestBrokenTrialWithoutCrashIsRepeated(t *testing.T) {
