Reproduce upstreams that get more than the limit they name, known to be red

An upstream in need was sent as many requests as any other. Conclusion: the limit needs a mechanism of its own, of the balancer and the placer.

--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -336,6 +336,7 @@
 	record fleet.Upstream
 	life   int
 	up     bool
+	limit  string        // requests a second that it names in its answers; empty if none
 	retire bool          // it is not started again
 	ending chan struct{} // closed at the end of the process
 }
@@ -472,6 +473,7 @@
 }
 
 func (h *simulatedHost) serve(c net.Conn, id string) {
+	c = &limitNamingConn{Conn: c, host: h}
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
