Keep the limits that upstreams name, summed over all entry hosts

Callers saw nothing yet; upstreams in need got many times what they said they take. Cause: nothing read the limit, and the even spread of requests knows no limits. Change: package ratelimit. The placer of a model has the whole limit of its heads; for services without a placer the leader divides it by arrivals. Parts are token buckets that hold almost nothing at first. Entry hosts report limits with each sync, the leader tells changes at once. An upstream whose limit is reached is passed over by balancer and placer; if none is left the request is refused at once with the time at which the limits reach it. Ruled out: the whole limit, or an equal part, at each entry host; a share only for hosts that have reported arrivals (new hosts had none for half a second); shares by arrivals alone (they change hands among equals, and what a host had saved up for its next request is lost: half of a small limit was used).

--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -25,6 +25,9 @@
 	SinceLastEventMS   map[string]int64   `json:"progress,omitempty"` // time since each head's last event; only heads with a recent one
 	HasArrivals        bool               `json:"arrivals,omitempty"` // whether requests of clients have arrived
 	PlacerAddress      string             `json:"places,omitempty"`   // host:port where this process places requests for other entry hosts
+
+	Limits        map[string]FleetLimit `json:"limits,omitempty"` // that upstreams name, by upstream ID
+	LimitRevision uint64                `json:"limit_rev,omitempty"`
 }
 
 // FleetSyncResult holds what has changed for one process.
@@ -46,7 +49,10 @@
 	AwaitingFirstEvent map[string]int      `json:"unread,omitempty"`
 	EntryHosts         int                 `json:"entries"` // number of processes that serve clients
 	Coordinators       []string            `json:"peers"`   // host:port of each coordinator
-	Placers            map[string]string   `json:"placers"` // host:port of the entry host that places each model's requests; nil: not assigned yet
+	// Limits are those that upstreams name, and those that ended lately, by upstream ID.
+	Limits        map[string]FleetLimit `json:"limits,omitempty"`
+	LimitRevision uint64                `json:"limit_rev,omitempty"`
+	Placers       map[string]string     `json:"placers"` // host:port of the entry host that places each model's requests; nil: not assigned yet
 }
 
 // FleetAnnounceResult holds the leader's address for upstreams.
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -63,6 +63,7 @@
 	cordonedHeads map[string]bool
 	cachedResults map[resultKey]cachedResult
 	crashes       *quarantine.Tracker
+	limits        upstreamLimits
 	placers       map[string]string // by model: host:port of the entry host that places its requests; nil if not chosen yet
 
 	load            map[string]float64 // required engine time per second, by model
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -29,6 +29,7 @@
 func (c *Coordinator) handleSync(ctx context.Context, req control.FleetSyncRequest) (json.RawMessage, error) {
 	deadline := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer deadline.Stop()
+	c.recordLimits(req)
 	for {
 		c.mu.Lock()
 		l := c.leadership
@@ -37,7 +38,7 @@
 			return nil, notLeader(c.leaderAddress())
 		}
 		c.recordSync(l, req)
-		hasNews := req.Session != l.session || req.Revision != c.revisionFor(req) || req.Index != c.appliedIndex
+		hasNews := req.Session != l.session || req.EntryHost && req.LimitRevision != l.limits.revision || req.Revision != c.revisionFor(req) || req.Index != c.appliedIndex
 		changed := l.changed
 		batchDelay := syncBatchDelay + time.Duration(len(l.processes))*syncBatchDelayPerProcess
 		c.mu.Unlock()
@@ -124,6 +125,7 @@
 		Running:            map[string]int{},
 		AwaitingFirstEvent: map[string]int{},
 		Placers:            l.placers,
+		LimitRevision:      l.limits.revision,
 	}
 	if req.Session != l.session {
 		since = 0
@@ -134,6 +136,9 @@
 		result.Departures = st.Departures
 		result.Quarantine = st.Quarantine
 	}
+	if req.EntryHost {
+		result.Limits = c.limitsFor(c.now(), l)
+	}
 	if st.Document != nil {
 		result.DocumentVersion = st.Document.Version
 	}
--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
@@ -17,6 +18,7 @@
 	noUpstream       reason = "no upstream serves it"
 	allFull          reason = "all upstreams are full"
 	allExcluded      reason = "all upstreams were tried or fail"
+	limitReached     reason = "all upstreams that are left name a limit, which is reached"
 	warmupBound      reason = "cold upstreams bear no more requests"
 	retryBudgetSpent reason = "budget of repeats is spent"
 	deadlineReached  reason = "no time is left"
@@ -39,6 +41,10 @@
 	coldFactor, coldSlack float64
 	lastFull              map[string]time.Duration // by model placed here: time of the last rejection for lack of capacity
 	rand                  *rand.Rand
+
+	limited  atomic.Int64             // upstreams that name a limit; may be read without the lock
+	arrivals map[string]*arrivalRate  // of requests, by service without an engine
+	returns  map[string]time.Duration // when the last request that limits refused comes back, by service and model
 }
 
 func newBalancer(cfg Config) *balancer {
@@ -51,6 +57,8 @@
 		lastFull:       map[string]time.Duration{},
 		coldFactor:     cfg.ColdFactor,
 		coldSlack:      cfg.ColdSlack,
+		arrivals:       map[string]*arrivalRate{},
+		returns:        map[string]time.Duration{},
 		rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -72,6 +80,7 @@
 func (b *balancer) choose(now time.Duration, req placementRequest) (*placement, reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.countArrival(now, req)
 	var best *target
 	bestScore := 0.0
 	why := noUpstream
@@ -102,12 +111,26 @@
 			best, bestScore = t, score
 		}
 	}
+	best.spendLimit()
 	return b.addRequest(now, best, req.promptTokens), noReason
 }
 
+// countArrival counts a request for a service without an engine. The caller holds the lock.
+func (b *balancer) countArrival(now time.Duration, req placementRequest) {
+	if req.service.Engine != nil {
+		return
+	}
+	r := b.arrivals[req.service.Name]
+	if r == nil {
+		r = &arrivalRate{}
+		b.arrivals[req.service.Name] = r
+	}
+	r.add(now)
+}
+
 // reasonPrecedence orders the reasons by how soon they are expected to pass. If several apply, the
 // one with the highest value is reported.
-var reasonPrecedence = map[reason]int{noUpstream: 0, allExcluded: 1, warmupBound: 2, allFull: 3}
+var reasonPrecedence = map[reason]int{noUpstream: 0, allExcluded: 1, warmupBound: 2, limitReached: 3, allFull: 4}
 
 // candidates returns the upstreams that can serve the request in principle.
 func (b *balancer) candidates(req placementRequest) []*target {
@@ -127,6 +150,8 @@
 		return allExcluded
 	case !b.mayStartRequest(now, t, req):
 		return warmupBound
+	case !b.allowsLimit(now, t, req):
+		return limitReached
 	case t.total() >= b.capacity(now, t, req):
 		return allFull
 	}
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -133,6 +133,7 @@
 	usage := g.balancer.localUsage(now)
 	syncRequest.Running, syncRequest.AwaitingFirstEvent, syncRequest.SinceLastEventMS = usage.running, usage.pendingPrompts, usage.progress
 	syncRequest.OfferedLoad, syncRequest.HasArrivals = g.demand.rates(now)
+	syncRequest.Limits = g.balancer.limitReports(now)
 	syncRequest.PlacerAddress = g.cfg.PlacerAddress
 	if g.stopping.Load() {
 		syncRequest.PlacerAddress = ""
@@ -156,6 +157,7 @@
 	for _, address := range g.balancer.applySync(g.now(), result, usage, newer) {
 		g.pool.CloseIdleTo(address)
 	}
+	g.metrics.Limited.Set(float64(g.balancer.limited.Load()))
 	g.applyPlacers(result.Placers)
 	g.lastSync.Store(int64(g.now()))
 	if result.Session != syncRequest.Session {
@@ -164,6 +166,7 @@
 	}
 	syncRequest.Session = result.Session
 	syncRequest.Revision = result.Revision
+	syncRequest.LimitRevision = result.LimitRevision
 	syncRequest.Index = max(syncRequest.Index, result.Index)
 	for _, p := range result.Coordinators {
 		g.caller.AddAddress(p)
--- a/pkg/entry/limit_test.go
+++ b/pkg/entry/limit_test.go
@@ -40,15 +40,16 @@
 
 // limitPlay sends requests to a fleet whose upstreams name limits for some time.
 type limitPlay struct {
-	fleet   *testFleet
-	named   time.Time // when they named their limits first
-	ended   time.Time // when they stopped
-	work    sync.WaitGroup
-	mu      sync.Mutex
-	sent    map[string]int // by kind, while limits were named
-	served  map[string]int
-	hasty   int // refused without a time to come back
-	onlyOne bool
+	fleet  *testFleet
+	named  time.Time // when they named their limits first
+	ended  time.Time // when they stopped
+	work   sync.WaitGroup
+	mu     sync.Mutex
+	sent   map[string]int // by kind, while limits were named
+	served map[string]int
+	hasty  int       // refused without a time to come back
+	forgot time.Time // when all processes restarted
+	uneven bool      // all requests come in at one entry host
 }
 
 // nameLimits makes a share of the upstreams name a limit.
@@ -72,7 +73,7 @@
 			p.work.Go(func() {
 				c := clientRequest{kind: kind, body: fmt.Sprint("limited ", time.Now().UnixNano(), n)}
 				entry := p.fleet.randomEntry()
-				if p.onlyOne {
+				if p.uneven {
 					entry = 0
 				}
 				at := time.Now()
@@ -129,7 +130,8 @@
 		}
 		var window []time.Time
 		for _, at := range p.arrivalsAt()[h.name] {
-			if at.Before(p.named.Add(contactTime)) || at.After(p.ended) {
+			unknown := at.Before(p.named.Add(contactTime)) || at.After(p.forgot) && at.Before(p.forgot.Add(contactTime))
+			if unknown || at.After(p.ended) {
 				continue
 			}
 			window = append(window, at)
@@ -149,6 +151,30 @@
 	}
 }
 
+// assertLimitsUsed checks that most of what the upstreams take was sent to them.
+func (p *limitPlay) assertLimitsUsed(limit float64) {
+	p.fleet.t.Helper()
+	seconds := p.ended.Sub(p.named.Add(contactTime)).Seconds()
+	for kind, upstreams := range map[string]float64{"again": 6, "stream": 10} {
+		if float64(p.served[kind]) < usedShare*limit*upstreams*seconds {
+			p.fleet.t.Errorf("%s: %d requests served in %v s by %v upstreams with the limit %v", kind, p.served[kind], seconds, upstreams, limit)
+		}
+	}
+}
+
+// usedShare is the least share of a limit that is used while more requests come.
+const usedShare = 0.7
+
+// assertServed checks that other upstreams take what limited ones do not.
+func (p *limitPlay) assertServed() {
+	p.fleet.t.Helper()
+	for kind, sent := range p.sent {
+		if 100*p.served[kind] < 99*sent {
+			p.fleet.t.Errorf("%s: %d of %d served", kind, p.served[kind], sent)
+		}
+	}
+}
+
 func newLimitPlay(t *testing.T, entries int) *limitPlay {
 	return &limitPlay{fleet: newTestFleet(t, 10, fleetSize{entries: entries, plain: 6, engines: 10}), sent: map[string]int{}, served: map[string]int{}}
 }
@@ -164,14 +190,87 @@
 						p.send(2, nil)
 						p.nameLimits(limit, share)
 						p.named = time.Now()
-						p.send(20, disturb)
+						p.send(20, func(f *testFleet, second int) {
+							if disturb != nil {
+								disturb(f, second)
+							}
+							if name == "everything restarted" && second == 8 {
+								p.forgot = time.Now()
+							}
+						})
 						p.ended = time.Now()
 						p.work.Wait()
 						perSecond, _ := strconv.ParseFloat(limit, 64)
 						p.assertLimitsKept(perSecond)
+						if share == 1 && name == "calm" {
+							p.assertLimitsUsed(perSecond)
+						}
+						if share < 1 && name == "calm" {
+							p.assertServed()
+						}
 					})
 				})
 			}
 		}
 	}
 }
+
+func TestLimitIsUsedWhereAllRequestsComeInAtOneEntryHost(t *testing.T) {
+	for _, limit := range []string{"0.4", "5.5"} {
+		t.Run(limit, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				p := newLimitPlay(t, 7)
+				p.uneven = true
+				p.send(2, nil)
+				p.nameLimits(limit, 1)
+				p.named = time.Now()
+				p.send(20, nil)
+				p.ended = time.Now()
+				p.work.Wait()
+				perSecond, _ := strconv.ParseFloat(limit, 64)
+				p.assertLimitsKept(perSecond)
+				p.assertLimitsUsed(perSecond)
+			})
+		})
+	}
+}
+
+func TestLimitsThatAreNotNamedAnyMoreEnd(t *testing.T) {
+	for _, limit := range []string{"0", "2"} {
+		t.Run(limit, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				p := newLimitPlay(t, 7)
+				p.nameLimits(limit, 1)
+				p.send(8, nil)
+				for _, h := range p.fleet.hosts {
+					h.mu.Lock()
+					h.limit = ""
+					h.mu.Unlock()
+				}
+				p.send(6, nil) // each upstream gets a request in 4 s
+				p.named = time.Now().Add(-contactTime)
+				p.send(5, nil)
+				p.work.Wait()
+				p.assertServed()
+			})
+		})
+	}
+}
+
+func TestMalformedLimitsAreIgnored(t *testing.T) {
+	for _, limit := range []string{"-1", "NaN", "five", "1e300", "0x1"} {
+		t.Run(limit, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				p := newLimitPlay(t, 4)
+				p.nameLimits(limit, 1)
+				p.named = time.Now().Add(-contactTime)
+				p.send(5, nil)
+				p.work.Wait()
+				p.assertServed()
+			})
+		})
+	}
+}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -20,6 +20,8 @@
 	Syncs           *prometheus.CounterVec
 	Standbys        *prometheus.CounterVec
 	SuspectedHeads  prometheus.Counter
+	LimitedRefusals prometheus.Counter
+	Limited         prometheus.Gauge
 	SuppressedLines prometheus.Counter
 	DocumentVersion prometheus.Gauge
 }
@@ -53,12 +55,16 @@
 			Name: "sesame_entry_standbys_total", Help: "Attempts at another upstream beside a silent one, by outcome."}, []string{"outcome"}),
 		SuspectedHeads: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sesame_entry_suspected_heads_total", Help: "Heads of groups that went silent."}),
+		LimitedRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sesame_entry_limit_refusals_total", Help: "Requests refused because all upstreams with room name a limit, which is reached."}),
+		Limited: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sesame_entry_limited_upstreams", Help: "Upstreams that name a limit of requests a second."}),
 		SuppressedLines: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sesame_entry_lines_suppressed_total", Help: "Log lines about requests beyond the bound."}),
 		DocumentVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sesame_entry_document_version", Help: "Version of the document in force here."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Quarantined, m.Placements, m.Syncs, m.Standbys, m.SuspectedHeads, m.SuppressedLines, m.DocumentVersion)
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Quarantined, m.Placements, m.Syncs, m.Standbys, m.SuspectedHeads, m.LimitedRefusals, m.Limited, m.SuppressedLines, m.DocumentVersion)
 	return m
 }
 
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -65,6 +65,7 @@
 // exchange sends the request to an upstream and returns its answer with an unread body. errNotRun
 // and upstream.ErrNotSent guarantee that the request did not run. It does not change c.
 func (c *call) exchange(ctx context.Context, u *fleet.Upstream, lastEvent string) (*upstream.Response, error) {
+	sentAt := c.gateway.now()
 	resp, err := c.gateway.pool.Do(ctx, &upstream.Request{
 		Address: u.Address,
 		Host:    c.r.Host,
@@ -87,6 +88,11 @@
 	case resp.Header.Get(names.Attempt) != c.r.Header.Get(names.Attempt):
 		resp.Close()
 		return nil, eris.Wrapf(errMismatchedAnswer, "answer is for attempt %q", resp.Header.Get(names.Attempt))
+	}
+	if resp.Status != http.StatusMisdirectedRequest {
+		c.gateway.noteLimit(u, sentAt, resp.Header)
+	}
+	switch {
 	case resp.Header.Get("Content-Encoding") != "":
 		resp.Close()
 		return nil, eris.Wrap(errMismatchedAnswer, "answer has a Content-Encoding")
@@ -213,6 +219,10 @@
 	if why == endsUpstreams {
 		return max(time.Until(time.UnixMilli(c.refusedUntilMS)), time.Second)
 	}
+	if why == limitReached {
+		c.gateway.metrics.LimitedRefusals.Inc()
+		return c.gateway.balancer.untilAllowed(c.gateway.now(), placementRequest{service: c.service, model: c.model})
+	}
 	base := map[reason]time.Duration{
 		allFull:          400 * time.Millisecond,
 		warmupBound:      300 * time.Millisecond,
--- a/pkg/entry/sync.go
+++ b/pkg/entry/sync.go
@@ -45,6 +45,7 @@
 		t.othersPendingPrompts = max(result.AwaitingFirstEvent[id]-own.pendingPrompts[id], 0)
 	}
 	b.entryHosts = max(result.EntryHosts, 1)
+	b.applyLimits(now, result.Limits)
 	return removed
 }
 
@@ -88,6 +89,7 @@
 	if u.StartedMS != t.StartedMS {
 		t.consecutiveFailures, t.errorRate, t.slowness = 0, 0, 1
 		t.suspectUntil, t.backoffUntil = 0, 0
+		t.limit = limitState{}
 	}
 	t.applyWarmup(now, u)
 	if u.Assignment == nil || t.Assignment == nil || *u.Assignment != *t.Assignment {
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -21,6 +21,8 @@
 	busySince            time.Duration   // when the first of the running requests was sent
 	recentStarts         []time.Duration // own requests sent within the last second
 
+	limit limitState
+
 	coldUntil time.Duration // the upstream may be cold until then
 
 	suspectUntil        time.Duration
--- /dev/null
+++ b/pkg/ratelimit/statement.go
@@ -0,0 +1,66 @@
+package ratelimit
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrMalformed is returned for a value that is not a decimal number of at least 0.
+var ErrMalformed = eris.New("limit is not a decimal number of at least 0")
+
+const (
+	// MinPerSecond is the rate that an upstream gets whatever it says: an answer must tell when its
+	// limit ends.
+	MinPerSecond = 0.25
+	// MaxPerSecond stands for limits that no deployment reaches.
+	MaxPerSecond = 1e6
+)
+
+// Statement is what an upstream said last about its limit.
+type Statement struct {
+	PerSecond float64 // requests; with Limited
+	Limited   bool
+	At        time.Duration // on the clock of the process that keeps it; 0 if it has said nothing
+}
+
+// Parse returns the limit that an answer names, the lowest if there are several.
+func Parse(values []string) (float64, error) {
+	lowest := math.Inf(1)
+	for _, v := range values {
+		v = strings.TrimSpace(v)
+		n, err := strconv.ParseFloat(v, 64)
+		tooLarge := eris.Is(err, strconv.ErrRange) && n > 0
+		if err != nil && !tooLarge || strings.Trim(v, "0123456789.eE+-") != "" || !(n >= 0) {
+			return 0, eris.Wrapf(ErrMalformed, "value %q", v[:min(len(v), maxShown)])
+		}
+		lowest = min(lowest, n)
+	}
+	return min(lowest, MaxPerSecond), nil
+}
+
+// maxShown limits the bytes of a value in an error.
+const maxShown = 40
+
+// Answer returns the statement after an answer without a limit, to a request sent at a time. Only one
+// sent after the last statement ends the limit; earlier answers may overtake each other.
+func (s Statement) Answer(now, sentAt time.Duration) Statement {
+	if s.Limited && sentAt > s.At {
+		return Statement{At: now}
+	}
+	return s
+}
+
+// Rate returns the requests a second that the upstream may get.
+func (s Statement) Rate() float64 { return max(s.PerSecond, MinPerSecond) }
+
+// Changes reports whether processes that hold s must learn of t soon.
+func (s Statement) Changes(t Statement) bool {
+	return s.Limited != t.Limited || math.Abs(s.PerSecond-t.PerSecond) > changeShare*s.PerSecond
+}
+
+// changeShare is the change of a limit below which it is not sent at once.
+const changeShare = 0.05
