Record crashes that a question for a trial brings although it is denied

Callers saw: after a part crashed all upstreams of a small deployment within a second, sound requests with another part of its prompts were refused as being on trial, without end. Cause: a suspect that only time makes one is first seen by the leader in a question for a trial. A part waits for its first trial from the time at which it is recorded; the question was denied because of that, and with it the record was dropped, so that each further question was the first. Change: a denied question proposes the crashes that it brings, without the trial. Ruled out: evaluating all histories on a timer at the leader.

--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -101,6 +102,11 @@
 	}
 	if err = c.denied(changes); err == nil {
 		err = c.propose(ctx, durable.Command{Quarantine: changes})
+	} else if crashes := changes[:len(changes)-1]; recordsCrashes(crashes) {
+		// A part waits for its first trial from the time at which it is recorded.
+		if failed := c.propose(ctx, durable.Command{Quarantine: crashes}); failed != nil {
+			return control.FleetTrialResult{}, c.toRPCError(failed)
+		}
 	}
 	result := control.FleetTrialResult{Verdict: quarantine.NeedsTrial}
 	switch {
@@ -142,8 +148,12 @@
 	}), nil
 }
 
+func recordsCrashes(changes []quarantine.Change) bool {
+	return slices.ContainsFunc(changes, func(c quarantine.Change) bool { return c.Kind == quarantine.RecordCrashes })
+}
+
 // denied returns the error of a trial that is not granted now, so that the question needs no entry
-// in the log. It returns nil if the log decides.
+// in the log unless it brings new crashes. It returns nil if the log decides.
 func (c *Coordinator) denied(changes []quarantine.Change) error {
 	r := c.replica.Load()
 	if r == nil {
--- a/pkg/entry/turning_bad_test.go
+++ b/pkg/entry/turning_bad_test.go
@@ -202,3 +202,34 @@
 	work.Wait()
 	return all
 }
+
+func TestSoundRequestsBeginAgainAfterCrashesThatNoLaterRunDisproved(t *testing.T) {
+	for _, entries := range []int{2, 5} {
+		t.Run(fmt.Sprint(entries, " entry hosts"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, 11, fleetSize{entries: entries, plain: 2, engines: 4})
+				p := &partPlay{fleet: f, bad: "bad0"}
+				p.play(8, false, nil)
+				for range 5 { // ends all upstreams, so that no later run completes for some time
+					p.sendBad()
+					p.sendSound()
+					time.Sleep(100 * time.Millisecond)
+				}
+				p.play(6, false, nil)
+				from := time.Now()
+				p.play(5, false, nil)
+				p.work.Wait()
+				began := 0
+				for _, a := range p.sound {
+					if a.at.After(from) && a.began {
+						began++
+					}
+				}
+				if began < 99 {
+					t.Errorf("%d of 100 sound requests began", began)
+				}
+			})
+		})
+	}
+}
