Make no pause after a trial that did not run

Callers saw: after two trials of theirs crashed, sound parts waited 10 s and more for the next one although the last had not run, since no upstream had room yet. Cause: the pause counts from the grant of the last trial, and a trial that did not run was given back without the time of the one before. Change: the time of the trial before is kept and restored. Figures: TestTrialThatDidNotRunMakesNoPause fails before. go test ./pkg/quarantine -rapid.checks=2000: ok.

--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -35,6 +35,7 @@
 	// The following are set for parts only.
 	SinceMS     int64              `json:"s,omitempty"`  // when it became a suspect, Unix milliseconds
 	LastTrialMS int64              `json:"lt,omitempty"` // when the last trial was granted, Unix milliseconds
+	TrialBefore int64              `json:"tb,omitempty"` // LastTrialMS before the last trial, which may not run
 	TrialParts  []view.Fingerprint `json:"p,omitempty"`  // the parts that the running trial is about
 	CrashedIn   []CrashedTrial     `json:"w,omitempty"`  // the last crashed trials
 }
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -135,6 +135,7 @@
 			e.Trial, e.TrialParts = "", nil
 			if c.NotRun {
 				e.Trials = max(e.Trials-1, 0)
+				e.LastTrialMS = e.TrialBefore
 			}
 		}
 	}
--- a/pkg/quarantine/part.go
+++ b/pkg/quarantine/part.go
@@ -118,7 +118,7 @@
 	if e.Trials >= MaxTrials {
 		e.Trials = 0
 	}
-	e.LastTrialMS = nowMS
+	e.TrialBefore, e.LastTrialMS = e.LastTrialMS, nowMS
 }
 
 // crashPartTrial records that the upstream of a trial of this part is known to have ended.
--- a/pkg/quarantine/part_test.go
+++ b/pkg/quarantine/part_test.go
@@ -219,6 +219,14 @@
 	mustApply(t, l, grantParts("v", 3000+undecidedPause.Milliseconds(), "r3", "x"))
 }
 
+func TestTrialThatDidNotRunMakesNoPause(t *testing.T) {
+	l := accuse(t, "sound", "x")
+	l = mustApply(t, l, grantParts("a", 2000, "r3", "sound", "x"), crashIn("a", 2100, 10, "r3"))
+	l = mustApply(t, l, grantParts("b", 3000, "r4", "sound", "x"), crashIn("b", 3100, 11, "r4"))
+	l = mustApply(t, l, grantParts("c", 63_000, "r5", "sound", "x"), Change{Kind: EndTrial, Trial: "c", NotRun: true})
+	mustApply(t, l, grantParts("d", 63_100, "r6", "sound", "x"))
+}
+
 func TestAssumedCrashInATrialDecidesNothingAboutParts(t *testing.T) {
 	l := mustApply(t, accuse(t, "x"), grantParts("a", 2000, "r3", "x"))
 	c := crashIn("a", 2100, 10, "r3")
