--- a/pkg/coordinator/limits.go
+++ b/pkg/coordinator/limits.go
@@ -9,9 +9,6 @@
 	"github.com/sesamemux/sesamemux/pkg/ratelimit"
 )
 
-// endedLimitTime is how long entry hosts are told that a limit has ended.
-const endedLimitTime = 10 * time.Second
-
 // upstreamLimits are the limits that upstreams name, as entry hosts report them.
 type upstreamLimits struct {
 	statements map[string]ratelimit.Statement // by upstream ID
@@ -42,7 +39,7 @@
 func (l *upstreamLimits) expire(now time.Duration, registry *fleet.Registry) {
 	maps.DeleteFunc(l.statements, func(id string, s ratelimit.Statement) bool {
 		u := registry.Get(id)
-		return u == nil || u.State == fleet.Gone || !s.Limited && now-s.At > endedLimitTime
+		return u == nil || u.State == fleet.Gone || !s.Told(now)
 	})
 }
 
--- a/pkg/entry/limit.go
+++ b/pkg/entry/limit.go
@@ -16,8 +16,6 @@
 	// model, and fallbackSenders how many of them do.
 	fallbackShare   = 0.25
 	fallbackSenders = 2
-	// endedLimitTime is how long the leader is told that a limit has ended.
-	endedLimitTime = 10 * time.Second
 )
 
 // limitState is what is known of the limit that an upstream names.
@@ -153,7 +151,7 @@
 	reports := map[string]control.FleetLimit{}
 	for id, t := range b.targets {
 		l := &t.limit
-		if !l.Limited && (l.At == 0 || now-l.At > endedLimitTime) {
+		if !l.Told(now) {
 			continue
 		}
 		r := control.NewFleetLimit(now, l.Statement)
--- a/pkg/ratelimit/statement.go
+++ b/pkg/ratelimit/statement.go
@@ -16,6 +16,8 @@
 	// MinPerSecond is the rate that an upstream gets whatever it says: an answer must tell when its
 	// limit ends.
 	MinPerSecond = 0.25
+	// EndedTime is how long processes tell each other that a limit has ended.
+	EndedTime = 10 * time.Second
 	// MaxPerSecond stands for limits that no deployment reaches.
 	MaxPerSecond = 1e6
 )
@@ -57,6 +59,11 @@
 // Rate returns the requests a second that the upstream may get.
 func (s Statement) Rate() float64 { return max(s.PerSecond, MinPerSecond) }
 
+// Told reports whether other processes must be told of the statement.
+func (s Statement) Told(now time.Duration) bool {
+	return s.Limited || s.At != 0 && now-s.At <= EndedTime
+}
+
 // Changes reports whether processes that hold s must learn of t soon.
 func (s Statement) Changes(t Statement) bool {
 	return s.Limited != t.Limited || math.Abs(s.PerSecond-t.PerSecond) > changeShare*s.PerSecond
