Tell the leader less often, and together, of runs that show something sound

Cause: for 3 s after a crash each entry host sent a message about each sound run; the leader, with a small share of a core, took 75 times as many and fell behind with documents and groups. Change: the interval between reports of a request or part, and the time for which they wait to go together, grow with the number of entry hosts. Reports of crashes and cleared suspects do not wait.

--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -157,6 +157,7 @@
 	for _, address := range g.balancer.applySync(g.now(), result, usage, newer) {
 		g.pool.CloseIdleTo(address)
 	}
+	g.guard.SetEntryHosts(g.balancer.entryCount())
 	g.metrics.Limited.Set(float64(g.balancer.limited.Load()))
 	g.applyPlacers(result.Placers)
 	g.lastSync.Store(int64(g.now()))
--- a/pkg/entry/pending_reports.go
+++ b/pkg/entry/pending_reports.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
@@ -22,6 +23,7 @@
 	fingerprint view.Fingerprint
 	proof       quarantine.Proof
 	trial       string // the trial that the run was; empty if none
+	patient     bool   // the request was not under suspicion here
 }
 
 // progressReport is a run of a request or part that its upstream survives.
@@ -42,6 +44,11 @@
 	return len(p.crashed) + len(p.cleared) + len(p.progressed) + len(p.ended)
 }
 
+// urgent reports whether a report must not wait for others.
+func (p *pendingReports) urgent() bool {
+	return len(p.crashed)+len(p.ended) > 0 || slices.ContainsFunc(p.cleared, func(r clearReport) bool { return !r.patient })
+}
+
 // request returns the message that is sent at a time.
 func (p *pendingReports) request(process string, now time.Duration) control.FleetRunsRequest {
 	req := control.FleetRunsRequest{Process: process, Ended: p.ended}
--- a/pkg/entry/run_reporter.go
+++ b/pkg/entry/run_reporter.go
@@ -14,6 +14,10 @@
 const (
 	// reportBatchDelay batches reports: all requests of an upstream that ends fail at once.
 	reportBatchDelay = 5 * time.Millisecond
+	// patientDelay, for each entry host, is how long reports wait that say only that something is
+	// sound, up to maxPatientDelay: many entry hosts have them at the same time.
+	patientDelay    = 5 * time.Millisecond
+	maxPatientDelay = 400 * time.Millisecond
 	// reportRetryDelay is the delay after a failed report. It doubles up to maxReportRetryDelay: all
 	// entry hosts report again while there is no leader.
 	reportRetryDelay    = 50 * time.Millisecond
@@ -42,7 +46,14 @@
 
 func (r *runReporter) cleared(f view.Fingerprint, p quarantine.Proof, trial string) {
 	r.add(func(pending *pendingReports) {
-		pending.cleared = append(pending.cleared, clearReport{f, p, trial})
+		pending.cleared = append(pending.cleared, clearReport{fingerprint: f, proof: p, trial: trial})
+	})
+}
+
+// completed reports a run of a request that is not under suspicion here.
+func (r *runReporter) completed(f view.Fingerprint, p quarantine.Proof) {
+	r.add(func(pending *pendingReports) {
+		pending.cleared = append(pending.cleared, clearReport{fingerprint: f, proof: p, patient: true})
 	})
 }
 
@@ -86,6 +97,27 @@
 	return batch, overflow
 }
 
+// awaitUrgent waits for a report that must not wait, at most for the given time.
+func (r *runReporter) awaitUrgent(ctx context.Context, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	for !r.isUrgent() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-r.wake:
+		}
+	}
+}
+
+func (r *runReporter) isUrgent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pending.urgent()
+}
+
 // run sends reports until ctx ends.
 func (r *runReporter) run(ctx context.Context, g *Gateway) {
 	for {
@@ -94,6 +126,7 @@
 			return
 		case <-r.wake:
 		}
+		r.awaitUrgent(ctx, min(time.Duration(g.balancer.entryCount())*patientDelay, maxPatientDelay))
 		clock.Sleep(ctx, reportBatchDelay)
 		batch, overflow := r.take()
 		g.deliverReports(ctx, batch)
--- a/pkg/quarantine/guard.go
+++ b/pkg/quarantine/guard.go
@@ -16,8 +16,11 @@
 	maxCompletions = 8192
 	// completionMargin is how much longer than disproofTime runs are reported after a crash.
 	completionMargin = 2 * time.Second
-	// tellInterval is the time between the beginnings of runs of one request that are reported.
-	tellInterval = 100 * time.Millisecond
+	// tellInterval is the mean time between the beginnings of runs of one request that all entry hosts
+	// report, if many run it. minTellInterval and maxTellInterval limit that of one entry host.
+	tellInterval    = 15 * time.Millisecond
+	minTellInterval = 100 * time.Millisecond
+	maxTellInterval = time.Second
 	// maxTold limits the requests of which such reports are remembered.
 	maxTold = 4096
 	// maxOwnCrashes limits the requests whose crashes a guard remembers.
@@ -43,6 +46,7 @@
 	own      map[view.Fingerprint]*history
 	complete [2]map[view.Fingerprint]Proof // the completed run that began last; newer generation first
 
+	entryHosts  int                                // in the deployment
 	lastCrashAt time.Duration                      // of any request
 	told        map[view.Fingerprint]time.Duration // when the last run began that the leader was told of
 }
@@ -188,16 +192,23 @@
 	}
 }
 
-// Completed records that a request ran to its end. It reports whether the leader must know: the
-// request was under suspicion, or may be at other entry hosts.
-func (g *Guard) Completed(f view.Fingerprint, p Proof) bool {
+// SetEntryHosts sets the number of entry hosts in the deployment.
+func (g *Guard) SetEntryHosts(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.entryHosts = n
+}
+
+// Completed records that a request ran to its end. It reports whether the request was under suspicion
+// here, and whether the leader must know because it may be so at other entry hosts.
+func (g *Guard) Completed(f view.Fingerprint, p Proof) (suspected, tell bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.complete[0]) >= maxCompletions {
 		g.complete[1] = g.complete[0]
 		g.complete[0] = map[view.Fingerprint]Proof{}
 	}
-	tell := g.tells(p.Ended, f, p.Began)
+	tell = g.tells(p.Ended, f, p.Began)
 	p = p.merge(g.proofOf(f))
 	g.complete[0][f] = p
 	own := g.own[f]
@@ -206,7 +217,7 @@
 			delete(g.own, f)
 		}
 	}
-	return tell || own != nil || g.inForce.Find(f) != nil
+	return own != nil || g.inForce.Find(f) != nil, tell
 }
 
 // tells reports whether the leader must know of a run of something that completed before: upstreams
@@ -215,7 +226,7 @@
 	if now-g.lastCrashAt >= disproofTime+completionMargin || !g.proofOf(f).recentAt(now) {
 		return false
 	}
-	if last, ok := g.told[f]; ok && began-last < tellInterval {
+	if last, ok := g.told[f]; ok && began-last < min(max(time.Duration(g.entryHosts)*tellInterval, minTellInterval), maxTellInterval) {
 		return false
 	}
 	if len(g.told) >= maxTold {
