--- a/pkg/entry/limit_test.go
+++ b/pkg/entry/limit_test.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// mark sets a time that running requests read.
+func (p *limitPlay) mark(at *time.Time, to time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*at = to
+}
+
 func (p *limitPlay) count(kind string, at time.Time, w *recorder) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -103,6 +110,13 @@
 	}
 }
 
+// named returns the host's ID and the limit that it names.
+func (h *simulatedHost) named() (id, limit string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.record.ID, h.limit
+}
+
 // arrivalsAt returns when requests arrived at each host, by its name.
 func (p *limitPlay) arrivalsAt() map[string][]time.Time {
 	p.fleet.mu.Lock()
@@ -110,7 +124,7 @@
 	at := map[string][]time.Time{}
 	for _, a := range p.fleet.arrivals {
 		for _, h := range p.fleet.hosts {
-			if h.record.ID == a.upstream {
+			if id, _ := h.named(); id == a.upstream {
 				at[h.name] = append(at[h.name], a.at)
 			}
 		}
@@ -126,7 +140,7 @@
 	allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack
 	most := 0
 	for _, h := range p.fleet.hosts {
-		if h.limit == "" {
+		if _, limit := h.named(); limit == "" {
 			continue
 		}
 		var window []time.Time
@@ -191,7 +205,7 @@
 						p.rate = 30
 						p.send(2, nil)
 						p.nameLimits(limit, share)
-						p.named = time.Now()
+						p.mark(&p.named, time.Now())
 						p.send(14, func(f *testFleet, second int) {
 							if disturb != nil {
 								disturb(f, second)
@@ -200,7 +214,7 @@
 								p.forgot = time.Now()
 							}
 						})
-						p.ended = time.Now()
+						p.mark(&p.ended, time.Now())
 						p.work.Wait()
 						perSecond, _ := strconv.ParseFloat(limit, 64)
 						p.assertLimitsKept(perSecond)
@@ -226,9 +240,9 @@
 				p.uneven = true
 				p.send(2, nil)
 				p.nameLimits(limit, 1)
-				p.named = time.Now()
+				p.mark(&p.named, time.Now())
 				p.send(20, nil)
-				p.ended = time.Now()
+				p.mark(&p.ended, time.Now())
 				p.work.Wait()
 				perSecond, _ := strconv.ParseFloat(limit, 64)
 				p.assertLimitsKept(perSecond)
@@ -252,7 +266,7 @@
 					h.mu.Unlock()
 				}
 				p.send(6, nil) // each upstream gets a request in 4 s
-				p.named = time.Now().Add(-contactTime)
+				p.mark(&p.named, time.Now().Add(-contactTime))
 				p.send(5, nil)
 				p.work.Wait()
 				p.assertServed()
@@ -268,7 +282,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				p := newLimitPlay(t, 4)
 				p.nameLimits(limit, 1)
-				p.named = time.Now().Add(-contactTime)
+				p.mark(&p.named, time.Now().Add(-contactTime))
 				p.send(5, nil)
 				p.work.Wait()
 				p.assertServed()
