--- a/pkg/memconn/network.go
+++ b/pkg/memconn/network.go
@@ -20,6 +20,7 @@
 	mu        sync.Mutex
 	changed   chan struct{} // closed and replaced when a direction is cut or healed
 	cut       map[direction]struct{}
+	refused   map[direction]struct{}
 	listeners map[string]*listener
 	conns     map[*conn]struct{}
 }
@@ -30,6 +31,7 @@
 		latency:   latency,
 		changed:   make(chan struct{}),
 		cut:       make(map[direction]struct{}),
+		refused:   make(map[direction]struct{}),
 		listeners: make(map[string]*listener),
 		conns:     make(map[*conn]struct{}),
 	}
@@ -45,6 +47,34 @@
 	n.update(func() { delete(n.cut, direction{from, to}) })
 }
 
+// Refuse makes new connections from one host to another fail at once. Open ones are kept.
+func (n *Network) Refuse(from, to string) {
+	n.update(func() { n.refused[direction{from, to}] = struct{}{} })
+}
+
+// Accept ends Refuse.
+func (n *Network) Accept(from, to string) {
+	n.update(func() { delete(n.refused, direction{from, to}) })
+}
+
+// isRefused reports whether connections from one host to another fail.
+func (n *Network) isRefused(d direction) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, refused := n.refused[d]
+	return refused
+}
+
+// ResetBetween resets the open connections that one host opened to another.
+func (n *Network) ResetBetween(from, to string) {
+	_, conns := n.socketsOf(from)
+	for _, c := range conns {
+		if c.hosts.from == from && c.hosts.to == to {
+			c.reset()
+		}
+	}
+}
+
 // Partition cuts both directions between every host of a and every host of b.
 func (n *Network) Partition(a, b []string) {
 	for _, x := range a {
@@ -155,6 +185,9 @@
 	if err := n.handshake(ctx, from, l.host); err != nil {
 		return nil, err
 	}
+	if n.isRefused(direction{from, l.host}) {
+		return nil, &net.OpError{Op: "dial", Net: "mem", Err: syscall.ECONNREFUSED}
+	}
 	client, server := n.newPair(from, l.host, address)
 	select {
 	case l.queue <- server:
--- a/pkg/memconn/network_test.go
+++ b/pkg/memconn/network_test.go
@@ -118,3 +118,30 @@
 		}
 	})
 }
+
+func TestRefusedHostKeepsOpenConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(time.Millisecond)
+		client, server := connect(t, n)
+		n.Refuse("a", "b")
+		if _, err := n.Dialer("a")(t.Context(), "b:1"); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("got %v, want a refused connection", err)
+		}
+		if _, err := client.Write([]byte("x")); err != nil {
+			t.Error(err)
+		}
+		if _, err := server.Read(make([]byte, 1)); err != nil {
+			t.Error(err)
+		}
+		n.ResetBetween("a", "b")
+		if _, err := client.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("got %v, want a reset connection", err)
+		}
+		n.Accept("a", "b")
+		if c, err := n.Dialer("a")(t.Context(), "b:1"); err != nil {
+			t.Error(err)
+		} else {
+			_ = c.Close()
+		}
+	})
+}
