Pass requests on to another entry host while no upstream can be reached

What callers saw: entry hosts that had lost their links to all upstreams served none of their requests, and refused most of them after more than a second. Cause: an entry host has its own links only. It tried one upstream after the other, and nothing decided that the links and not the upstreams had failed. If none can be reached it is cut off: it says so to the leader, gives up connections being opened, and passes each request whole to another entry host, over HTTP at a port of its own. That one serves it like a client's: placement, retry budget, limits, cold bound, quarantine and demand are counted there. It declines if it stops, is cut off itself or holds an older document; a relayed request is never relayed again. A connection to it that breaks proves nothing: what must not run twice gets 502, others continue at a further entry host. Streams that are silent at a host that is cut off continue at another one. Requests whose upstreams are all in backoff, some of them unreachable, are passed on too. Ruled out: leaving rotation (the balancer may have nobody else); tunnels of bytes through another host (its counts would be at the wrong process). Still open: what a host that is cut off sees counts for others (placer, ends of upstreams, silent heads).

--- a/cmd/sesame-entry/main.go
+++ b/cmd/sesame-entry/main.go
@@ -27,6 +27,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the size of a request header.
 	maxHeaderBytes = 64 << 10
+	// maxRelayedHeaderBytes leaves room for what an entry host adds to a client's header.
+	maxRelayedHeaderBytes = 2 * maxHeaderBytes
 	// clientMigrationDelay is how long clients still arrive after a stop signal: the load balancer
 	// checks each second and acts on the second failure.
 	clientMigrationDelay = 3 * time.Second
@@ -52,6 +54,7 @@
 		Zone:          settings.FailureDomain,
 		Coordinators:  peers,
 		PlacerAddress: settings.PlacerListen(),
+		RelayAddress:  settings.RelayListen(),
 		Headers:       platform.Headers(),
 		Decode:        platform.DecodeAndCheckManifest,
 		RetryRatio:    settings.RetryRatio,
@@ -75,12 +78,20 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for other entry hosts")
 	}
+	relayed, err := net.Listen("tcp", settings.RelayListen())
+	if err != nil {
+		return eris.Wrap(err, "listen for relayed requests")
+	}
 	server := rpc.NewServer(rpc.WithLogger(logger))
 	g.Register(server)
 	web := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: logger.StandardLog(),
 	}
+	relays := &http.Server{
+		Handler: g.RelayHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRelayedHeaderBytes,
+		ErrorLog: logger.StandardLog(),
+	}
 	health := &http.Server{Handler: readinessHandler(g), ReadHeaderTimeout: headerTimeout, ErrorLog: logger.StandardLog()}
 
 	// Background work continues after a stop signal until the last request is answered.
@@ -88,6 +99,7 @@
 	group, running := errgroup.WithContext(work)
 	group.Go(func() error { g.Run(running); return nil })
 	group.Go(func() error { return ignoreClosed(web.Serve(clients)) })
+	group.Go(func() error { return ignoreClosed(relays.Serve(relayed)) })
 	group.Go(func() error { return ignoreClosed(health.Serve(ready)) })
 	group.Go(func() error { return ignoreClosed(server.Serve(others)) })
 	context.AfterFunc(running, func() {
@@ -112,8 +124,12 @@
 		answering := time.AfterFunc(limit-min(maxAnswerMargin, settings.GracePeriod/40), g.EndRequests)
 		defer answering.Stop()
 		time.Sleep(min(clientMigrationDelay, settings.GracePeriod/2))
+		relaying := errgroup.Group{}
+		relaying.Go(func() error { return relays.Shutdown(ending) })
 		err := web.Shutdown(ending)
 		logger.Info("HTTP server for clients shut down", "cause", err)
+		err = relaying.Wait()
+		logger.Info("HTTP server for relayed requests shut down", "cause", err)
 		_ = health.Close()
 		return nil
 	})
--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -28,6 +28,9 @@
 
 	Limits        map[string]FleetLimit `json:"limits,omitempty"` // that upstreams name, by upstream ID
 	LimitRevision uint64                `json:"limit_rev,omitempty"`
+
+	RelayAddress  string `json:"relays,omitempty"` // host:port where this process passes requests on for other entry hosts; empty while it can't
+	RelayRevision uint64 `json:"relay_rev,omitempty"`
 }
 
 // FleetSyncResult holds what has changed for one process.
@@ -53,6 +56,9 @@
 	Limits        map[string]FleetLimit `json:"limits,omitempty"`
 	LimitRevision uint64                `json:"limit_rev,omitempty"`
 	Placers       map[string]string     `json:"placers"` // host:port of the entry host that places each model's requests; nil: not assigned yet
+	// Relays are the host:port of all entry hosts that pass requests on for others; nil: unchanged.
+	Relays        []string `json:"relays,omitzero"`
+	RelayRevision uint64   `json:"relay_rev,omitempty"`
 }
 
 // FleetAnnounceResult holds the leader's address for upstreams.
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -64,6 +64,7 @@
 	cachedResults map[resultKey]cachedResult
 	crashes       *quarantine.Tracker
 	limits        upstreamLimits
+	relays        relayList
 	placers       map[string]string // by model: host:port of the entry host that places its requests; nil if not chosen yet
 
 	load            map[string]float64 // required engine time per second, by model
--- a/pkg/coordinator/decisions.go
+++ b/pkg/coordinator/decisions.go
@@ -183,6 +183,7 @@
 	l.planner.SetLoad(load)
 	l.planner.SetRunningRequests(busy)
 	c.updatePlacers(now, l)
+	c.updateRelays(now, l)
 }
 
 // sendOrder sends an order in the background. The caller holds the lock.
--- /dev/null
+++ b/pkg/coordinator/relays.go
@@ -0,0 +1,31 @@
+package coordinator
+
+import (
+	"slices"
+	"time"
+)
+
+// relayTimeout is how long after its last sync an entry host is named to others as one that relays: one
+// and a half times the longest time between syncs.
+const relayTimeout = 1500 * time.Millisecond
+
+// relayList holds the entry hosts that pass requests on to upstreams for others.
+type relayList struct {
+	revision  uint64   // 0: not collected yet
+	addresses []string // sorted
+}
+
+// updateRelays collects the entry hosts that relay. The caller holds the lock.
+func (c *Coordinator) updateRelays(now time.Duration, l *leadership) {
+	addresses := []string{}
+	for _, p := range l.processes {
+		if p.request.RelayAddress != "" && now-p.receivedAt < relayTimeout {
+			addresses = append(addresses, p.request.RelayAddress)
+		}
+	}
+	slices.Sort(addresses)
+	if l.relays.revision > 0 && slices.Equal(addresses, l.relays.addresses) {
+		return
+	}
+	l.relays = relayList{l.relays.revision + 1, addresses}
+}
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -74,6 +74,7 @@
 	revision uint64
 	index    uint64
 	entry    bool
+	relays   uint64
 }
 
 // cachedResult is an encoded result that is reused for other processes.
@@ -91,7 +92,7 @@
 	if l == nil || r == nil {
 		return nil, notLeader("")
 	}
-	key := resultKey{req.Session, req.Revision, req.Index, req.EntryHost}
+	key := resultKey{req.Session, req.Revision, req.Index, req.EntryHost, req.RelayRevision}
 	now := c.now()
 	cacheTime := time.Duration(len(l.processes)) * resultCacheTimePerProcess
 	if e, ok := l.cachedResults[key]; ok && now-e.encodedAt < cacheTime {
@@ -139,6 +140,10 @@
 	if req.EntryHost {
 		result.Limits = c.limitsFor(c.now(), l)
 	}
+	result.RelayRevision = l.relays.revision
+	if req.EntryHost && l.relays.revision > 0 && (result.Full || req.RelayRevision != l.relays.revision) {
+		result.Relays = l.relays.addresses
+	}
 	if st.Document != nil {
 		result.DocumentVersion = st.Document.Version
 	}
--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 	deadlineReached  reason = "no time is left"
 	noDocument       reason = "no document is in force yet"
 	unknownService   reason = "the placer's document has no such service"
+	linksLost        reason = "this entry host can't reach upstreams"
+	olderDocument    reason = "this entry host holds an older document"
 	processStops     reason = "this entry host stops"
 	unknownRoute     reason = "no route matches"
 	unknownKey       reason = "unknown API key"
@@ -238,6 +241,7 @@
 	t.lastReceivedAt = now
 	t.suspectUntil = 0
 	t.consecutiveFailures = 0
+	t.unreachable = false
 	if want > 0 {
 		t.slowness += slownessGain * (float64(gap)/float64(want) - t.slowness)
 	}
@@ -254,6 +258,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t.lastReceivedAt = now
+	t.unreachable = false
 	if ok {
 		t.consecutiveFailures = 0
 		t.backoffUntil = 0
@@ -274,6 +279,32 @@
 	t.errorRate += errorGain * (1 - t.errorRate)
 }
 
+// recordUnreachable records that no connection to an upstream could be opened from here.
+func (b *balancer) recordUnreachable(now time.Duration, t *target) {
+	b.recordFailure(now, t)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t.unreachable = true
+}
+
+// lacksLinks reports whether an upstream that could serve the request was unreachable from here.
+func (b *balancer) lacksLinks(req placementRequest) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.candidates(req), func(t *target) bool { return t.unreachable })
+}
+
+// forgetLinkFailures discards failures and suspicions of upstreams that this entry host could not reach.
+func (b *balancer) forgetLinkFailures() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.targets {
+		t.consecutiveFailures, t.errorRate = 0, 0
+		t.backoffUntil, t.suspectUntil = 0, 0
+		t.unreachable = false
+	}
+}
+
 // suspect withholds new requests from a head that stopped sending. It returns whether the suspicion
 // is new, and how long the head has been silent.
 func (b *balancer) suspect(now time.Duration, t *target) (bool, time.Duration) {
--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -18,12 +18,21 @@
 	g := c.gateway
 	attempts := newBufferedAttempts(c)
 	for {
+		if g.links.cutOff() {
+			if c.origin != nil || !attempts.serveByPeer() {
+				c.endBuffered(linksLost, attempts.failure)
+			}
+			return
+		}
 		if why := c.mayRun(); why != noReason {
 			c.endBuffered(why, attempts.failure)
 			return
 		}
 		req := placementRequest{service: c.service, tried: c.tried}
 		p, why := g.balancer.choose(g.now(), req)
+		if p == nil && why == allExcluded && c.origin == nil && g.balancer.lacksLinks(req) && attempts.serveByPeer() {
+			return
+		}
 		if p == nil {
 			c.choiceSummary = g.balancer.choiceSummary(g.now(), req)
 			c.endBuffered(why, attempts.failure)
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/view"
 )
@@ -33,6 +34,10 @@
 	body         []byte
 	deadline     time.Duration // the earlier of the client's and the route's
 
+	origin  *control.RelayedRequest // set if another entry host passed the request on
+	relay   string                  // address of the entry host that it was passed on to last; empty if none
+	counted bool                    // added to the retry budget and the demand, here or at the origin
+
 	fingerprint        view.Fingerprint     // see requestFingerprint
 	parts              []view.Fingerprint   // see partFingerprints
 	fingerprintOnce    sync.Once            // of both
@@ -67,6 +72,14 @@
 	return c.route.Name
 }
 
+// originName returns the entry host that passed the request on, empty if it came from a client.
+func (c *call) originName() string {
+	if c.origin == nil {
+		return ""
+	}
+	return c.origin.Process
+}
+
 // remaining returns the time left until the deadline.
 func (c *call) remaining() time.Duration { return c.deadline - c.gateway.now() }
 
@@ -81,15 +94,22 @@
 	c.w.WriteHeader(status)
 }
 
+func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
+	return &call{gateway: g, w: w, r: r, began: g.now(), tried: map[string]bool{}}
+}
+
 // ServeHTTP handles a client request.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithCancel(r.Context())
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { newCall(g, w, r).handle() }
+
+// handle serves the request to its end.
+func (c *call) handle() {
+	ctx, cancel := context.WithCancel(c.r.Context())
 	defer cancel()
-	c := &call{gateway: g, w: w, r: r, ctx: ctx, began: g.now(), tried: map[string]bool{}}
-	c.keepServing = context.AfterFunc(g.ending, cancel)
+	c.ctx = ctx
+	c.keepServing = context.AfterFunc(c.gateway.ending, cancel)
 	defer c.keepServing()
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
+	if c.gateway.stopping.Load() {
+		c.w.Header().Set("Connection", "close")
 	}
 	if c.admit() {
 		c.serve()
@@ -132,7 +152,7 @@
 	if !c.readBody() {
 		return false
 	}
-	c.service = c.index.Service(pickBackend(c.route))
+	c.service = c.chooseService()
 	c.readModel()
 	return true
 }
@@ -162,6 +182,16 @@
 // at once.
 const firstDocumentWait = 1500 * time.Millisecond
 
+// chooseService chooses the service of the route, unless the origin of a relayed request has done so.
+func (c *call) chooseService() *catalog.Service {
+	if c.origin != nil {
+		if s := c.index.Service(c.origin.Service); s != nil {
+			return s
+		}
+	}
+	return c.index.Service(pickBackend(c.route))
+}
+
 // pickBackend chooses a service at random according to the weights.
 func pickBackend(r *catalog.Route) string {
 	total := 0
@@ -225,19 +255,31 @@
 
 // serve forwards the request and answers the client.
 func (c *call) serve() {
+	c.count()
+	if c.route.Kind == catalog.Stream {
+		c.serveStream()
+	} else {
+		c.serveBuffered()
+	}
+	c.settleRequest()
+}
+
+// count adds the request to the retry budget and the demand. While this entry host can't reach upstreams
+// the one that it passes the request on to does.
+func (c *call) count() {
 	g := c.gateway
+	c.counted = c.origin != nil && c.origin.Counted
+	if c.counted || g.links.cutOff() {
+		g.budget.open(c.service.Name, g.balancer.entryCount())
+		return
+	}
+	c.counted = true
 	g.budget.addRequest(c.service.Name, g.balancer.entryCount())
 	if e := c.service.Engine; e != nil {
 		if m, ok := e.Model(c.model); ok {
 			g.demand.addRequest(c.began, c.model, engineSeconds(e, m, c.promptTokens, c.answerTokens))
 		}
 	}
-	if c.route.Kind == catalog.Stream {
-		c.serveStream()
-	} else {
-		c.serveBuffered()
-	}
-	c.settleRequest()
 }
 
 // refuse answers that the request did not and will not run, with a Retry-After. If it may have run
@@ -271,6 +313,9 @@
 func (c *call) writeLocalAnswer(status int, text string) {
 	c.status = status
 	h := c.w.Header()
+	if c.mayDecline() {
+		h.Set(relayDeclinedHeader, string(linksLost))
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if id := c.r.Header.Get(c.gateway.cfg.Headers.Attempt); id != "" {
 		h.Set(c.gateway.cfg.Headers.Attempt, id)
@@ -294,7 +339,11 @@
 // recordResult updates the metrics and writes the log line of the request.
 func (c *call) recordResult() {
 	now := c.gateway.now()
-	c.gateway.metrics.recordRequest(c, now-c.began)
+	if c.origin != nil {
+		c.gateway.metrics.Relays.WithLabelValues("taken", string(c.outcome)).Inc()
+	} else {
+		c.gateway.metrics.recordRequest(c, now-c.began)
+	}
 	if c.firstEventAt != 0 {
 		c.gateway.metrics.FirstEvent.WithLabelValues(c.model).Observe((c.firstEventAt - c.began).Seconds())
 		c.gateway.metrics.StreamPause.Observe(c.longestPause.Seconds())
@@ -308,7 +357,7 @@
 	}
 	c.gateway.cfg.Logger.Info("request ended",
 		"request", c.r.Header.Get(c.gateway.cfg.Headers.Attempt), "fingerprint", c.fingerprint, "route", c.routeName(), "outcome", c.outcome, "status", c.status,
-		"reason", c.reason, "upstream", c.upstream, "placer", c.placer, "sent", c.sent, "resumed", c.resumed, "model", c.model,
+		"reason", c.reason, "upstream", c.upstream, "placer", c.placer, "relay", c.relay, "from", c.originName(), "sent", c.sent, "resumed", c.resumed, "model", c.model,
 		"ms", (now - c.began).Milliseconds(), "first_ms", max((c.firstEventAt-c.began).Milliseconds(), 0), "pause_ms", c.longestPause.Milliseconds(),
 		"left_ms", max(c.deadline-now, 0).Milliseconds(), "document", version,
 		"view_age_ms", (now - time.Duration(c.gateway.lastSync.Load())).Milliseconds(), "inputs", c.choiceSummary, "cause", c.cause)
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -17,6 +17,7 @@
 	Zone          string   // failure domain
 	Coordinators  []string // host:port of known coordinators
 	PlacerAddress string   // host:port at which it places requests of other entry hosts; empty if it does not
+	RelayAddress  string   // host:port at which RelayHandler is served for other entry hosts; empty if it is not
 	Headers       Headers
 	// Decode parses a document.
 	Decode func(raw []byte) (*catalog.Set, error)
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -93,6 +93,7 @@
 	fault   chan struct{} // full while a fault is played; waiting for a mutex would stop virtual time
 	g       atomic.Pointer[Gateway]
 	server  *rpc.Server
+	relays  *http.Server
 	stop    context.CancelFunc
 	stopped *sync.WaitGroup
 }
@@ -201,22 +202,25 @@
 func (f *testFleet) startEntry(p *entryProcess) {
 	p.server, p.stopped = rpc.NewServer(), &sync.WaitGroup{}
 	g := New(Config{
-		Name: p.name, Zone: "z0", Coordinators: []string{"c1:1", "c2:1", "c3:1"}, PlacerAddress: p.name + ":9", Headers: testHeaders,
+		Name: p.name, Zone: "z0", Coordinators: []string{"c1:1", "c2:1", "c3:1"}, PlacerAddress: p.name + ":9", RelayAddress: p.name + ":10", Headers: testHeaders,
 		Decode: decodeFleetSet, RetryRatio: 0.2, RetryBurst: 100, ColdFactor: 1, ColdSlack: 100,
 		Dial: f.network.Dialer(p.name), DialBackend: f.network.Dialer(p.name), Clock: clock.NewMonotonic(), Logger: f.logger(p.name),
 	})
 	g.Register(p.server)
 	p.g.Store(g)
-	l := f.network.Listen(p.name, p.name+":9")
+	l, relayed := f.network.Listen(p.name, p.name+":9"), f.network.Listen(p.name, p.name+":10")
+	p.relays = &http.Server{Handler: g.RelayHandler(), ErrorLog: logging.Discard().StandardLog()}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	p.stopped.Go(func() { _ = p.server.Serve(l) })
+	p.stopped.Go(func() { _ = p.relays.Serve(relayed) })
 	p.stopped.Go(func() { g.Run(ctx) })
 }
 
 func (f *testFleet) killEntry(p *entryProcess) {
 	f.network.Kill(p.name)
 	p.server.Close()
+	_ = p.relays.Close()
 	p.stop()
 	p.stopped.Wait()
 }
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -19,6 +19,9 @@
 	caller          *leader.Caller
 	suspects        *leader.Caller
 	pool            *upstream.Pool
+	relayPool       *upstream.Pool // connections to other entry hosts
+	links           *linkWatcher
+	relays          *relayPeers
 	balancer        *balancer
 	documentFetcher *documentFetcher
 	placers         *placerDirectory
@@ -59,19 +62,37 @@
 		demand:          newDemand(),
 		metrics:         NewMetrics(),
 	}
+	g.relays = newRelayPeers(cfg.RelayAddress)
+	g.links = newLinkWatcher(cfg, g.now, g.balancer.witnesses, g.linksChanged)
 	g.ends = newEndChecker(cfg.DialBackend, g.now)
 	g.started = g.now()
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.firstDocumentReady = make(chan struct{})
 	g.requestLog = &requestLog{logger: cfg.Logger, suppressed: g.metrics.SuppressedLines}
-	g.pool = upstream.NewPool(upstream.Options{
-		Dial:               cfg.DialBackend,
+	g.pool = newConnectionPool(g.links.dial)
+	g.relayPool = newConnectionPool(upstream.DialFunc(cfg.Dial))
+	return g
+}
+
+func newConnectionPool(dial upstream.DialFunc) *upstream.Pool {
+	return upstream.NewPool(upstream.Options{
+		Dial:               dial,
 		ProbeAfter:         maxIdleReuse,
 		MaxIdlePerUpstream: maxIdleConnsPerUpstream,
 		FirstByteTimeout:   upstreamIdleTimeout,
 		StallTimeout:       upstreamIdleTimeout,
 	})
-	return g
+}
+
+// linksChanged discards what failed while the links to upstreams were lost: it says nothing about the
+// upstreams.
+func (g *Gateway) linksChanged(cutOff bool) {
+	g.balancer.forgetLinkFailures()
+	g.metrics.CutOff.Set(0)
+	if cutOff {
+		g.metrics.CutOff.Set(1)
+		g.pool.CloseIdle()
+	}
 }
 
 func (g *Gateway) now() time.Duration { return time.Duration(g.cfg.Clock.Now()) }
@@ -104,6 +125,7 @@
 	var work sync.WaitGroup
 	work.Go(func() { g.documentFetcher.run(ctx, g) })
 	work.Go(func() { g.reporter.run(ctx, g) })
+	work.Go(func() { g.links.run(ctx) })
 	for ctx.Err() == nil {
 		err := g.syncOnce(ctx, &syncRequest)
 		if (err == nil) != reached {
@@ -118,6 +140,7 @@
 			}
 		}
 		g.pool.CloseExpired()
+		g.relayPool.CloseExpired()
 		g.expirePlacements(g.now())
 	}
 	work.Wait()
@@ -125,6 +148,7 @@
 	g.caller.Close()
 	g.suspects.Close()
 	g.pool.Close()
+	g.relayPool.Close()
 }
 
 // syncOnce performs one sync call to the leading coordinator.
@@ -138,6 +162,10 @@
 	if g.stopping.Load() {
 		syncRequest.PlacerAddress = ""
 	}
+	syncRequest.RelayAddress = ""
+	if ready, _ := g.Ready(); ready && !g.links.cutOff() {
+		syncRequest.RelayAddress = g.cfg.RelayAddress
+	}
 	wait := min(max(syncWait, time.Duration(g.balancer.entryCount())*syncWaitPerEntryHost), maxSyncWait)
 	syncRequest.WaitMS = wait.Milliseconds()
 	calling, cancel := context.WithTimeout(ctx, wait+syncTimeout)
@@ -160,6 +188,7 @@
 	g.guard.SetEntryHosts(g.balancer.entryCount())
 	g.metrics.Limited.Set(float64(g.balancer.limited.Load()))
 	g.applyPlacers(result.Placers)
+	g.relays.update(result.Relays)
 	g.lastSync.Store(int64(g.now()))
 	if result.Session != syncRequest.Session {
 		g.cfg.Logger.Info("following a new leader session", "session", result.Session, "before", syncRequest.Session, "upstreams", len(result.Upstreams), "index", result.Index)
@@ -168,6 +197,7 @@
 	syncRequest.Session = result.Session
 	syncRequest.Revision = result.Revision
 	syncRequest.LimitRevision = result.LimitRevision
+	syncRequest.RelayRevision = result.RelayRevision
 	syncRequest.Index = max(syncRequest.Index, result.Index)
 	for _, p := range result.Coordinators {
 		g.caller.AddAddress(p)
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -19,6 +19,8 @@
 	Placements      *prometheus.CounterVec
 	Syncs           *prometheus.CounterVec
 	Standbys        *prometheus.CounterVec
+	Relays          *prometheus.CounterVec
+	CutOff          prometheus.Gauge
 	SuspectedHeads  prometheus.Counter
 	LimitedRefusals prometheus.Counter
 	Limited         prometheus.Gauge
@@ -53,6 +55,10 @@
 			Name: "sesame_entry_syncs_total", Help: "Questions to the coordinators by outcome."}, []string{"outcome"}),
 		Standbys: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_entry_standbys_total", Help: "Attempts at another upstream beside a silent one, by outcome."}, []string{"outcome"}),
+		Relays: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_entry_relays_total", Help: "Requests passed on to another entry host (sent) or by one (taken), by outcome."}, []string{"direction", "outcome"}),
+		CutOff: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sesame_entry_cut_off", Help: "1 while this entry host can reach no upstream, else 0."}),
 		SuspectedHeads: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sesame_entry_suspected_heads_total", Help: "Heads of groups that went silent."}),
 		LimitedRefusals: prometheus.NewCounter(prometheus.CounterOpts{
@@ -64,7 +70,7 @@
 		DocumentVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sesame_entry_document_version", Help: "Version of the document in force here."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Quarantined, m.Placements, m.Syncs, m.Standbys, m.SuspectedHeads, m.LimitedRefusals, m.Limited, m.SuppressedLines, m.DocumentVersion)
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Quarantined, m.Placements, m.Syncs, m.Standbys, m.Relays, m.CutOff, m.SuspectedHeads, m.LimitedRefusals, m.Limited, m.SuppressedLines, m.DocumentVersion)
 	return m
 }
 
--- /dev/null
+++ b/pkg/entry/peer_relay.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/upstream"
+)
+
+// relaySilence is how long an entry host that relays may send nothing until a repeatable request is
+// passed on to another one. It replaces silent upstreams itself before that.
+const relaySilence = 1500 * time.Millisecond
+
+// errDeclined is returned if an entry host did not take a request. It did not run.
+var errDeclined = eris.Wrap(errNotRun, "entry host declined to relay")
+
+// peerRelay passes one request on to other entry hosts, one after the other.
+type peerRelay struct {
+	call  *call
+	tried map[string]bool
+	// forward passes an answer on to the client. It waits for its bytes under the watch.
+	forward func(resp *upstream.Response, w *silenceWatch) error
+	// lastEventID returns the last event that the client has received.
+	lastEventID func() string
+	// end answers the client when nothing more is tried.
+	end func(why reason)
+}
+
+// serve passes the request on until an entry host has served it, or it has ended otherwise. It returns
+// false if no further entry host takes it.
+func (p *peerRelay) serve() bool {
+	c, g := p.call, p.call.gateway
+	for {
+		address := g.relays.choose(g.now(), p.tried)
+		if address == "" {
+			return false
+		}
+		p.tried[address] = true
+		c.relay = address
+		err := p.attempt(address)
+		g.relays.release(address)
+		g.metrics.Relays.WithLabelValues("sent", relayResult(err)).Inc()
+		if err == nil || p.failed(address, err) {
+			return true
+		}
+	}
+}
+
+// attempt passes the request on to one entry host and its answer to the client.
+func (p *peerRelay) attempt(address string) error {
+	c := p.call
+	ctx, cancel := context.WithTimeout(c.ctx, c.remaining())
+	defer cancel()
+	w := newSilenceWatch(p.silenceLimit(), cancel)
+	w.begin()
+	resp, err := c.exchangeWithPeer(ctx, address, p.lastEventID())
+	w.end()
+	if err == nil {
+		defer resp.Close()
+		err = p.forward(resp, w)
+	}
+	if err != nil && w.fired.Load() {
+		return eris.Wrapf(upstream.ErrStalled, "entry host sent nothing for %v", relaySilence)
+	}
+	return err
+}
+
+// silenceLimit returns after which silence the request is passed on to another entry host, or 0 if it
+// must not be.
+func (p *peerRelay) silenceLimit() time.Duration {
+	c := p.call
+	if c.route.Retryable() && c.possibleExecutions+1 < c.route.MaxAttempts && c.gateway.relays.hasOther(p.tried) {
+		return relaySilence
+	}
+	return 0
+}
+
+// failed records that an entry host did not serve the request. It returns true if that ends the request.
+func (p *peerRelay) failed(address string, err error) bool {
+	c, g := p.call, p.call.gateway
+	c.recordFailedAttempt(err)
+	if c.clientGone() {
+		c.outcome = clientLeft
+		return true
+	}
+	g.relays.recordFailure(g.now(), address)
+	if g.requestLog.allow(g.now(), false) {
+		g.cfg.Logger.Info("entry host did not relay a request", "request", c.r.Header.Get(g.cfg.Headers.Attempt), "relay", address, "executions", c.possibleExecutions, "cause", err)
+	}
+	switch {
+	case c.ctx.Err() != nil:
+		p.end(processStops)
+		return true
+	case provesNotRun(err) && c.remaining() >= minRetryTime:
+		return false
+	case !c.mayRepeat(err):
+		p.end(c.reason)
+		return true
+	}
+	if c.headerSent {
+		c.resumed++
+	}
+	return false
+}
+
+// relayResult returns the metric label of an attempt.
+func relayResult(err error) string {
+	switch {
+	case err == nil:
+		return "answered"
+	case errors.Is(err, errDeclined):
+		return "declined"
+	case provesNotRun(err):
+		return "not sent"
+	}
+	return "broken"
+}
+
+// exchangeWithPeer passes the request on to another entry host and returns its answer with an unread
+// body.
+func (c *call) exchangeWithPeer(ctx context.Context, address, lastEventID string) (*upstream.Response, error) {
+	g, names := c.gateway, c.gateway.cfg.Headers
+	origin, err := json.Marshal(control.RelayedRequest{
+		Process: g.cfg.Name, DocumentVersion: c.index.Set.Version, Service: c.service.Name,
+		Executions: c.possibleExecutions, Tried: slices.Sorted(maps.Keys(c.tried)), Counted: c.counted,
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode relayed request")
+	}
+	h := c.endToEndHeader()
+	h.Set(relayHeader, string(origin))
+	h.Set(names.Deadline, strconv.FormatInt(max(c.remaining().Milliseconds(), 1), 10))
+	if lastEventID != "" {
+		h.Set(names.LastEventID, lastEventID)
+	}
+	resp, err := g.relayPool.Do(ctx, &upstream.Request{
+		Address: address, Host: c.r.Host, Method: c.r.Method, Path: c.r.RequestURI, Header: h, Body: c.body,
+		NewConnection: c.route.Kind == catalog.AtMostOnce,
+	})
+	if !errors.Is(err, upstream.ErrNotSent) {
+		c.sent++
+	}
+	if err != nil {
+		return nil, err
+	}
+	c.framed = false // the entry host that relays reports what the run proves
+	why := resp.Header.Get(relayDeclinedHeader)
+	switch {
+	case why != "":
+		c.discard(resp)
+		return nil, eris.Wrap(errDeclined, why)
+	case resp.Status < http.StatusOK || !resp.Framed:
+		resp.Close()
+		return nil, eris.Wrapf(errMismatchedAnswer, "entry host answered %d, framed %v", resp.Status, resp.Framed)
+	case resp.Header.Get(names.Attempt) != c.r.Header.Get(names.Attempt):
+		resp.Close()
+		return nil, eris.Wrapf(errMismatchedAnswer, "answer is for attempt %q", resp.Header.Get(names.Attempt))
+	case resp.Status < http.StatusMultipleChoices && resp.Header.Get(names.Signature) == "":
+		resp.Close()
+		return nil, eris.Wrap(errMismatchedAnswer, "successful answer without a signature")
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/pkg/entry/relay_header.go
@@ -0,0 +1,9 @@
+package entry
+
+const (
+	// relayHeader holds the control.RelayedRequest of a request between entry hosts, as JSON.
+	relayHeader = "Sesame-Relay"
+	// relayDeclinedHeader is present on the answer of an entry host that did not pass the request on to
+	// any upstream and leaves it to others. Its value is the reason.
+	relayDeclinedHeader = "Sesame-Relay-Declined"
+)
--- /dev/null
+++ b/pkg/entry/relayed_answer.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/sesamemux/sesamemux/pkg/upstream"
+)
+
+// serveByPeer lets other entry hosts serve the buffered request. It returns false if none takes it.
+func (r *bufferedAttempts) serveByPeer() bool {
+	c := r.call
+	p := &peerRelay{
+		call: c, tried: map[string]bool{}, forward: c.forwardWhole,
+		lastEventID: func() string { return "" },
+		end:         func(why reason) { c.endBuffered(why, r.failure) },
+	}
+	return p.serve()
+}
+
+// forwardWhole reads the answer of another entry host up to maxBufferedAnswer and forwards it with the
+// rest.
+func (c *call) forwardWhole(resp *upstream.Response, w *silenceWatch) error {
+	var body bytes.Buffer
+	w.begin()
+	_, err := io.CopyN(&body, resp.Body, maxBufferedAnswer)
+	w.end()
+	complete := err == io.EOF
+	if err != nil && !complete {
+		return err
+	}
+	c.outcome = outcomeOf(resp.Status, resp.Header.Get(c.gateway.cfg.Headers.Signature) != "")
+	c.copyHeader(resp.Header)
+	if complete {
+		c.w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+	}
+	c.answerBegins(resp.Status)
+	_, err = c.w.Write(body.Bytes())
+	if err == nil && !complete {
+		_, err = io.Copy(c.w, resp.Body)
+	}
+	if err != nil {
+		c.recordFailedAttempt(err)
+		c.outcome = cutShort
+	}
+	return nil
+}
+
+// outcomeOf returns the outcome of a request that another entry host answered.
+func outcomeOf(status int, signed bool) outcome {
+	switch {
+	case status < http.StatusBadRequest:
+		return served
+	case signed:
+		return upstreamFailed
+	case status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
+		return outcomeUnknown
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return refused
+	}
+	return rejected
+}
--- a/pkg/entry/retry_budget.go
+++ b/pkg/entry/retry_budget.go
@@ -21,6 +21,13 @@
 
 // addRequest credits the budget of a service with one client request.
 func (b *retryBudget) addRequest(service string, entries int) {
+	b.credit(service, entries, b.ratio)
+}
+
+// open gives a service its burst if it has had no request yet.
+func (b *retryBudget) open(service string, entries int) { b.credit(service, entries, 0) }
+
+func (b *retryBudget) credit(service string, entries int, amount float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	most := b.capacity(entries)
@@ -28,7 +35,7 @@
 	if !known {
 		have = most
 	}
-	b.tokens[service] = min(have+b.ratio, most)
+	b.tokens[service] = min(have+amount, most)
 }
 
 // spend takes one retry from the budget. It reports whether there was one.
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -23,6 +23,9 @@
 	errMismatchedAnswer = eris.New("answer does not belong to this request")
 	// errAbandoned is returned if another upstream answered while the upstream was silent.
 	errAbandoned = eris.New("attempt abandoned in favour of another upstream")
+	// errLinksLost is returned if a silent attempt was given up because this entry host can reach no
+	// upstream.
+	errLinksLost = eris.New("this entry host lost its links to upstreams")
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -31,9 +34,8 @@
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true, "Host": true,
 }
 
-// upstreamHeader returns the header of the request to an upstream.
-func (c *call) upstreamHeader(u *fleet.Upstream, lastEvent string) http.Header {
-	names := c.gateway.cfg.Headers
+// endToEndHeader returns the client's header without fields that apply to its connection.
+func (c *call) endToEndHeader() http.Header {
 	drop := map[string]bool{}
 	for _, v := range c.r.Header.Values("Connection") {
 		for _, n := range strings.Split(v, ",") {
@@ -47,6 +49,13 @@
 		}
 		h[name] = values
 	}
+	return h
+}
+
+// upstreamHeader returns the header of the request to an upstream.
+func (c *call) upstreamHeader(u *fleet.Upstream, lastEvent string) http.Header {
+	names := c.gateway.cfg.Headers
+	h := c.endToEndHeader()
 	if c.index.RequiresAPIKey() {
 		h.Del("Authorization")
 	}
@@ -195,8 +204,9 @@
 	case errors.Is(err, upstream.ErrNotSent) && c.remaining() <= 0: // the request ended the attempt, not the upstream
 	case errors.Is(err, errNotRun):
 		g.balancer.recordRejection(now, t)
+	case g.links.cutOff(): // the attempt failed because of this entry host's links
 	case errors.Is(err, upstream.ErrNotSent):
-		g.balancer.recordFailure(now, t)
+		g.balancer.recordUnreachable(now, t)
 		if p.upstream.IsOpenHead() {
 			g.suspectHead(now, p, true)
 		}
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -29,6 +29,7 @@
 	standby        *standby // in progress, or the one that took over
 	standbyRuns    int      // standbys that ended and may have run
 	takenOver      bool     // the standby serves the stream
+	linksLost      bool     // the attempt was given up because this entry host can't reach upstreams
 	stopped        bool
 }
 
@@ -51,7 +52,7 @@
 func (w *stallTimer) receive(b []byte) ([]byte, int, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.takenOver {
+	if w.takenOver || w.linksLost {
 		return nil, 0, false
 	}
 	whole, count := w.splitter.add(b)
@@ -95,6 +96,9 @@
 	if w.takenOver {
 		return errAbandoned
 	}
+	if w.linksLost {
+		return errLinksLost
+	}
 	w.stopped = true
 	w.timer.Stop()
 	if w.standby != nil {
@@ -146,6 +150,11 @@
 		w.timer.Reset(streamCheckInterval)
 		return
 	}
+	if w.mayUsePeer() {
+		w.linksLost = true
+		w.current.cancel()
+		return
+	}
 	w.accuse()
 	if !w.mayStandBy() {
 		w.timer.Reset(streamCheckInterval)
@@ -179,6 +188,14 @@
 		c.gateway.budget.available(c.service.Name) && c.mayRunFreely()
 }
 
+// mayUsePeer reports whether another entry host should continue the stream: no upstream can be reached
+// from here. The caller holds the lock.
+func (w *stallTimer) mayUsePeer() bool {
+	c, g := w.call, w.call.gateway
+	return g.links.cutOff() && c.route.Retryable() && c.remaining() >= minRetryTime && w.runs() < c.route.MaxAttempts && w.trial == "" &&
+		g.budget.available(c.service.Name) && (c.origin != nil || g.relays.hasOther(nil))
+}
+
 // runs returns how many upstreams may have run the request, without a standby in progress. The
 // caller holds the lock.
 func (w *stallTimer) runs() int { return w.earlier + 1 + w.standbyRuns }
@@ -306,12 +323,16 @@
 		"silent_ms", (g.now() - w.lastEventAt).Milliseconds(), "standby", upstream, "after_event", sb.lastEventID, "outcome", result, "cause", sb.err)
 }
 
-// wrapError marks the error of an attempt whose stream continues on the standby as errAbandoned.
+// wrapError marks the error of an attempt that was given up: errAbandoned if the stream continues on the
+// standby, errLinksLost if another entry host is to continue it.
 func (w *stallTimer) wrapError(err error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err != nil && w.takenOver {
 		return eris.Wrap(errAbandoned, err.Error())
 	}
+	if err != nil && w.linksLost {
+		return eris.Wrap(errLinksLost, err.Error())
+	}
 	return err
 }
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -60,6 +60,12 @@
 func (s *streamRelay) chooseUpstream() bool {
 	c, g := s.call, s.call.gateway
 	for {
+		if g.links.cutOff() {
+			if c.origin != nil || !s.serveByPeer() {
+				c.endStream(linksLost)
+			}
+			return false
+		}
 		if why := c.mayRun(); why != noReason {
 			c.endStream(why)
 			return false
@@ -72,6 +78,9 @@
 			s.attempt.placement = p
 			return true
 		}
+		if why == allExcluded && c.origin == nil && g.balancer.lacksLinks(req) && s.serveByPeer() {
+			return false
+		}
 		if !s.waitForUpstream() {
 			c.choiceSummary = g.balancer.choiceSummary(g.now(), req)
 			c.endStream(why)
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -29,6 +29,7 @@
 	suspectedAt         time.Duration // time of the last suspicion
 	falseSuspicions     int           // suspicions after which the head sent data again
 	backoffUntil        time.Duration
+	unreachable         bool // no connection could be opened since it last answered
 	consecutiveFailures int
 	errorRate           float64 // exponential average of failed answers
 	slowness            float64 // exponential average of actual to expected event interval
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -30,7 +30,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.closeIdle()
+}
+
+// CloseIdleTo closes the idle connections to an address, of all incarnations.
+func (p *Pool) CloseIdleTo(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for k, list := range p.idle {
+		if k.address != address {
+			continue
+		}
 		for _, c := range list {
 			c.close()
 		}
@@ -38,14 +48,16 @@
 	}
 }
 
-// CloseIdleTo closes the idle connections to an address, of all incarnations.
-func (p *Pool) CloseIdleTo(address string) {
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeIdle()
+}
+
+// closeIdle closes all idle connections. The caller holds the lock.
+func (p *Pool) closeIdle() {
 	for k, list := range p.idle {
-		if k.address != address {
-			continue
-		}
 		for _, c := range list {
 			c.close()
 		}
