Place requests of other entry hosts whatever links the placer has lost

What callers saw: entry hosts with sound links refused requests ('all upstreams were tried or fail', 'all upstreams are full') while the placer of the model could not reach its heads. Cause: the placer left out heads that failed from where it stands, also for requests that other hosts send. Change: backoff and suspicion of the placer count for its own requests only. A rejection is the upstream's own word and counts for all. A connection that can't be opened no longer raises the error rate, which is part of the score of all. Ruled out: another placer while the host is cut off: it places well, and with half of its links lost it is not cut off.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -73,6 +73,7 @@
 	promptTokens int
 	tried        map[string]bool
 	localPlacer  bool // this entry host places all requests of the model
+	hosted       bool // of another entry host, for which this one is the placer
 	resuming     bool // continues a stream that has begun; takes precedence over new requests
 	standby      bool // for a standby: the request is not refused if there is no room
 }
@@ -261,29 +262,27 @@
 	t.unreachable = false
 	if ok {
 		t.consecutiveFailures = 0
-		t.backoffUntil = 0
+		t.backoffUntil, t.rejectedUntil = 0, 0
 		t.errorRate -= errorGain * t.errorRate
 		return
 	}
 	t.errorRate += errorGain * (1 - t.errorRate)
 }
 
-// recordFailure records that an upstream was unreachable or broke a connection, and backs off from
-// it.
+// recordFailure records that an upstream broke a connection, and backs off from it.
 func (b *balancer) recordFailure(now time.Duration, t *target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	pause := min(minBackoff<<min(t.consecutiveFailures, 5), maxBackoff)
-	t.consecutiveFailures++
-	t.backoffUntil = now + pause
+	t.backOff(now)
 	t.errorRate += errorGain * (1 - t.errorRate)
 }
 
-// recordUnreachable records that no connection to an upstream could be opened from here.
+// recordUnreachable records that no connection to an upstream could be opened from here, and backs off
+// from it.
 func (b *balancer) recordUnreachable(now time.Duration, t *target) {
-	b.recordFailure(now, t)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	t.backOff(now)
 	t.unreachable = true
 }
 
@@ -376,7 +375,7 @@
 func (b *balancer) recordRejection(now time.Duration, t *target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t.backoffUntil = now + rejectionBackoff
+	t.rejectedUntil = now + rejectionBackoff
 }
 
 // rejectionBackoff is how long an upstream gets no requests after it rejected one.
--- a/pkg/entry/hosted_placements.go
+++ b/pkg/entry/hosted_placements.go
@@ -50,7 +50,7 @@
 	if service == nil {
 		return control.FleetPlaceResult{Reason: string(unknownService)}, nil
 	}
-	wanted := placementRequest{service: service, model: req.Model, promptTokens: req.PromptTokens, resuming: req.Resumed, standby: req.Standby, tried: map[string]bool{}, localPlacer: true}
+	wanted := placementRequest{service: service, model: req.Model, promptTokens: req.PromptTokens, resuming: req.Resumed, standby: req.Standby, tried: map[string]bool{}, localPlacer: true, hosted: true}
 	for _, id := range req.ExcludedHeads {
 		wanted.tried[id] = true
 	}
--- a/pkg/entry/placement.go
+++ b/pkg/entry/placement.go
@@ -115,10 +115,12 @@
 	return req.service.Engine == nil || t.IsOpenHead() && fleet.ModelOf(t.Assignment.Group) == req.model
 }
 
-// excluded reports whether the request was already tried on an upstream, or the upstream is
-// suspected or in backoff.
+// excluded reports whether the request was already tried on an upstream, or the upstream rejected one
+// lately, is suspected or in backoff. What failed between this entry host and the upstream does not
+// count for requests of others, which name the upstreams that fail from where they are.
 func (b *balancer) excluded(now time.Duration, t *target, req placementRequest) bool {
-	return req.tried[t.ID] || now < t.suspectUntil || now < t.backoffUntil
+	failing := now < t.suspectUntil || now < t.backoffUntil
+	return req.tried[t.ID] || now < t.rejectedUntil || failing && !req.hosted
 }
 
 // remoteOwner returns the remote placer that counts a placement, nil if there is none, and its
--- a/pkg/entry/sync.go
+++ b/pkg/entry/sync.go
@@ -88,7 +88,7 @@
 	}
 	if u.StartedMS != t.StartedMS {
 		t.consecutiveFailures, t.errorRate, t.slowness = 0, 0, 1
-		t.suspectUntil, t.backoffUntil = 0, 0
+		t.suspectUntil, t.backoffUntil, t.rejectedUntil = 0, 0, 0
 		t.unreachable = false
 		t.limit = limitState{}
 	}
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -28,7 +28,8 @@
 	suspectUntil        time.Duration
 	suspectedAt         time.Duration // time of the last suspicion
 	falseSuspicions     int           // suspicions after which the head sent data again
-	backoffUntil        time.Duration
+	backoffUntil        time.Duration // after failures of connections from here
+	rejectedUntil       time.Duration // after a rejection by the upstream
 	unreachable         bool // no connection could be opened since it last answered
 	consecutiveFailures int
 	errorRate           float64 // exponential average of failed answers
@@ -82,3 +83,10 @@
 func (t *target) silentTime(now time.Duration) time.Duration {
 	return now - max(t.lastReceivedAt, t.busySince)
 }
+
+// backOff withholds own requests, longer with each consecutive failure.
+func (t *target) backOff(now time.Duration) {
+	pause := min(minBackoff<<min(t.consecutiveFailures, 5), maxBackoff)
+	t.consecutiveFailures++
+	t.backoffUntil = now + pause
+}
