Take an upstream for ended only if a coordinator finds so too

What callers saw: nothing at once; requests that were running when a link of an entry host was reset were accused of ending their upstreams, the evidence on which sound requests are withheld. Cause: an address that refuses connections was taken for a process that has ended. It may be the entry host's own link. Change: package endcheck (moved from entry) asks for a second opinion. Entry hosts ask a coordinator; if that reaches the address, the link is lost and nobody is accused. Without a coordinator a refusal counts if other upstreams can be reached. Ruled out: another entry host's view: half of them may have lost the same link; the upstream's next heartbeat: 1.2 s are too long for an answer that waits. Conclusion: fixed for ends; silence and broken connections still accuse.

--- a/pkg/access/allow.go
+++ b/pkg/access/allow.go
@@ -40,6 +40,7 @@
 	control.MethodFleetPlaced:       {Gate},
 	control.MethodFleetRuns:         {Gate},
 	control.MethodFleetTrial:        {Gate},
+	control.MethodFleetCheckEnd:     {Gate},
 	control.MethodKeeperReplace:     {Operator},
 	control.MethodKeeperStatus:      {Operator},
 	control.MethodQuarantineList:    {Operator},
--- a/pkg/access/rights_test.go
+++ b/pkg/access/rights_test.go
@@ -36,6 +36,7 @@
 	control.MethodFleetPlaced:   {Gate},
 	control.MethodFleetRuns:     {Gate},
 	control.MethodFleetTrial:    {Gate},
+	control.MethodFleetCheckEnd: {Gate},
 }
 
 func openLinks(t *testing.T, f Files) *Transport {
--- a/pkg/control/methods.go
+++ b/pkg/control/methods.go
@@ -40,6 +40,7 @@
 	MethodFleetPlace    Method = "fleet.place"    // place a request; served by the placer of its model
 	MethodFleetPlaced   Method = "fleet.placed"   // progress of placements; a notification to the placer
 	MethodFleetRuns     Method = "fleet.runs"     // how runs ended that matter to the quarantine
+	MethodFleetCheckEnd Method = "fleet.checkend" // whether an upstream has ended, as seen by a coordinator
 	MethodFleetTrial    Method = "fleet.trial"    // ask for a trial of a suspect
 )
 
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/durable"
+	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/formation"
 	"github.com/sesamemux/sesamemux/pkg/keeper"
@@ -17,6 +18,7 @@
 	"github.com/sesamemux/sesamemux/pkg/raft"
 	"github.com/sesamemux/sesamemux/pkg/replica"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
+	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
 // Coordinator is a process of the control plane.
@@ -26,6 +28,7 @@
 	caller         *leader.Caller // calls the leader among the other coordinators
 	replicaManager *replicaManager
 	metrics        *Metrics
+	ends           *endcheck.Checker
 
 	replica atomic.Pointer[openReplica]
 
@@ -88,6 +91,7 @@
 		metrics:           NewMetrics(),
 		decisionRequested: make(chan struct{}, 1),
 	}
+	c.ends = endcheck.New(upstream.DialFunc(cfg.Dial), c.now, nil)
 	c.followRequest = control.FleetSyncRequest{Process: cfg.PeerAddress, Zone: cfg.Zone}
 	c.replicaManager = &replicaManager{coordinator: c}
 	return c
@@ -162,6 +166,7 @@
 	rpc.Handle(s, string(control.MethodFleetJoin), c.handleJoin)
 	rpc.Handle(s, string(control.MethodFleetRuns), c.handleRuns)
 	rpc.Handle(s, string(control.MethodFleetTrial), c.handleTrial)
+	rpc.Handle(s, string(control.MethodFleetCheckEnd), c.handleCheckEnd)
 }
 
 // requestDecision requests a run of the planner.
--- a/pkg/coordinator/metrics.go
+++ b/pkg/coordinator/metrics.go
@@ -10,6 +10,7 @@
 	Suspicions prometheus.Counter
 	DeadHosts  prometheus.Counter
 	Trials     *prometheus.CounterVec
+	EndChecks  *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -26,7 +27,9 @@
 			Name: "sesame_coordinator_dead_hosts_total", Help: "Hosts found dead by probes."}),
 		Trials: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_coordinator_trials_total", Help: "Questions for a trial of a request that may end upstreams, by outcome."}, []string{"outcome"}),
+		EndChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_coordinator_end_checks_total", Help: "Questions whether an upstream that refuses connections has ended, by what was found."}, []string{"state"}),
 	}
-	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.DeadHosts, m.Trials)
+	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.DeadHosts, m.Trials, m.EndChecks)
 	return m
 }
--- a/pkg/entry/end_check_test.go
+++ b/pkg/endcheck/checker_test.go
@@ -1,4 +1,4 @@
-package entry
+package endcheck
 
 import (
 	"context"
@@ -13,50 +13,50 @@
 	"github.com/sesamemux/sesamemux/pkg/memconn"
 )
 
-// newTestEndChecker returns an endChecker at the host e and the number of its dials.
-func newTestEndChecker(n *memconn.Network) (*endChecker, *atomic.Int64) {
+// newTestChecker returns an Checker at the host e and the number of its dials.
+func newTestChecker(n *memconn.Network) (*Checker, *atomic.Int64) {
 	var dials atomic.Int64
 	dial, mono := n.Dialer("e"), clock.NewMonotonic()
-	return newEndChecker(func(ctx context.Context, address string) (net.Conn, error) {
+	return New(func(ctx context.Context, address string) (net.Conn, error) {
 		dials.Add(1)
 		return dial(ctx, address)
-	}, func() time.Duration { return time.Duration(mono.Now()) }), &dials
+	}, func() time.Duration { return time.Duration(mono.Now()) }, nil), &dials
 }
 
 func TestUpstreamThatWasAliveBeforeIsCheckedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := memconn.New(time.Millisecond)
 		n.Listen("p", "p:80")
-		e, _ := newTestEndChecker(n)
-		who := incarnation{"p", 1}
-		if state := e.check(e.now(), who, "p:80"); state != upstreamAlive {
+		e, _ := newTestChecker(n)
+		who := Incarnation{"p", 1}
+		if state := e.Check(e.now(), who, "p:80"); state != Alive {
 			t.Fatalf("a living upstream is %s", state)
 		}
-		time.Sleep(endCheckTTL / 2)
+		time.Sleep(resultTTL / 2)
 		n.Exit("p")
-		if state := e.check(e.now(), who, "p:80"); state != upstreamEnded {
-			t.Errorf("an upstream that ended %v after a check is %s", endCheckTTL/2, state)
+		if state := e.Check(e.now(), who, "p:80"); state != Ended {
+			t.Errorf("an upstream that ended %v after a check is %s", resultTTL/2, state)
 		}
 	})
 }
 
 // TestChecksOfOneUpstreamShareConnections: 20 requests break off within a check's time.
 func TestChecksOfOneUpstreamShareConnections(t *testing.T) {
-	for want, end := range map[endState]func(n *memconn.Network){
-		upstreamAlive:   func(*memconn.Network) {},
-		upstreamEnded:   func(n *memconn.Network) { n.Exit("p") },
-		endStateUnknown: func(n *memconn.Network) { n.Cut("e", "p") },
+	for want, end := range map[State]func(n *memconn.Network){
+		Alive:   func(*memconn.Network) {},
+		Ended:   func(n *memconn.Network) { n.Exit("p") },
+		Unknown: func(n *memconn.Network) { n.Cut("e", "p") },
 	} {
 		t.Run(string(want), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := memconn.New(time.Millisecond)
 				n.Listen("p", "p:80")
 				end(n)
-				e, dials := newTestEndChecker(n)
+				e, dials := newTestChecker(n)
 				var work sync.WaitGroup
 				for range 20 {
 					work.Go(func() {
-						if state := e.check(e.now(), incarnation{"p", 1}, "p:80"); state != want {
+						if state := e.Check(e.now(), Incarnation{"p", 1}, "p:80"); state != want {
 							t.Errorf("the upstream is %s, want %s", state, want)
 						}
 					})
@@ -77,9 +77,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		n := memconn.New(time.Millisecond)
 		n.Listen("p", "p:80")
-		e, _ := newTestEndChecker(n)
+		e, _ := newTestChecker(n)
 		time.AfterFunc(5*time.Millisecond, func() { n.Exit("p") })
-		if state := e.check(e.now(), incarnation{"p", 1}, "p:80"); state != upstreamEnded {
+		if state := e.Check(e.now(), Incarnation{"p", 1}, "p:80"); state != Ended {
 			t.Errorf("an upstream whose listener closed 5ms after its connection is %s", state)
 		}
 	})
@@ -99,10 +99,30 @@
 				_ = c.Close()
 			}
 		}()
-		e, dials := newTestEndChecker(n)
-		if state := e.check(e.now(), incarnation{"p", 1}, "p:80"); state != upstreamAlive || dials.Load() > 2 {
+		e, dials := newTestChecker(n)
+		if state := e.Check(e.now(), Incarnation{"p", 1}, "p:80"); state != Alive || dials.Load() > 2 {
 			t.Errorf("it is %s after %d connections", state, dials.Load())
 		}
 		_ = l.Close()
 	})
 }
+
+func TestRefusalIsTheEndOnlyIfAnotherProcessSeesItToo(t *testing.T) {
+	for _, want := range []State{Ended, LinkLost, Unknown} {
+		synctest.Test(t, func(t *testing.T) {
+			n, mono, asked := memconn.New(time.Millisecond), clock.NewMonotonic(), 0
+			e := New(n.Dialer("e"), func() time.Duration { return time.Duration(mono.Now()) }, func(time.Duration, Incarnation, string) State {
+				asked++
+				return want
+			})
+			if state := e.Check(e.now(), Incarnation{"p", 1}, "p:80"); state != want || asked != 1 {
+				t.Errorf("got %s after %d questions, want %s", state, asked, want)
+			}
+			n.Listen("p", "p:80")
+			time.Sleep(2 * resultTTL)
+			if state := e.Check(e.now(), Incarnation{"p", 1}, "p:80"); state != Alive || asked != 1 {
+				t.Errorf("a living upstream is %s after %d questions", state, asked)
+			}
+		})
+	}
+}
--- a/pkg/entry/answer_end.go
+++ b/pkg/entry/answer_end.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
@@ -15,14 +16,14 @@
 		return nil
 	}
 	g, u := c.gateway, &p.upstream
-	switch g.ends.check(g.now(), incarnation{u.ID, u.StartedMS}, u.Address) {
-	case upstreamAlive:
+	switch g.ends.Check(g.now(), endcheck.Incarnation{ID: u.ID, StartedMS: u.StartedMS}, u.Address) {
+	case endcheck.Alive:
 		c.framed = true
-	case upstreamEnded:
+	case endcheck.Ended:
 		if !g.balancer.hasAnnouncedEnd(p) {
 			return eris.Wrap(upstream.ErrConnectionLost, "upstream ended behind an answer without a length")
 		}
-	case endStateUnknown:
+	case endcheck.Unknown, endcheck.LinkLost:
 		if g.requestLog.allow(g.now(), false) {
 			g.cfg.Logger.Warn("end of an answer without a length could not be checked; taken as complete",
 				"request", c.r.Header.Get(g.cfg.Headers.Attempt), "upstream", u.ID, "born", u.StartedMS)
--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/suspect"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
@@ -43,11 +44,11 @@
 }
 
 // endStateOf finds out whether an upstream that broke off an attempt has ended.
-func (g *Gateway) endStateOf(u *fleet.Upstream, err error) endState {
+func (g *Gateway) endStateOf(u *fleet.Upstream, err error) endcheck.State {
 	if !errors.Is(err, upstream.ErrConnectionLost) {
-		return endStateUnknown
+		return endcheck.Unknown
 	}
-	return g.ends.check(g.now(), incarnation{u.ID, u.StartedMS}, u.Address)
+	return g.ends.Check(g.now(), endcheck.Incarnation{ID: u.ID, StartedMS: u.StartedMS}, u.Address)
 }
 
 // inspectFailure finds out whether the upstream of a failed attempt has ended, logs it and tells the
@@ -56,7 +57,7 @@
 	g, u := c.gateway, &p.upstream
 	noticed := g.now()
 	if !brokeOff(err) {
-		c.settleAttempt(p, noticed, endStateUnknown, err)
+		c.settleAttempt(p, noticed, endcheck.Unknown, err)
 		return
 	}
 	state := g.endStateOf(u, err)
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
@@ -27,7 +28,7 @@
 	placers         *placerDirectory
 	hosted          *hostedPlacements
 	budget          *retryBudget
-	ends            *endChecker
+	ends            *endcheck.Checker
 	guard           *quarantine.Guard
 	questions       trialQuestions
 	reporter        *runReporter
@@ -64,7 +65,7 @@
 	}
 	g.relays = newRelayPeers(cfg.RelayAddress)
 	g.links = newLinkWatcher(cfg, g.now, g.balancer.witnesses, g.linksChanged)
-	g.ends = newEndChecker(cfg.DialBackend, g.now)
+	g.ends = endcheck.New(cfg.DialBackend, g.now, g.secondOpinion)
 	g.started = g.now()
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.firstDocumentReady = make(chan struct{})
--- a/pkg/entry/link_watcher.go
+++ b/pkg/entry/link_watcher.go
@@ -135,6 +135,25 @@
 	return w.lastConnected != 0 && w.now()-w.lastConnected < linkEvidenceAge
 }
 
+// confirm reports whether the host could open a connection to some upstream after since. Without that
+// the failure of an upstream may be one of the host's own links.
+func (w *linkWatcher) confirm(since time.Duration) bool {
+	for {
+		w.mu.Lock()
+		confirmed, r := w.lastConnected > since, w.lastRound
+		w.mu.Unlock()
+		if confirmed {
+			return true
+		}
+		if r == nil || r.began < since || !r.finished() {
+			r = w.round()
+		}
+		if r.began >= since {
+			return r.result.Confirms()
+		}
+	}
+}
+
 // round tries several upstreams, unless another round is in progress, and records the result. It
 // returns the round, which is finished.
 func (w *linkWatcher) round() *linkRound {
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/sesamemux/sesamemux/pkg/endcheck"
 )
 
 // stallTimer watches an attempt whose upstream may fall silent. A silent upstream may be lost or may
@@ -168,7 +170,7 @@
 // lock.
 func (w *stallTimer) accuse() {
 	if !w.accused && w.trial == "" {
-		w.call.accuse(w.current.placement, w.call.gateway.now(), endStateUnknown, "")
+		w.call.accuse(w.current.placement, w.call.gateway.now(), endcheck.Unknown, "")
 	}
 	w.accused = true
 }
@@ -236,7 +238,7 @@
 	if sb.dropped || w.takenOver {
 		return
 	}
-	w.call.accuse(sb.placement, w.call.gateway.now(), endStateUnknown, "")
+	w.call.accuse(sb.placement, w.call.gateway.now(), endcheck.Unknown, "")
 	if w.runs()+1 < w.call.route.MaxAttempts {
 		sb.late = true
 		sb.cancel()
@@ -293,7 +295,11 @@
 	if brokeOff(err) {
 		p, noticed := sb.placement, c.gateway.now()
 		c.requestFingerprint() // while nothing else reads it
-		go func() { c.accuse(p, noticed, c.gateway.endStateOf(&p.upstream, err), "") }()
+		go func() {
+			if state := c.gateway.endStateOf(&p.upstream, err); state != endcheck.LinkLost {
+				c.accuse(p, noticed, state, "")
+			}
+		}()
 	}
 }
 
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
@@ -179,7 +180,7 @@
 	err := w.wrapError(s.relayAnswer(w))
 	s.standby = w.stop(err == nil)
 	if w.silentTrial() && err != nil && !brokeOff(err) && !provesNotRun(err) {
-		c.accuse(a.placement, c.gateway.now(), endStateUnknown, c.trial)
+		c.accuse(a.placement, c.gateway.now(), endcheck.Unknown, c.trial)
 		c.trial = ""
 	}
 	return err
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -30,7 +30,7 @@
 	falseSuspicions     int           // suspicions after which the head sent data again
 	backoffUntil        time.Duration // after failures of connections from here
 	rejectedUntil       time.Duration // after a rejection by the upstream
-	unreachable         bool // no connection could be opened since it last answered
+	unreachable         bool          // no connection could be opened since it last answered
 	consecutiveFailures int
 	errorRate           float64 // exponential average of failed answers
 	slowness            float64 // exponential average of actual to expected event interval
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 	"github.com/sesamemux/sesamemux/pkg/view"
@@ -154,8 +155,8 @@
 }
 
 // settleAttempt reports a failed attempt to the quarantine.
-func (c *call) settleAttempt(p *placement, noticed time.Duration, state endState, err error) {
-	if brokeOff(err) {
+func (c *call) settleAttempt(p *placement, noticed time.Duration, state endcheck.State, err error) {
+	if brokeOff(err) && state != endcheck.LinkLost {
 		c.accuse(p, noticed, state, c.trial)
 		c.trial = ""
 		return
@@ -167,10 +168,10 @@
 
 // accuse reports that an upstream broke off the request or is silent: it accuses the request and the
 // parts of its prompt.
-func (c *call) accuse(p *placement, noticed time.Duration, state endState, trial string) {
+func (c *call) accuse(p *placement, noticed time.Duration, state endcheck.State, trial string) {
 	g, f := c.gateway, c.requestFingerprint()
 	crash := quarantine.SeenCrash{
-		Crash: quarantine.Crash{Upstream: p.upstream.ID, StartedMS: p.upstream.StartedMS, Assumed: state != upstreamEnded},
+		Crash: quarantine.Crash{Upstream: p.upstream.ID, StartedMS: p.upstream.StartedMS, Assumed: state != endcheck.Ended},
 		Began: p.chosenAt, At: noticed,
 	}
 	report := crashReport{fingerprint: f, crash: crash, trial: trial, parts: c.partFingerprints(), completed: map[view.Fingerprint]quarantine.Proof{}}
--- a/pkg/entry/unframed_answer_test.go
+++ b/pkg/entry/unframed_answer_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/logging"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
@@ -290,7 +291,7 @@
 				if w.status != 200 || w.cut || w.body.String() != body {
 					t.Errorf("answered %d, cut %v, %q", w.status, w.cut, &w.body)
 				}
-				if took := time.Since(cutAt); took < endCheckTimeout || took > 2*endCheckTimeout {
+				if took := time.Since(cutAt); took < endcheck.Timeout || took > 2*endcheck.Timeout {
 					t.Errorf("ended %v after the cut", took)
 				}
 				if late := w.lastWrite.Sub(cutAt); kind == "stream" && late > 2*time.Millisecond {
--- a/pkg/reach/links.go
+++ b/pkg/reach/links.go
@@ -10,6 +10,10 @@
 // Round is the result of connection attempts to different upstreams.
 type Round struct{ Connected, Failed int }
 
+// Confirms reports whether the host can reach upstreams, as far as is known: too few attempts don't
+// tell a lost link from an upstream that has ended.
+func (r Round) Confirms() bool { return r.Connected > 0 || r.Failed < minWitnesses }
+
 // Links is the state of a host's links to all upstreams. The zero value is a host that is not cut off.
 type Links struct{ cutOff bool }
 
--- a/pkg/reach/links_test.go
+++ b/pkg/reach/links_test.go
@@ -42,7 +42,7 @@
 			if changed != (before != l.CutOff()) {
 				t.Fatal("the change is reported wrongly")
 			}
-			if !before && l.CutOff() && r.Connected > 0 {
+			if !before && l.CutOff() && r.Confirms() {
 				t.Fatalf("cut off by %+v", r)
 			}
 		}
