Trust a refused connection less after a coordinator has reached the upstream

The new state 'refuses' accuses like an unknown one, and an answer without a length that ends so is broken.

--- a/pkg/endcheck/checker.go
+++ b/pkg/endcheck/checker.go
@@ -22,6 +22,8 @@
 	Unknown State = "unknown" // no reply
 	// LinkLost means that its address refuses connections from here, but not from another process.
 	LinkLost State = "link lost"
+	// Refuses means that its address refuses connections from here, and no other process knows more.
+	Refuses State = "refuses"
 )
 
 const (
--- a/pkg/entry/answer_end.go
+++ b/pkg/entry/answer_end.go
@@ -19,7 +19,7 @@
 	switch g.ends.Check(g.now(), endcheck.Incarnation{ID: u.ID, StartedMS: u.StartedMS}, u.Address) {
 	case endcheck.Alive:
 		c.framed = true
-	case endcheck.Ended:
+	case endcheck.Ended, endcheck.Refuses:
 		if !g.balancer.hasAnnouncedEnd(p) {
 			return eris.Wrap(upstream.ErrConnectionLost, "upstream ended behind an answer without a length")
 		}
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -40,6 +40,7 @@
 	installMu          sync.Mutex // serializes document replacement, so that versions only increase
 	index              atomic.Pointer[catalog.Index]
 	lastSync           atomic.Int64 // time of the last successful sync
+	linkLostAt         atomic.Int64 // when a coordinator last reached an upstream that refused this entry host
 	started            time.Duration
 	firstDocumentReady chan struct{} // closed when the first document is in force
 	stopping           atomic.Bool
