--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -342,7 +342,12 @@
 	up     bool
 	limit  string        // requests a second that it names in its answers; empty if none
 	retire bool          // it is not started again
+	pause  string        // Retry-After of its answers, 503, to all requests; empty if it takes them
+	proves bool          // with pause: its answers say that the request was not run
+	leaves bool          // it says in its answers that it leaves
 	ending chan struct{} // closed at the end of the process
+
+	notices noticeLog
 }
 
 func (h *simulatedHost) start() {
@@ -354,6 +359,7 @@
 	h.life++
 	h.up = true
 	h.ending = make(chan struct{})
+	h.pause, h.leaves = "", false
 	h.record = fleet.Upstream{
 		ID: fmt.Sprintf("%s-%d", h.name, h.life), Service: h.service, Address: h.name + ":80", Zone: h.zone, FabricDomain: h.domain,
 		StartedMS: time.Now().UnixMilli(), Slots: 8, State: fleet.Ready, StagedModels: h.record.StagedModels,
@@ -499,6 +505,10 @@
 		return fixedAnswer(http.StatusMisdirectedRequest, "", "other")(c, r, attempt)
 	}
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	h.notices.arrived(c.RemoteAddr().String(), id, attempt)
+	if paused := h.answerPaused(c, attempt, id); paused {
+		return true
+	}
 	time.Sleep(20 * time.Millisecond)
 	sound := h.fleet.isSoundYet()
 	crashes := !sound && strings.HasPrefix(body, "crash")
--- a/pkg/entry/limit_test.go
+++ b/pkg/entry/limit_test.go
@@ -26,11 +26,14 @@
 
 func (c *limitNamingConn) Write(b []byte) (int, error) {
 	c.host.mu.Lock()
-	limit := c.host.limit
+	limit, leaves := c.host.limit, c.host.leaves
 	c.host.mu.Unlock()
 	named := b
+	if leaves && bytes.HasPrefix(b, []byte("HTTP/1.1 ")) {
+		named = bytes.Replace(named, []byte("X-Attempt:"), []byte("X-Leaving: 1\r\nX-Attempt:"), 1)
+	}
 	if limit != "" && bytes.HasPrefix(b, []byte("HTTP/1.1 ")) {
-		named = bytes.Replace(b, []byte("X-Attempt:"), []byte("X-Limit: "+limit+"\r\nX-Attempt:"), 1)
+		named = bytes.Replace(named, []byte("X-Attempt:"), []byte("X-Limit: "+limit+"\r\nX-Attempt:"), 1)
 	}
 	if _, err := c.Conn.Write(named); err != nil {
 		return 0, err
