Try twelve upstreams before an entry host counts as cut off

Cause: three upstreams that can't be reached may have ended, and one that can was not enough to end the verdict. Change: nine more are tried if the first three fail; any connection ends the verdict.

--- a/pkg/entry/link_evidence_test.go
+++ b/pkg/entry/link_evidence_test.go
@@ -99,3 +99,24 @@
 		}
 	}
 }
+
+// TestUpstreamsThatHaveEndedAreNoLostLinks: one that can still be reached shows that the links work.
+func TestUpstreamsThatHaveEndedAreNoLostLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstreams := map[string]answerFunc{}
+		for n := range 8 {
+			upstreams[fmt.Sprint("p", n)] = fixedAnswer(200, "X-Sig: s\r\n", "x")
+		}
+		b := newHarness(t, upstreams)
+		for n := range 7 {
+			b.network.Kill(fmt.Sprint("p", n))
+		}
+		b.gateway.links.watching.Store(true)
+		for range 50 {
+			b.gateway.links.round()
+			if b.gateway.links.cutOff() {
+				t.Fatal("cut off although an upstream can be reached")
+			}
+		}
+	})
+}
--- a/pkg/reach/links.go
+++ b/pkg/reach/links.go
@@ -1,7 +1,11 @@
 package reach
 
-// Witnesses is the number of upstreams tried in a round.
-const Witnesses = 3
+const (
+	// FirstWitnesses is the number of upstreams tried at first in a round.
+	FirstWitnesses = 3
+	// Witnesses is the number tried if none of those can be reached: they may have ended together.
+	Witnesses = 12
+)
 
 // minWitnesses is the number of upstreams that must be tried to tell a lost link from an upstream that
 // has ended.
@@ -21,16 +25,14 @@
 func (l *Links) CutOff() bool { return l.cutOff }
 
 // Record takes the result of a round and reports whether the state changed. A host is cut off if no
-// upstream can be reached, and no longer once none of several fails: a link that comes and goes does
-// not carry requests.
+// upstream can be reached, and no longer once one can: the others may have ended.
 func (l *Links) Record(r Round) bool {
 	before := l.cutOff
 	switch {
-	case r.Connected+r.Failed < minWitnesses:
-	case r.Connected == 0:
-		l.cutOff = true
-	case r.Failed == 0:
+	case r.Connected > 0:
 		l.cutOff = false
+	case r.Failed >= minWitnesses:
+		l.cutOff = true
 	}
 	return l.cutOff != before
 }
