Send nothing to an upstream in the pause that it asked this entry host for

What callers saw: requests sent again and again to upstreams that turn them away, and refused while others had room. Cause: Retry-After of an upstream's 503 was not read. The latest end counts, for one incarnation and this entry host only: a placer's own pause does not count for others, which name theirs. A request placed before is held back before its first byte. If all upstreams pause, requests are refused at once with the end of the first pause, spread over a second. Ruled out: going around the pause through another entry host; one pause for the fleet. Conclusion: fixed for requests; answers to coordinators' probes are not read.

--- a/pkg/entry/choice_summary.go
+++ b/pkg/entry/choice_summary.go
@@ -18,7 +18,7 @@
 		switch {
 		case req.tried[t.ID]:
 			tried++
-		case now < t.suspectUntil, now < t.backoffUntil, now < t.rejectedUntil:
+		case now < t.suspectUntil, now < t.backoffUntil, now < t.rejectedUntil, now < t.pausedUntil:
 			failing++
 		}
 	}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -24,6 +24,8 @@
 	SuspectedHeads     prometheus.Counter
 	WithheldSuspicions prometheus.Counter
 	LimitedRefusals    prometheus.Counter
+	Pauses             prometheus.Counter
+	PauseRefusals      prometheus.Counter
 	Limited            prometheus.Gauge
 	SuppressedLines    prometheus.Counter
 	DocumentVersion    prometheus.Gauge
@@ -64,6 +66,10 @@
 			Name: "sesame_entry_suspected_heads_total", Help: "Heads of groups that went silent."}),
 		WithheldSuspicions: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sesame_entry_withheld_suspicions_total", Help: "Silent heads that the coordinators were not told of, since no upstream could be reached."}),
+		Pauses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sesame_entry_pauses_total", Help: "Pauses that upstreams asked this entry host for."}),
+		PauseRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sesame_entry_pause_refusals_total", Help: "Requests refused because all upstreams have asked for a pause."}),
 		LimitedRefusals: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sesame_entry_limit_refusals_total", Help: "Requests refused because all upstreams with room name a limit, which is reached."}),
 		Limited: prometheus.NewGauge(prometheus.GaugeOpts{
@@ -73,7 +79,7 @@
 		DocumentVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "sesame_entry_document_version", Help: "Version of the document in force here."}),
 	}
-	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Quarantined, m.Placements, m.Syncs, m.Standbys, m.Relays, m.CutOff, m.SuspectedHeads, m.WithheldSuspicions, m.LimitedRefusals, m.Limited, m.SuppressedLines, m.DocumentVersion)
+	m.Registry.MustRegister(m.Requests, m.Duration, m.FirstEvent, m.StreamPause, m.Retries, m.BrokenAttempts, m.Quarantined, m.Placements, m.Syncs, m.Standbys, m.Relays, m.CutOff, m.SuspectedHeads, m.WithheldSuspicions, m.LimitedRefusals, m.Pauses, m.PauseRefusals, m.Limited, m.SuppressedLines, m.DocumentVersion)
 	return m
 }
 
--- a/pkg/entry/placement.go
+++ b/pkg/entry/placement.go
@@ -117,9 +117,10 @@
 
 // excluded reports whether the request was already tried on an upstream, or the upstream rejected one
 // lately, is suspected or in backoff. What failed between this entry host and the upstream does not
-// count for requests of others, which name the upstreams that fail from where they are.
+// count for requests of others, which name the upstreams that fail from where they are, and neither does
+// a pause that an upstream asked this entry host for.
 func (b *balancer) excluded(now time.Duration, t *target, req placementRequest) bool {
-	failing := now < t.suspectUntil || now < t.backoffUntil
+	failing := now < t.suspectUntil || now < t.backoffUntil || now < t.pausedUntil
 	return req.tried[t.ID] || now < t.rejectedUntil || failing && !req.hosted
 }
 
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -85,6 +85,7 @@
 		// The other end may close an idle connection at any moment; a request sent on it could then
 		// have run.
 		NewConnection: c.route.Kind == catalog.AtMostOnce,
+		BeforeSend:    func() error { return c.gateway.balancer.mayReceive(c.gateway.now(), u) },
 	})
 	if err != nil {
 		return nil, err
@@ -101,6 +102,7 @@
 	}
 	if resp.Status != http.StatusMisdirectedRequest {
 		c.gateway.noteLimit(u, sentAt, resp.Header)
+		c.gateway.noteAnswer(u, resp.Status, resp.Header)
 	}
 	switch {
 	case resp.Header.Get("Content-Encoding") != "":
@@ -205,6 +207,7 @@
 	case errors.Is(err, upstream.ErrNotSent) && c.remaining() <= 0: // the request ended the attempt, not the upstream
 	case errors.Is(err, errNotRun):
 		g.balancer.recordRejection(now, t)
+	case isWithheld(err):
 	case g.links.cutOff(): // the attempt failed because of this entry host's links
 	case errors.Is(err, upstream.ErrNotSent):
 		g.balancer.recordUnreachable(now, t)
@@ -234,6 +237,10 @@
 		c.gateway.metrics.LimitedRefusals.Inc()
 		return c.gateway.balancer.untilAllowed(c.gateway.now(), placementRequest{service: c.service, model: c.model})
 	}
+	if pause := c.gateway.balancer.untilPauseEnds(c.gateway.now(), placementRequest{service: c.service, model: c.model}); pause > 0 {
+		c.gateway.metrics.PauseRefusals.Inc()
+		return pause + time.Duration(c.gateway.balancer.randomFloat()*float64(pauseSpread))
+	}
 	base := map[reason]time.Duration{
 		allFull:          400 * time.Millisecond,
 		warmupBound:      300 * time.Millisecond,
