Send nothing new to an upstream that says in its answers that it leaves

What callers saw: requests that an upstream which was about to exit no longer served. Cause: Server-Leaving was not read; entry hosts waited for the announcement, which may be late or missing. Change: an upstream that says so in an answer gets no new requests from the entry host that passes the answer on, until another incarnation comes. Relayed answers name their upstream, so that the host that the client is connected to knows it too. Ruled out: telling the leader: each host learns it with its first answer.

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -197,4 +198,7 @@
 	if closing != "" {
 		h.Set("Connection", closing)
 	}
+	if c.origin != nil {
+		h.Set(relayUpstreamHeader, fmt.Sprint(c.upstream, " ", c.upstreamBorn))
+	}
 }
--- a/pkg/entry/buffered_attempts.go
+++ b/pkg/entry/buffered_attempts.go
@@ -130,7 +130,7 @@
 // dropOthers ends the attempts that still run beside the one whose answer is forwarded.
 func (r *bufferedAttempts) dropOthers() {
 	c := r.call
-	upstream, framed, began := c.upstream, c.framed, c.runBegan
+	upstream, born, framed, began := c.upstream, c.upstreamBorn, c.framed, c.runBegan
 	for len(r.done) > 0 {
 		r.discard(<-r.done)
 	}
@@ -140,7 +140,7 @@
 	for len(r.running) > 0 {
 		r.discardDropped(<-r.done)
 	}
-	c.upstream, c.framed, c.runBegan = upstream, framed, began
+	c.upstream, c.upstreamBorn, c.framed, c.runBegan = upstream, born, framed, began
 }
 
 // discardDropped records an attempt that was dropped while it ran. One that had not been silent for
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -59,6 +59,7 @@
 	choiceSummary string // inputs of a choice that found no upstream
 	status        int
 	upstream      string
+	upstreamBorn  int64 // when it started, Unix milliseconds
 	cause         error
 	firstEventAt  time.Duration
 	longestPause  time.Duration // between events
--- a/pkg/entry/gateway_test.go
+++ b/pkg/entry/gateway_test.go
@@ -28,7 +28,7 @@
 
 var testHeaders = Headers{
 	Attempt: "X-Attempt", Deadline: "X-Left", Model: "X-Model", TokenCounts: "X-Tokens", LastEventID: "Last-Event-Id",
-	Organisation: "X-Org", Incarnation: "X-Who", NotRun: "X-Not-Run", Signature: "X-Sig", Priority: "X-Prio", PromptParts: "X-Parts", RateLimit: "X-Limit",
+	Organisation: "X-Org", Incarnation: "X-Who", NotRun: "X-Not-Run", Signature: "X-Sig", Priority: "X-Prio", PromptParts: "X-Parts", RateLimit: "X-Limit", Leaving: "X-Leaving",
 }
 
 func testSet() *catalog.Set {
--- a/pkg/entry/headers.go
+++ b/pkg/entry/headers.go
@@ -12,6 +12,7 @@
 	NotRun       string // present on an answer to a request that was not run
 	Signature    string // the upstream's signature of its answer
 	Priority     string // 0 to 9, 0 is the highest
+	Leaving      string // "1" on the answers of an upstream that leaves
 	RateLimit    string // requests a second that the upstream takes from all entry hosts, a decimal number
 	PromptParts  string // parts of the prompt in order, as comma-separated ID:TOKENS with hexadecimal IDs
 }
--- a/pkg/entry/notice.go
+++ b/pkg/entry/notice.go
@@ -18,9 +18,12 @@
 // pauseSpread is the time over which clients return after the end of a pause.
 const pauseSpread = time.Second
 
-// noteAnswer takes note of what an upstream says of itself in an answer: that it wants nothing
-// from this entry host for some time.
+// noteAnswer takes note of what an upstream says of itself in an answer: that it leaves, or that it wants
+// nothing from this entry host for some time.
 func (g *Gateway) noteAnswer(u *fleet.Upstream, status int, h http.Header) {
+	if h.Get(g.cfg.Headers.Leaving) == leavingValue {
+		g.noteLeaving(u.ID, u.StartedMS)
+	}
 	values := h.Values("Retry-After")
 	if status != http.StatusServiceUnavailable || len(values) == 0 {
 		return
@@ -59,7 +62,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.targets[u.ID]
-	if t != nil && t.StartedMS == u.StartedMS && now < t.pausedUntil {
+	if t != nil && t.StartedMS == u.StartedMS && (t.leaving || now < t.pausedUntil) {
 		return errWithheld
 	}
 	return nil
--- a/pkg/entry/peer_relay.go
+++ b/pkg/entry/peer_relay.go
@@ -154,6 +154,7 @@
 		return nil, err
 	}
 	c.framed = false // the entry host that relays reports what the run proves
+	g.noteRelayedAnswer(resp.Header)
 	why := resp.Header.Get(relayDeclinedHeader)
 	switch {
 	case why != "":
--- a/pkg/entry/peer_relay_test.go
+++ b/pkg/entry/peer_relay_test.go
@@ -283,3 +283,22 @@
 		t.Error("the list is not empty")
 	}
 }
+
+func TestRelayedAnswerTellsThatAnUpstreamLeaves(t *testing.T) {
+	for _, kind := range []string{"once", "stream"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				answer := fixedAnswer(201, "X-Sig: s\r\nX-Leaving: 1\r\n", "done")
+				b, _ := newRelayingHarness(t, map[string]answerFunc{"p1": answer, "head1": streamFrom(10, 10, "s\r\nX-Leaving: 1", nil)})
+				w := b.send("POST", "/"+kind+"/1", "p", nil)
+				if w.status >= 300 || w.header.Get(relayUpstreamHeader) != "" {
+					t.Errorf("got %d %v", w.status, w.header)
+				}
+				id := map[string]string{"once": "p1", "stream": "head1"}[kind]
+				if !b.gateway.balancer.targets[id].leaving {
+					t.Errorf("%s is not known to leave", id)
+				}
+			})
+		})
+	}
+}
--- a/pkg/entry/placement.go
+++ b/pkg/entry/placement.go
@@ -109,7 +109,7 @@
 
 // serves reports whether an upstream can serve the request in principle.
 func (b *balancer) serves(t *target, req placementRequest) bool {
-	if t.Service != req.service.Name || t.State != fleet.Ready || t.Cordoned || b.evacuatedZones[t.Zone] {
+	if t.Service != req.service.Name || t.State != fleet.Ready || t.leaving || t.Cordoned || b.evacuatedZones[t.Zone] {
 		return false
 	}
 	return req.service.Engine == nil || t.IsOpenHead() && fleet.ModelOf(t.Assignment.Group) == req.model
--- a/pkg/entry/relay_header.go
+++ b/pkg/entry/relay_header.go
@@ -6,4 +6,7 @@
 	// relayDeclinedHeader is present on the answer of an entry host that did not pass the request on to
 	// any upstream and leaves it to others. Its value is the reason.
 	relayDeclinedHeader = "Sesame-Relay-Declined"
+	// relayUpstreamHeader names the upstream of a relayed answer: its ID, and its start in Unix
+	// milliseconds after a space.
+	relayUpstreamHeader = "Sesame-Relay-Upstream"
 )
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -118,7 +118,7 @@
 
 // recordExchange records the result of an exchange with an upstream.
 func (c *call) recordExchange(p *placement, resp *upstream.Response, err error) {
-	c.upstream, c.runBegan = p.upstream.ID, p.chosenAt
+	c.upstream, c.upstreamBorn, c.runBegan = p.upstream.ID, p.upstream.StartedMS, p.chosenAt
 	c.tried[p.upstream.ID] = true
 	if !errors.Is(err, upstream.ErrNotSent) {
 		c.sent++
--- a/pkg/entry/sync.go
+++ b/pkg/entry/sync.go
@@ -90,7 +90,7 @@
 		t.consecutiveFailures, t.errorRate, t.slowness = 0, 0, 1
 		t.suspectUntil, t.backoffUntil, t.rejectedUntil = 0, 0, 0
 		t.unreachable = false
-		t.pausedUntil = 0
+		t.pausedUntil, t.leaving = 0, false
 		t.limit = limitState{}
 	}
 	t.applyWarmup(now, u)
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -26,6 +26,7 @@
 	coldUntil time.Duration // the upstream may be cold until then
 
 	pausedUntil         time.Duration // it wants no requests from this entry host until then
+	leaving             bool          // it has said in an answer that it leaves
 	suspectUntil        time.Duration
 	suspectedAt         time.Duration // time of the last suspicion
 	falseSuspicions     int           // suspicions after which the head sent data again
