--- a/pkg/entry/link_loss_test.go
+++ b/pkg/entry/link_loss_test.go
@@ -164,3 +164,28 @@
 		})
 	}
 }
+
+// TestEntryHostsThatReachFewUpstreamsServeAsOthersDo: all links fail but those to one upstream of each
+// service.
+func TestEntryHostsThatReachFewUpstreamsServeAsOthersDo(t *testing.T) {
+	for _, loss := range linkLosses {
+		t.Run(loss.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newLinkPlay(newTestFleet(t, 9, fleetSize{entries: 4, plain: 8, engines: 16}), 2)
+				but := func(change func(n *memconn.Network, entry, upstream string)) func(n *memconn.Network, entry, upstream string) {
+					return func(n *memconn.Network, entry, upstream string) {
+						if upstream != "h0" && upstream != "h8" {
+							change(n, entry, upstream)
+						}
+					}
+				}
+				p.send(time.Second, false)
+				p.setLinks(but(loss.begin))
+				p.send(3*time.Second, false)
+				p.send(9*time.Second, true)
+				p.setLinks(but(loss.end))
+				p.assertServedAlike("while few upstreams can be reached")
+			})
+		})
+	}
+}
