Keep upstreams from setting the headers between entry hosts

What callers saw: nothing; found while reading the diff. Cause: an upstream's answer with the header by which an entry host declines was relayed with it, and the request, which had run, was passed on to the next one. Change: these headers of upstreams are dropped. Figures: TestUpstreamCannotDeclineForAnEntryHost: a request that must run once ran twice before, now once.

--- a/pkg/entry/buffered.go
+++ b/pkg/entry/buffered.go
@@ -188,7 +188,7 @@
 	h := c.w.Header()
 	closing := h.Get("Connection")
 	for name, values := range from {
-		if !hopByHopHeaders[name] {
+		if !hopByHopHeaders[name] && !relayAnswerHeaders[name] {
 			h[name] = values
 		}
 	}
--- a/pkg/entry/peer_relay_test.go
+++ b/pkg/entry/peer_relay_test.go
@@ -302,3 +302,17 @@
 		})
 	}
 }
+
+// TestUpstreamCannotDeclineForAnEntryHost: its answer would otherwise prove that the request did not run.
+func TestUpstreamCannotDeclineForAnEntryHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, _ := newRelayingHarness(t, map[string]answerFunc{"p1": fixedAnswer(200, "X-Sig: s\r\n"+relayDeclinedHeader+": no\r\n"+relayUpstreamHeader+": p9 1\r\n", "ran")})
+		third := b.newGateway("e3", logging.Discard())
+		b.serveRelays(third, "e3")
+		b.gateway.relays.update([]string{"e2:10", "e3:10"})
+		w := b.send("POST", "/once/1", "p", nil)
+		if n := b.total(); w.status != 200 || n != 1 {
+			t.Errorf("got %d, the request ran %d times", w.status, n)
+		}
+	})
+}
--- a/pkg/entry/relay_header.go
+++ b/pkg/entry/relay_header.go
@@ -10,3 +10,6 @@
 	// milliseconds after a space.
 	relayUpstreamHeader = "Sesame-Relay-Upstream"
 )
+
+// relayAnswerHeaders apply between two entry hosts; upstreams can't set them.
+var relayAnswerHeaders = map[string]bool{relayDeclinedHeader: true, relayUpstreamHeader: true}
