Guard what the test of a dying entry host shares

Cause: the test read and wrote two values from a timer without a lock; found by the race detector. Change: an atomic value, and the lock of the list of peers. No code of the product.

--- a/pkg/entry/peer_relay_test.go
+++ b/pkg/entry/peer_relay_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -201,11 +202,14 @@
 				b, _ := newRelayingHarness(t, map[string]answerFunc{"p1": slow, "p2": slow, "head1": streamFrom(10, 10, "s", nil), "head2": streamFrom(10, 10, "s", nil)})
 				third := b.newGateway("e3", logging.Discard())
 				b.serveRelays(third, "e3")
-				var dead string
+				var died atomic.Bool
 				time.AfterFunc(100*time.Millisecond, func() {
 					for _, host := range []string{"e2", "e3"} {
-						if b.gateway.relays.running[host+":10"] > 0 {
-							dead = host
+						b.gateway.relays.mu.Lock()
+						relays := b.gateway.relays.running[host+":10"] > 0
+						b.gateway.relays.mu.Unlock()
+						if relays {
+							died.Store(true)
 							b.network.Kill(host)
 						}
 					}
@@ -213,7 +217,7 @@
 				b.gateway.relays.update([]string{"e2:10", "e3:10"})
 				w := b.send("POST", "/"+kind+"/1", "p", nil)
 				time.Sleep(time.Second) // let the upstreams end
-				if dead == "" {
+				if !died.Load() {
 					t.Fatal("no entry host relayed")
 				}
 				switch {
