Ask each entry host at most once to relay a request

Cause: a stream that waits for an upstream polls, and asked all entry hosts again in each poll that found upstreams unreachable: load on the hosts that are left, for the same answer. Change: the request remembers whom it was passed on to. Ruled out: asking again after a pause: what is refused there is refused for all. Figures: TestWaitingStreamAsksEachEntryHostOnce: 2 questions to the one other entry host before, 1 now. go test ./... without the race detector on this tree: green.

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -36,6 +36,7 @@
 
 	origin  *control.RelayedRequest // set if another entry host passed the request on
 	relay   string                  // address of the entry host that it was passed on to last; empty if none
+	asked   map[string]bool         // addresses of the entry hosts that it was passed on to
 	counted bool                    // added to the retry budget and the demand, here or at the origin
 
 	fingerprint        view.Fingerprint     // see requestFingerprint
@@ -96,7 +97,7 @@
 }
 
 func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
-	return &call{gateway: g, w: w, r: r, began: g.now(), tried: map[string]bool{}}
+	return &call{gateway: g, w: w, r: r, began: g.now(), tried: map[string]bool{}, asked: map[string]bool{}}
 }
 
 // ServeHTTP handles a client request.
--- a/pkg/entry/peer_relay.go
+++ b/pkg/entry/peer_relay.go
@@ -23,10 +23,9 @@
 // errDeclined is returned if an entry host did not take a request. It did not run.
 var errDeclined = eris.Wrap(errNotRun, "entry host declined to relay")
 
-// peerRelay passes one request on to other entry hosts, one after the other.
+// peerRelay passes one request on to other entry hosts, one after the other and to each at most once.
 type peerRelay struct {
-	call  *call
-	tried map[string]bool
+	call *call
 	// forward passes an answer on to the client. It waits for its bytes under the watch.
 	forward func(resp *upstream.Response, w *silenceWatch) error
 	// lastEventID returns the last event that the client has received.
@@ -40,11 +39,11 @@
 func (p *peerRelay) serve() bool {
 	c, g := p.call, p.call.gateway
 	for {
-		address := g.relays.choose(g.now(), p.tried)
+		address := g.relays.choose(g.now(), c.asked)
 		if address == "" {
 			return false
 		}
-		p.tried[address] = true
+		c.asked[address] = true
 		c.relay = address
 		err := p.attempt(address)
 		g.relays.release(address)
@@ -78,7 +77,7 @@
 // must not be.
 func (p *peerRelay) silenceLimit() time.Duration {
 	c := p.call
-	if c.route.Retryable() && c.possibleExecutions+1 < c.route.MaxAttempts && c.gateway.relays.hasOther(p.tried) {
+	if c.route.Retryable() && c.possibleExecutions+1 < c.route.MaxAttempts && c.gateway.relays.hasOther(c.asked) {
 		return relaySilence
 	}
 	return 0
--- a/pkg/entry/peer_relay_test.go
+++ b/pkg/entry/peer_relay_test.go
@@ -320,3 +320,30 @@
 		}
 	})
 }
+
+// TestWaitingStreamAsksEachEntryHostOnce: its upstream has ended, and it polls until another one appears.
+func TestWaitingStreamAsksEachEntryHostOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newHarness(t, map[string]answerFunc{"head1": streamFrom(10, 4, "s", func(c net.Conn) { _ = c.Close() })})
+		b.removeColdBound(b.gateway)
+		peer := b.newGateway("e2", logging.Discard())
+		b.removeColdBound(peer)
+		var asked atomic.Int64
+		s := &http.Server{ErrorLog: logging.Discard().StandardLog(), Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked.Add(1)
+			peer.RelayHandler().ServeHTTP(w, r)
+		})}
+		l := b.network.Listen("e2", "e2:10")
+		go func() { _ = s.Serve(l) }()
+		t.Cleanup(func() { _ = s.Close() })
+		t.Cleanup(b.gateway.relayPool.Close)
+		b.gateway.relays.update([]string{"e2:10"})
+		time.AfterFunc(50*time.Millisecond, func() { b.network.Kill("head1") })
+		if w := b.send("POST", "/stream/1", "p", nil); !w.cut {
+			t.Errorf("got %d %q", w.status, w.body.String())
+		}
+		if n := asked.Load(); n != 1 {
+			t.Errorf("the other entry host was asked %d times", n)
+		}
+	})
+}
--- a/pkg/entry/relayed_answer.go
+++ b/pkg/entry/relayed_answer.go
@@ -10,7 +10,7 @@
 func (r *bufferedAttempts) serveByPeer() bool {
 	c := r.call
 	p := &peerRelay{
-		call: c, tried: map[string]bool{}, forward: c.forwardWhole,
+		call: c, forward: c.forwardWhole,
 		lastEventID: func() string { return "" },
 		end:         func(why reason) { c.endBuffered(why, r.failure) },
 	}
--- a/pkg/entry/relayed_stream.go
+++ b/pkg/entry/relayed_stream.go
@@ -14,7 +14,7 @@
 func (s *streamRelay) serveByPeer() bool {
 	c := s.call
 	p := &peerRelay{
-		call: c, tried: map[string]bool{}, forward: s.forwardFromPeer, end: c.endStream,
+		call: c, forward: s.forwardFromPeer, end: c.endStream,
 		lastEventID: func() string { return s.splitter.lastID },
 	}
 	return p.serve()
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -196,7 +196,7 @@
 // from here. The caller holds the lock.
 func (w *stallTimer) mayUsePeer() bool {
 	c, g := w.call, w.call.gateway
-	return g.links.cutOff() && (c.origin != nil || g.relays.hasOther(nil)) && w.mayRunAgain()
+	return g.links.cutOff() && (c.origin != nil || g.relays.hasOther(c.asked)) && w.mayRunAgain()
 }
 
 // runs returns how many upstreams may have run the request, without a standby in progress. The
