Acknowledge that an upstream drains only once the log holds it

Cause: the leader noted the departure in memory first and proposed it only if memory did not have it yet. If the log did not take it in time, the upstream's next announcement found it noted and was acknowledged at once. A new leader did not know it. Change: what the log holds decides, not what memory holds. Ruled out: deregistrations; they are proposed each time. Evidence: TestRepeatedAnnouncementOfADepartureIsNotAcknowledgedWithoutTheLog, a leader without followers: before, the second announcement was acknowledged; now none is until the quorum is back. It takes a leader that is slow to commit, which has its own causes.

--- a/pkg/coordinator/announce.go
+++ b/pkg/coordinator/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -33,8 +34,6 @@
 		c.mu.Unlock()
 		return control.FleetAnnounceResult{}, notLeader(c.leaderAddress())
 	}
-	known := c.registry.Get(u.ID)
-	drains := u.State == fleet.Draining && (known == nil || known.State == fleet.Ready)
 	if c.registry.Announce(c.now(), u) {
 		c.leadership.notifyChange()
 		c.requestDecision()
@@ -43,8 +42,8 @@
 	}
 	c.updatePlanner(u.ID)
 	c.mu.Unlock()
-	if drains {
-		d := durable.Departure{ID: u.ID, StartedMS: u.StartedMS}
+	d := durable.Departure{ID: u.ID, StartedMS: u.StartedMS}
+	if u.State == fleet.Draining && !c.holdsDeparture(d) {
 		if err := c.propose(ctx, durable.Command{Depart: []durable.Departure{d}}); err != nil {
 			return control.FleetAnnounceResult{}, c.toRPCError(err)
 		}
@@ -52,6 +51,16 @@
 	return control.FleetAnnounceResult{Leader: c.cfg.OperatorAddress}, nil
 }
 
+// holdsDeparture reports whether the durable state holds a departure.
+func (c *Coordinator) holdsDeparture(d durable.Departure) bool {
+	r := c.replica.Load()
+	if r == nil {
+		return false
+	}
+	st, _ := r.store.State()
+	return slices.ContainsFunc(st.Departures, func(k durable.Departure) bool { return k.ID == d.ID && k.StartedMS == d.StartedMS })
+}
+
 func seatString(s *fleet.Assignment) string {
 	if s == nil {
 		return ""
--- /dev/null
+++ b/pkg/coordinator/departure_test.go
@@ -0,0 +1,49 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/fleet"
+)
+
+func TestRepeatedAnnouncementOfADepartureIsNotAcknowledgedWithoutTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.put("a", "v1")
+		leader := c.leader()
+		u := fleet.Upstream{ID: "u", Service: "plain", Address: "u:1", Zone: "z", StartedMS: 1, Sequence: 1, State: fleet.Ready}
+		if _, err := c.running[leader].Announce(context.Background(), u); err != nil {
+			t.Fatal(err)
+		}
+		var followers []string
+		for name := range c.running {
+			if name != leader {
+				followers = append(followers, name)
+			}
+		}
+		c.network.Partition([]string{leader}, followers)
+		u.State = fleet.Draining
+		for range 2 {
+			u.Sequence++
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			_, err := c.running[leader].Announce(ctx, u)
+			cancel()
+			if err == nil {
+				t.Errorf("announcement %d of the departure is acknowledged, and only one replica knows it", u.Sequence)
+			}
+		}
+		c.network.HealAll()
+		time.Sleep(5 * time.Second)
+		u.Sequence++
+		if _, err := c.running[c.leader()].Announce(context.Background(), u); err != nil {
+			t.Errorf("the departure is not acknowledged: %v", err)
+		}
+		st, _ := c.running[c.leader()].replica.Load().store.State()
+		if len(st.Departures) != 1 {
+			t.Errorf("%d departures in the log, want 1", len(st.Departures))
+		}
+	})
+}
