Decode documents only at the leader, at most one a second, and without the lock

Only the planner of the leader needs the content, and of it only the engine service. Change: decodeDocument runs in the decision loop if this coordinator leads, at most once a second. Validation before the log stays. Ruled out: decoding only the services: the whole text must be read anyway. Conclusion: one of several costs that grow with documents.

--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -48,6 +48,9 @@
 	tickInterval = 100 * time.Millisecond
 	// decisionDelay batches events in quick succession into one run of the planner.
 	decisionDelay = 10 * time.Millisecond
+	// documentDecodeInterval is the minimum time between two documents that are decoded for the
+	// planner.
+	documentDecodeInterval = time.Second
 	// summaryInterval is the minimum time between log lines about the state of the groups.
 	summaryInterval = time.Second
 	// electionTicks is the election timeout in ticks of 50 ms, 400 to 800 ms in effect. With 6
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -32,12 +32,13 @@
 
 	replica atomic.Pointer[openReplica]
 
-	mu            sync.Mutex
-	leadership    *leadership // nil while another coordinator leads
-	registry      *fleet.Registry
-	index         *catalog.Index // of the document in force
-	appliedIndex  uint64         // log index of the durable state applied to the registry
-	followRequest control.FleetSyncRequest
+	mu                sync.Mutex
+	leadership        *leadership // nil while another coordinator leads
+	registry          *fleet.Registry
+	index             *catalog.Index // of the last document that was decoded for the planner
+	documentDecodedAt time.Duration  // 0: never
+	appliedIndex      uint64         // log index of the durable state applied to the registry
+	followRequest     control.FleetSyncRequest
 
 	decisionRequested chan struct{} // buffered signal to run the planner
 }
--- a/pkg/coordinator/decisions.go
+++ b/pkg/coordinator/decisions.go
@@ -21,6 +21,7 @@
 			c.mu.Lock()
 			c.applyDurableState(r.store)
 			c.mu.Unlock()
+			c.decodeDocument(r.store)
 		}
 		select {
 		case <-ctx.Done():
@@ -39,6 +40,40 @@
 	}
 }
 
+// decodeDocument decodes the document in force for the planner if this coordinator leads. Only the
+// planner needs its content, and a large document takes a while, so that a series of documents is
+// decoded at most every documentDecodeInterval and without the lock.
+func (c *Coordinator) decodeDocument(store *durable.Store) {
+	st, _ := store.State()
+	c.mu.Lock()
+	due := c.leadership != nil && st.Document != nil && (c.documentDecodedAt == 0 || c.now()-c.documentDecodedAt >= documentDecodeInterval) &&
+		(c.index == nil || c.index.Set.Version < st.Document.Version)
+	if due {
+		c.documentDecodedAt = c.now()
+	}
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	raw, err := st.Document.Raw()
+	var set *catalog.Set
+	if err == nil {
+		set, err = c.cfg.Decode(raw)
+	}
+	if err != nil {
+		c.cfg.Logger.Error("document in force is invalid; ignoring it", "version", st.Document.Version, "cause", err)
+		return
+	}
+	index := catalog.NewIndex(set)
+	c.cfg.Logger.Info("document decoded for the planner", "version", set.Version, "routes", len(set.Routes), "index", st.Index)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index = index
+	if l := c.leadership; l != nil {
+		l.planner.SetService(c.engineService())
+	}
+}
+
 // applyDurableState applies the durable state to the registry and the planner. The caller holds the
 // lock.
 func (c *Coordinator) applyDurableState(store *durable.Store) {
@@ -46,19 +81,6 @@
 	if st.Index == c.appliedIndex && c.leadership == nil {
 		return
 	}
-	if st.Document != nil && (c.index == nil || c.index.Set.Version < st.Document.Version) {
-		raw, err := st.Document.Raw()
-		var set *catalog.Set
-		if err == nil {
-			set, err = c.cfg.Decode(raw)
-		}
-		if err != nil {
-			c.cfg.Logger.Error("document in force is invalid; ignoring it", "version", st.Document.Version, "cause", err)
-			return
-		}
-		c.index = catalog.NewIndex(set)
-		c.cfg.Logger.Info("document in force", "version", set.Version, "routes", len(set.Routes), "index", st.Index)
-	}
 	changed := st.Index != c.appliedIndex
 	c.appliedIndex = st.Index
 	for _, d := range st.Departures {
