--- a/pkg/access/allow.go
+++ b/pkg/access/allow.go
@@ -41,6 +41,7 @@
 	control.MethodFleetRuns:         {Gate},
 	control.MethodFleetTrial:        {Gate},
 	control.MethodFleetCheckEnd:     {Gate},
+	control.MethodFleetReport:       {Keeper},
 	control.MethodKeeperReplace:     {Operator},
 	control.MethodKeeperStatus:      {Operator},
 	control.MethodQuarantineList:    {Operator},
--- a/pkg/access/rights_test.go
+++ b/pkg/access/rights_test.go
@@ -37,6 +37,7 @@
 	control.MethodFleetRuns:     {Gate},
 	control.MethodFleetTrial:    {Gate},
 	control.MethodFleetCheckEnd: {Gate},
+	control.MethodFleetReport:   {Keeper},
 }
 
 func openLinks(t *testing.T, f Files) *Transport {
--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -31,6 +31,23 @@
 
 	RelayAddress  string `json:"relays,omitempty"` // host:port where this process passes requests on for other entry hosts; empty while it can't
 	RelayRevision uint64 `json:"relay_rev,omitempty"`
+
+	// AnyCoordinator is set by an entry host that takes answers of coordinators that follow the leader.
+	AnyCoordinator bool `json:"any,omitempty"`
+	// ServesEntryHosts is set by a coordinator that answers entry hosts with what the leader tells it.
+	ServesEntryHosts bool `json:"serves,omitempty"`
+	// InForce is the version of the document in force at an entry host, -1 for none. Processes of
+	// earlier versions don't tell it.
+	InForce *int64 `json:"in_force,omitempty"`
+}
+
+// InForceVersion returns the version of the document in force at the process, -1 if there is none or
+// it doesn't tell.
+func (r *FleetSyncRequest) InForceVersion() int64 {
+	if r.InForce == nil {
+		return -1
+	}
+	return *r.InForce
 }
 
 // FleetSyncResult holds what has changed for one process.
@@ -43,6 +60,8 @@
 	// DocumentVersion is the version of the document in force, or -1 if there is none. Any
 	// coordinator that holds the document serves it (fleet.document).
 	DocumentVersion int64 `json:"version"`
+	// Document is the document in force, for a process that has told that it holds an earlier one.
+	Document *durable.Document `json:"document,omitempty"`
 	// Evacuated, Departures and Quarantine are set when Index differs from that of the request.
 	Evacuated          []string            `json:"evacuated,omitempty"`
 	Departures         []durable.Departure `json:"departures,omitempty"`
@@ -59,6 +78,11 @@
 	// Relays are the host:port of all entry hosts that pass requests on for others; nil: unchanged.
 	Relays        []string `json:"relays,omitzero"`
 	RelayRevision uint64   `json:"relay_rev,omitempty"`
+	// Leader is the host:port of the leading coordinator, which takes the reports of those that follow
+	// it. It is empty in answers of earlier versions, which come from the leader alone.
+	Leader string `json:"leader,omitempty"`
+	// Servers are the host:port of the coordinators that answer entry hosts in place of the leader.
+	Servers []string `json:"servers,omitempty"`
 }
 
 // FleetAnnounceResult holds the leader's address for upstreams.
--- a/pkg/control/methods.go
+++ b/pkg/control/methods.go
@@ -42,6 +42,7 @@
 	MethodFleetRuns     Method = "fleet.runs"     // how runs ended that matter to the quarantine
 	MethodFleetCheckEnd Method = "fleet.checkend" // whether an upstream has ended, as seen by a coordinator
 	MethodFleetTrial    Method = "fleet.trial"    // ask for a trial of a suspect
+	MethodFleetReport   Method = "fleet.report"   // what a coordinator that follows the leader has heard
 )
 
 // Methods served by every process.
--- a/pkg/coordinator/change.go
+++ b/pkg/coordinator/change.go
@@ -4,8 +4,6 @@
 	"context"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/jsonrpc2"
-
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/durable"
 )
@@ -45,16 +43,31 @@
 func (c *Coordinator) applyChange(ctx context.Context, command durable.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	if _, err := c.handleChange(ctx, command); err == nil {
-		return nil
+	_, err := c.handleChange(ctx, command)
+	if err == nil || !isNotLeader(err) {
+		return unavailable(err)
 	}
 	var none struct{}
 	return c.callLeader(ctx, control.MethodFleetChange, command, &none)
 }
 
-// handleChange commits a change on the leader.
+// unavailable wraps an error of the leader as ErrUnavailable, unless it is nil.
+func unavailable(err error) error {
+	if err == nil {
+		return nil
+	}
+	return eris.Wrap(ErrUnavailable, err.Error())
+}
+
+// handleChange commits a change on the leader and waits until it is in force.
 func (c *Coordinator) handleChange(ctx context.Context, command durable.Command) (struct{}, error) {
-	return struct{}{}, c.toRPCError(c.propose(ctx, command))
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	err := c.propose(ctx, command)
+	if err == nil {
+		err = c.awaitInForce(ctx, command)
+	}
+	return struct{}{}, c.toRPCError(err)
 }
 
 func (c *Coordinator) propose(ctx context.Context, command durable.Command) error {
@@ -124,8 +137,7 @@
 		c.caller.HintLeader(peer)
 	}
 	err := c.caller.CallOnce(ctx, method, params, result)
-	var coded *jsonrpc2.Error
-	if eris.As(err, &coded) && coded.Code == control.CodeNotLeader && ctx.Err() == nil {
+	if isNotLeader(err) && ctx.Err() == nil {
 		err = c.caller.CallOnce(ctx, method, params, result)
 	}
 	if err != nil {
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -30,10 +30,12 @@
 	metrics        *Metrics
 	ends           *endcheck.Checker
 
-	replica atomic.Pointer[openReplica]
+	replica     atomic.Pointer[openReplica]
+	knownLeader atomic.Pointer[string] // host:port of the leader, empty if unknown
 
 	mu                sync.Mutex
 	leadership        *leadership // nil while another coordinator leads
+	following         *following  // nil while this one leads or knows no leader that takes reports
 	registry          *fleet.Registry
 	index             *catalog.Index // of the last document that was decoded for the planner
 	documentDecodedAt time.Duration  // 0: never
@@ -41,6 +43,7 @@
 	followRequest     control.FleetSyncRequest
 
 	decisionRequested chan struct{} // buffered signal to run the planner
+	reportRequested   chan struct{} // buffered signal to report to the leader
 }
 
 // openReplica is a running replica with its store.
@@ -52,20 +55,19 @@
 
 // leadership is the state of a coordinator that exists only while it leads.
 type leadership struct {
-	session       string
+	syncServer
 	term          uint64
 	since         time.Duration
 	planner       *formation.Planner
-	service       string // the planner's service
-	processes     map[string]*processSync
-	changed       chan struct{} // closed when there is news for other processes
-	orderSlots    chan struct{} // semaphore of orders in flight
+	service       string                    // the planner's service
+	confirmations signal                    // entry hosts have confirmed changes
+	changes       map[string]*pendingChange // committed lately
+	orderSlots    chan struct{}             // semaphore of orders in flight
 	probing       map[string]bool
 	silentHosts   map[string]bool          // hosts that accept connections but did not answer the last probe
 	probeAnswers  map[string]time.Duration // when a host last answered a probe
 	traffic       bool
 	cordonedHeads map[string]bool
-	cachedResults map[resultKey]cachedResult
 	crashes       *quarantine.Tracker
 	limits        upstreamLimits
 	relays        relayList
@@ -76,12 +78,6 @@
 	summaryLoggedAt time.Duration
 }
 
-// processSync is the last sync request of a process.
-type processSync struct {
-	receivedAt time.Duration
-	request    control.FleetSyncRequest
-}
-
 // New returns a coordinator that is not running yet.
 func New(cfg Config) *Coordinator {
 	c := &Coordinator{
@@ -91,6 +87,7 @@
 		registry:          fleet.NewRegistry(),
 		metrics:           NewMetrics(),
 		decisionRequested: make(chan struct{}, 1),
+		reportRequested:   make(chan struct{}, 1),
 	}
 	c.ends = endcheck.New(upstream.DialFunc(cfg.Dial), c.now, nil)
 	c.followRequest = control.FleetSyncRequest{Process: cfg.PeerAddress, Zone: cfg.Zone}
@@ -121,7 +118,7 @@
 func (c *Coordinator) Run(ctx context.Context) {
 	c.loadUpstreams()
 	var work sync.WaitGroup
-	for _, duty := range []func(context.Context){c.replicaManager.run, c.decisionLoop, c.maintainQuorum, c.followLeader, c.saveUpstreamsLoop} {
+	for _, duty := range []func(context.Context){c.replicaManager.run, c.decisionLoop, c.maintainQuorum, c.followLeader, c.reportLoop, c.watchProcessor, c.saveUpstreamsLoop} {
 		work.Go(func() { duty(ctx) })
 	}
 	work.Wait()
@@ -168,6 +165,7 @@
 	rpc.Handle(s, string(control.MethodFleetRuns), c.handleRuns)
 	rpc.Handle(s, string(control.MethodFleetTrial), c.handleTrial)
 	rpc.Handle(s, string(control.MethodFleetCheckEnd), c.handleCheckEnd)
+	rpc.Handle(s, string(control.MethodFleetReport), c.handleReport)
 }
 
 // requestDecision requests a run of the planner.
@@ -178,27 +176,19 @@
 	}
 }
 
-// notifyChange wakes sync calls that wait for changes. The caller holds the lock.
-func (l *leadership) notifyChange() {
-	close(l.changed)
-	l.changed = make(chan struct{})
-}
-
 // leaderAddress returns the leader's host:port as known to this replica, or an empty string.
 func (c *Coordinator) leaderAddress() string {
-	r := c.replica.Load()
-	if r == nil {
-		return ""
+	if a := c.knownLeader.Load(); a != nil {
+		return *a
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	st, err := r.node.Status(ctx)
-	if err != nil || st.Leader == 0 {
-		return ""
-	}
-	m, ok := st.Membership.Member(st.Leader)
-	if !ok || m.Address == c.cfg.PeerAddress && st.Role != raft.Leader {
-		return ""
+	return ""
+}
+
+// noteLeader stores the leader's host:port as known to this replica.
+func (c *Coordinator) noteLeader(st replica.Status) {
+	address := ""
+	if m, ok := st.Membership.Member(st.Leader); ok && (m.Address != c.cfg.PeerAddress || st.Role == raft.Leader) {
+		address = m.Address
 	}
-	return m.Address
+	c.knownLeader.Store(&address)
 }
--- a/pkg/coordinator/errors.go
+++ b/pkg/coordinator/errors.go
@@ -31,8 +31,14 @@
 	case eris.As(err, &other):
 		return notLeader(c.leaderAddress())
 	case eris.Is(err, context.DeadlineExceeded), eris.Is(err, context.Canceled),
-		eris.Is(err, replica.ErrUnknownOutcome), eris.Is(err, replica.ErrStopped):
+		eris.Is(err, replica.ErrUnknownOutcome), eris.Is(err, replica.ErrStopped), eris.Is(err, ErrUnavailable):
 		return &jsonrpc2.Error{Code: control.CodeUnavailable, Message: err.Error()}
 	}
 	return err
 }
+
+// isNotLeader reports whether an error says that another coordinator leads.
+func isNotLeader(err error) bool {
+	var coded *jsonrpc2.Error
+	return eris.As(err, &coded) && coded.Code == control.CodeNotLeader
+}
--- /dev/null
+++ b/pkg/coordinator/following.go
@@ -0,0 +1,164 @@
+package coordinator
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/control"
+)
+
+const (
+	// followWait is how long the leader holds a follower's sync call that has no news.
+	followWait = 250 * time.Millisecond
+	// maxLeaderSilence is how long a coordinator answers entry hosts without hearing of the leader. Then
+	// others may know more.
+	maxLeaderSilence = 3 * time.Second
+	// suspectInterval is the minimum time between two reports of one silent head to the leader.
+	suspectInterval = probeAnswerTTL
+	// serverTimeout is how long after its last sync a coordinator is named to entry hosts as one that
+	// answers them.
+	serverTimeout = 1500 * time.Millisecond
+)
+
+// following is what a coordinator knows of the leader that it follows, and the entry hosts that it
+// answers in the leader's place. What the log holds it knows from its own replica.
+type following struct {
+	syncServer
+	leaderSession string
+	heardAt       time.Duration
+	result        control.FleetSyncResult // the last one; without upstreams and durable state
+	limits        upstreamLimits          // that entry hosts told; only to notice changes
+	reportedAt    time.Duration           // the leader knows all sync calls up to then
+	fullReport    bool                    // the next report must not wait for its time
+	announced     map[string]heardAnnouncement
+	suspected     map[string]time.Duration // when the leader was last told that a head is silent
+}
+
+// heardAnnouncement is an announcement without a change.
+type heardAnnouncement struct {
+	at        time.Duration
+	startedMS int64
+	sequence  int64
+	reported  bool
+}
+
+// newFollowing returns the state for a leader's session. Sessions of one coordinator differ also
+// after a restart, as its revisions start over.
+func newFollowing(now time.Duration, leaderSession, address string) *following {
+	session := leaderSession + "@" + address + "#" + strconv.FormatInt(int64(now), 36)
+	return &following{syncServer: newSyncServer(session), leaderSession: leaderSession, announced: map[string]heardAnnouncement{}, suspected: map[string]time.Duration{}}
+}
+
+// resultFor returns what the leader told last, for an entry host.
+func (f *following) resultFor(now time.Duration, req control.FleetSyncRequest, full bool) control.FleetSyncResult {
+	result := f.result
+	if !full && req.RelayRevision == result.RelayRevision {
+		result.Relays = nil
+	}
+	result.Limits = make(map[string]control.FleetLimit, len(f.result.Limits))
+	for id, l := range f.result.Limits {
+		l.AgoUS += (now - f.heardAt).Microseconds()
+		result.Limits[id] = l
+	}
+	return result
+}
+
+// update takes over a result of the leader. It reports whether entry hosts must learn of it soon.
+func (f *following) update(now time.Duration, result control.FleetSyncResult) bool {
+	relays := f.result.Relays
+	changed := result.LimitRevision != f.result.LimitRevision
+	f.heardAt = now
+	f.result = result
+	f.result.Upstreams, f.result.Evacuated, f.result.Departures, f.result.Quarantine = nil, nil, nil, nil
+	if result.Relays == nil {
+		f.result.Relays = relays
+	}
+	return changed
+}
+
+// servers returns the coordinators that answer entry hosts in place of this leader.
+func (l *leadership) servers(now time.Duration) []string {
+	var addresses []string
+	for name, p := range l.processes {
+		if p.request.ServesEntryHosts && now-p.receivedAt < serverTimeout {
+			addresses = append(addresses, name)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// followLeader mirrors the leader's state while another coordinator leads, so that this one can
+// answer entry hosts and a new leader knows the upstreams immediately.
+func (c *Coordinator) followLeader(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		leads := c.leadership != nil
+		req := c.followRequest
+		req.WaitMS = followWait.Milliseconds()
+		c.mu.Unlock()
+		if leads || c.replica.Load() == nil {
+			clock.Sleep(ctx, followWait)
+			continue
+		}
+		calling, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+		var result control.FleetSyncResult
+		err := c.callLeader(calling, control.MethodFleetSync, req, &result)
+		cancel()
+		if err != nil {
+			c.metrics.LeaderCalls.WithLabelValues("failed").Inc()
+			clock.Sleep(ctx, tickInterval)
+			continue
+		}
+		c.metrics.LeaderCalls.WithLabelValues("answered").Inc()
+		c.applyLeaderState(result)
+	}
+}
+
+// applyLeaderState applies the leader's sync result to the local registry.
+func (c *Coordinator) applyLeaderState(result control.FleetSyncResult) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leadership != nil {
+		return
+	}
+	now := c.now()
+	visible := c.registry.VisibleRevision()
+	for _, u := range result.Upstreams {
+		c.registry.Mirror(now, u)
+	}
+	c.followRequest.Session = result.Session
+	c.followRequest.Revision = result.Revision
+	c.followRequest.Index = result.Index
+	c.followRequest.LimitRevision = result.LimitRevision
+	c.followRequest.RelayRevision = result.RelayRevision
+	c.followRequest.ServesEntryHosts = result.Leader != ""
+	c.replicaManager.setAddresses(result.Coordinators)
+	c.updateFollowing(now, result, c.registry.VisibleRevision() != visible)
+}
+
+// updateFollowing updates what entry hosts get here. The caller holds the lock.
+func (c *Coordinator) updateFollowing(now time.Duration, result control.FleetSyncResult, changed bool) {
+	if result.Leader == "" {
+		c.following = nil // of an earlier version, which takes no reports
+		return
+	}
+	if f := c.following; f == nil || f.leaderSession != result.Session {
+		c.stopFollowing()
+		c.following = newFollowing(now, result.Session, c.cfg.PeerAddress)
+	}
+	if c.following.update(now, result) || changed {
+		c.following.notifyChange()
+	}
+}
+
+// stopFollowing ends the session of the entry hosts that are answered here. The caller holds the lock.
+func (c *Coordinator) stopFollowing() {
+	if c.following != nil {
+		c.following.notifyChange()
+		c.following = nil
+	}
+}
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -21,6 +21,7 @@
 		case <-node.Done():
 			return
 		case l := <-node.Leadership():
+			c.updateKnownLeader(ctx, node)
 			if l.IsLeader {
 				c.assumeLeadership(ctx, node, store, l.Term)
 			} else {
@@ -30,6 +31,15 @@
 	}
 }
 
+// updateKnownLeader reads the leader's address from the replica.
+func (c *Coordinator) updateKnownLeader(ctx context.Context, node *replica.Node) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if st, err := node.Status(ctx); err == nil {
+		c.noteLeader(st)
+	}
+}
+
 // assumeLeadership begins a leadership once the local state includes all changes that former
 // leaders acknowledged.
 func (c *Coordinator) assumeLeadership(ctx context.Context, node *replica.Node, store *durable.Store, term uint64) {
@@ -52,19 +62,18 @@
 // beginLeadership initializes a leadership. The caller holds the lock.
 func (c *Coordinator) beginLeadership(term uint64) {
 	now := c.now()
+	c.stopFollowing()
 	c.leadership = &leadership{
-		session:       c.cfg.PeerAddress + "#" + strconv.FormatUint(term, 10),
+		syncServer:    newSyncServer(c.cfg.PeerAddress + "#" + strconv.FormatUint(term, 10)),
+		changes:       map[string]*pendingChange{},
 		term:          term,
 		since:         now,
 		planner:       formation.New(formation.Config{Term: term, StartedAt: now, LoadWindow: c.cfg.LoadWindow}),
-		processes:     map[string]*processSync{},
-		changed:       make(chan struct{}),
 		orderSlots:    make(chan struct{}, maxOpenOrders),
 		probing:       map[string]bool{},
 		silentHosts:   map[string]bool{},
 		probeAnswers:  map[string]time.Duration{},
 		cordonedHeads: map[string]bool{},
-		cachedResults: map[resultKey]cachedResult{},
 		crashes:       quarantine.NewTracker(now),
 	}
 	// The upstreams are known from the former leader. Treat each as just heard, so that it has time
@@ -89,6 +98,7 @@
 	c.cfg.Logger.Info("leadership ended", "term", c.leadership.term, "cause", reason)
 	c.metrics.Leading.Set(0)
 	c.leadership.notifyChange()
+	c.leadership.confirmations.broadcast()
 	c.leadership = nil
 	c.followRequest.Session = ""
 }
--- a/pkg/coordinator/metrics.go
+++ b/pkg/coordinator/metrics.go
@@ -11,6 +11,10 @@
 	DeadHosts  prometheus.Counter
 	Trials     *prometheus.CounterVec
 	EndChecks  *prometheus.CounterVec
+	InForce    *prometheus.HistogramVec
+	// LeaderCalls and TimerDelay together tell a lost link from a short processor.
+	LeaderCalls *prometheus.CounterVec
+	TimerDelay  prometheus.Histogram
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -29,7 +33,15 @@
 			Name: "sesame_coordinator_trials_total", Help: "Questions for a trial of a request that may end upstreams, by outcome."}, []string{"outcome"}),
 		EndChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sesame_coordinator_end_checks_total", Help: "Questions whether an upstream that refuses connections has ended, by what was found."}, []string{"state"}),
+		InForce: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sesame_coordinator_in_force_seconds", Help: "Time from the commit of a change at the leader until its acknowledgement, by whether all entry hosts in touch had confirmed it.",
+			Buckets: []float64{.02, .05, .1, .2, .5, 1, 2, 5}}, []string{"outcome"}),
+		LeaderCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sesame_coordinator_leader_calls_total", Help: "Sync calls of this coordinator to the leader, by outcome."}, []string{"outcome"}),
+		TimerDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "sesame_coordinator_timer_delay_seconds", Help: "How late a timer of 100 ms ran, as the processor was busy or the process stood still.",
+			Buckets: []float64{.005, .02, .05, .1, .2, .5, 1, 2}}),
 	}
-	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.DeadHosts, m.Trials, m.EndChecks)
+	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.DeadHosts, m.Trials, m.EndChecks, m.InForce, m.LeaderCalls, m.TimerDelay)
 	return m
 }
--- a/pkg/coordinator/probe.go
+++ b/pkg/coordinator/probe.go
@@ -14,11 +14,13 @@
 // group are probed at once.
 func (c *Coordinator) handleSuspect(ctx context.Context, req control.FleetSuspectRequest) (struct{}, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	l := c.leadership
 	if l == nil {
-		return struct{}{}, notLeader("")
+		forward, first := c.following != nil, c.following.suspectedFirst(c.now(), req.Head)
+		c.mu.Unlock()
+		return struct{}{}, c.forwardSuspect(ctx, req, forward, first)
 	}
+	defer c.mu.Unlock()
 	c.metrics.Suspicions.Inc()
 	members := l.planner.GroupMembers(req.Head)
 	c.cfg.Logger.Info("head went silent", "told_by", req.Process, "head", req.Head, "silent_ms", req.SilentMS,
@@ -29,6 +31,37 @@
 	return struct{}{}, nil
 }
 
+// forwardSuspect passes the first of several reports about a head on to the leader.
+func (c *Coordinator) forwardSuspect(ctx context.Context, req control.FleetSuspectRequest, follows, first bool) error {
+	switch {
+	case !follows:
+		return notLeader(c.leaderAddress())
+	case !first:
+		return nil
+	}
+	calling, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var none struct{}
+	return c.toRPCError(c.callLeader(calling, control.MethodFleetSuspect, req, &none))
+}
+
+// suspectedFirst reports whether no entry host that is answered here has reported a head lately.
+func (f *following) suspectedFirst(now time.Duration, head string) bool {
+	if f == nil {
+		return false
+	}
+	if at, known := f.suspected[head]; known && now-at < suspectInterval {
+		return false
+	}
+	for h, at := range f.suspected {
+		if now-at >= suspectInterval {
+			delete(f.suspected, h)
+		}
+	}
+	f.suspected[head] = now
+	return true
+}
+
 // probe checks in the background whether a host is alive; see formation.HostCheck. A host that seems
 // lost is kept while an entry host has received data from its group since the check began. The
 // caller holds the lock.
--- a/pkg/coordinator/quorum.go
+++ b/pkg/coordinator/quorum.go
@@ -43,7 +43,7 @@
 	c.mu.Lock()
 	if c.leadership != nil {
 		// Start the silence timeout of the new learner now.
-		c.recordSync(c.leadership, control.FleetSyncRequest{Process: req.Address})
+		c.recordSync(&c.leadership.syncServer, control.FleetSyncRequest{Process: req.Address})
 	}
 	c.mu.Unlock()
 	return control.FleetJoinResult{Replica: uint64(id), Cluster: r.cluster, Peers: c.coordinatorAddresses()}, nil
@@ -78,6 +78,7 @@
 		return nil // the replica is closing; the next check follows
 	}
 	c.replicaManager.setMembers(st.Membership)
+	c.noteLeader(st)
 	if st.Role != raft.Leader {
 		return nil
 	}
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/durable"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 )
 
@@ -30,17 +32,22 @@
 	deadline := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer deadline.Stop()
 	c.recordLimits(req)
+	recorded := false
 	for {
 		c.mu.Lock()
-		l := c.leadership
-		if l == nil {
+		s, err := c.syncServerFor(req)
+		if err != nil {
 			c.mu.Unlock()
-			return nil, notLeader(c.leaderAddress())
+			return nil, err
+		}
+		if !recorded {
+			recorded = true
+			c.recordSync(s, req)
 		}
-		c.recordSync(l, req)
-		hasNews := req.Session != l.session || req.EntryHost && req.LimitRevision != l.limits.revision || req.Revision != c.revisionFor(req) || req.Index != c.appliedIndex
-		changed := l.changed
-		batchDelay := syncBatchDelay + time.Duration(len(l.processes))*syncBatchDelayPerProcess
+		hasNews := req.Session != s.session || (req.EntryHost || req.ServesEntryHosts) && req.LimitRevision != c.limitRevision() ||
+			req.Revision != c.revisionFor(req) || c.appliedIndex > req.Index
+		changed := s.changed
+		batchDelay := syncBatchDelay + time.Duration(len(s.processes))*syncBatchDelayPerProcess
 		c.mu.Unlock()
 		if hasNews {
 			time.Sleep(batchDelay)
@@ -56,31 +63,47 @@
 	}
 }
 
-// recordSync stores a process's sync request. The caller holds the lock.
-func (c *Coordinator) recordSync(l *leadership, req control.FleetSyncRequest) {
-	p := l.processes[req.Process]
-	if p == nil {
-		p = &processSync{}
-		l.processes[req.Process] = p
-		c.cfg.Logger.Info("process started to sync with this leader", "process_name", req.Process, "entry", req.EntryHost, "zone", req.Zone)
-	}
-	p.receivedAt = c.now()
-	p.request = req
+// syncServerFor returns the server for a process: that of the leadership, or the one for the entry
+// hosts of a coordinator that follows. The caller holds the lock.
+func (c *Coordinator) syncServerFor(req control.FleetSyncRequest) (*syncServer, error) {
+	if l := c.leadership; l != nil {
+		return &l.syncServer, nil
+	}
+	f := c.following
+	if f == nil || !req.EntryHost || !req.AnyCoordinator {
+		return nil, notLeader(c.leaderAddress())
+	}
+	if silent := c.now() - f.heardAt; silent > maxLeaderSilence {
+		return nil, &jsonrpc2.Error{Code: control.CodeUnavailable, Message: "nothing was heard of the leader for " + silent.String()}
+	}
+	return &f.syncServer, nil
 }
 
-// resultKey identifies processes that get the same result at the same time.
-type resultKey struct {
-	session  string
-	revision uint64
-	index    uint64
-	entry    bool
-	relays   uint64
+// recordSync stores a process's sync request. The caller holds the lock.
+func (c *Coordinator) recordSync(s *syncServer, req control.FleetSyncRequest) {
+	p, isNew := s.process(req.Process)
+	if isNew {
+		c.cfg.Logger.Info("process started to sync with this coordinator", "process_name", req.Process, "entry", req.EntryHost, "zone", req.Zone, "leads", c.leadership != nil)
+	}
+	confirms := p.record(c.now(), req)
+	switch {
+	case c.leadership != nil && confirms:
+		c.leadership.confirmations.broadcast()
+	case c.leadership == nil:
+		p.unreported = p.unreported || confirms
+		c.requestReport(isNew)
+	}
 }
 
-// cachedResult is an encoded result that is reused for other processes.
-type cachedResult struct {
-	encodedAt time.Duration
-	raw       json.RawMessage
+// limitRevision returns the revision of the limits that upstreams name. The caller holds the lock.
+func (c *Coordinator) limitRevision() uint64 {
+	switch {
+	case c.leadership != nil:
+		return c.leadership.limits.revision
+	case c.following != nil:
+		return c.following.result.LimitRevision
+	}
+	return 0
 }
 
 // syncResult returns the encoded changes since a process's state. Processes with the same state
@@ -88,74 +111,80 @@
 func (c *Coordinator) syncResult(req control.FleetSyncRequest) (json.RawMessage, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l, r := c.leadership, c.replica.Load()
-	if l == nil || r == nil {
-		return nil, notLeader("")
-	}
-	key := resultKey{req.Session, req.Revision, req.Index, req.EntryHost, req.RelayRevision}
-	now := c.now()
-	cacheTime := time.Duration(len(l.processes)) * resultCacheTimePerProcess
-	if e, ok := l.cachedResults[key]; ok && now-e.encodedAt < cacheTime {
-		return e.raw, nil
-	}
-	for k, e := range l.cachedResults {
-		if now-e.encodedAt >= cacheTime {
-			delete(l.cachedResults, k)
-		}
-	}
-	raw, err := json.Marshal(c.buildSyncResult(l, r, req))
+	s, err := c.syncServerFor(req)
 	if err != nil {
-		return nil, eris.Wrap(err, "encode sync result")
+		return nil, err
+	}
+	r := c.replica.Load()
+	if r == nil {
+		return nil, notLeader("")
 	}
-	l.cachedResults[key] = cachedResult{now, raw}
-	return raw, nil
+	raw, err := s.encoded(c.now(), req, func() control.FleetSyncResult { return c.buildSyncResult(s, r, req) })
+	return raw, eris.Wrap(err, "encode sync result")
 }
 
 // buildSyncResult collects the changes since a process's state. The caller holds the lock.
-func (c *Coordinator) buildSyncResult(l *leadership, r *openReplica, req control.FleetSyncRequest) control.FleetSyncResult {
-	st, _ := r.store.State()
+func (c *Coordinator) buildSyncResult(s *syncServer, r *openReplica, req control.FleetSyncRequest) control.FleetSyncResult {
 	c.applyDurableState(r.store)
-	since := req.Revision
-	result := control.FleetSyncResult{
-		Session:            l.session,
-		Converged:          c.now()-l.since > settleTime,
-		Revision:           c.revisionFor(req),
-		Index:              st.Index,
-		DocumentVersion:    -1,
-		Coordinators:       c.coordinatorAddresses(),
-		Running:            map[string]int{},
-		AwaitingFirstEvent: map[string]int{},
-		Placers:            l.placers,
-		LimitRevision:      l.limits.revision,
-	}
-	if req.Session != l.session {
-		since = 0
-		result.Full = true
+	st, _ := r.store.State()
+	full := req.Session != s.session
+	result := c.sharedResult(req, full)
+	result.Session = s.session
+	result.Full = full
+	result.Revision = c.revisionFor(req)
+	result.Index = st.Index
+	result.DocumentVersion = -1
+	result.Coordinators = c.coordinatorAddresses()
+	if st.Document != nil {
+		result.DocumentVersion = st.Document.Version
+		if req.AnyCoordinator && req.InForce != nil && *req.InForce < st.Document.Version {
+			result.Document = st.Document
+		}
 	}
-	if st.Index != req.Index || result.Full {
+	if st.Index != req.Index || full {
 		result.Evacuated = st.Evacuated
 		result.Departures = st.Departures
 		result.Quarantine = st.Quarantine
 	}
-	if req.EntryHost {
-		result.Limits = c.limitsFor(c.now(), l)
-	}
-	result.RelayRevision = l.relays.revision
-	if req.EntryHost && l.relays.revision > 0 && (result.Full || req.RelayRevision != l.relays.revision) {
-		result.Relays = l.relays.addresses
-	}
-	if st.Document != nil {
-		result.DocumentVersion = st.Document.Version
+	since, changes := req.Revision, c.registry.Since
+	if full {
+		since = 0
 	}
-	changes := c.registry.Since
 	if req.EntryHost {
 		changes = c.registry.VisibleSince
 	}
 	for _, u := range changes(since) {
-		if !result.Full || u.State != fleet.Gone {
+		if !full || u.State != fleet.Gone {
 			result.Upstreams = append(result.Upstreams, u)
 		}
 	}
+	return result
+}
+
+// sharedResult returns what all processes get: the leader's own state, or what it told last. The
+// caller holds the lock.
+func (c *Coordinator) sharedResult(req control.FleetSyncRequest, full bool) control.FleetSyncResult {
+	now := c.now()
+	l := c.leadership
+	if l == nil {
+		return c.following.resultFor(now, req, full)
+	}
+	result := control.FleetSyncResult{
+		Converged:          now-l.since > settleTime,
+		Running:            map[string]int{},
+		AwaitingFirstEvent: map[string]int{},
+		Placers:            l.placers,
+		LimitRevision:      l.limits.revision,
+		RelayRevision:      l.relays.revision,
+		Leader:             c.cfg.PeerAddress,
+		Servers:            l.servers(now),
+	}
+	if req.EntryHost || req.ServesEntryHosts {
+		result.Limits = c.limitsFor(now, l)
+		if l.relays.revision > 0 && (full || req.RelayRevision != l.relays.revision) {
+			result.Relays = l.relays.addresses
+		}
+	}
 	for _, p := range l.processes {
 		if p.request.EntryHost {
 			result.EntryHosts++
@@ -183,51 +212,9 @@
 	return c.replicaManager.addresses()
 }
 
-// followLeader mirrors the leader's state while another coordinator leads, so that a new leader
-// knows the upstreams immediately.
-func (c *Coordinator) followLeader(ctx context.Context) {
-	for ctx.Err() == nil {
-		c.mu.Lock()
-		leads := c.leadership != nil
-		req := c.followRequest
-		req.WaitMS = followWait.Milliseconds()
-		c.mu.Unlock()
-		if leads || c.replica.Load() == nil {
-			clock.Sleep(ctx, followWait)
-			continue
-		}
-		calling, cancel := context.WithTimeout(ctx, followWait+callTimeout)
-		var result control.FleetSyncResult
-		err := c.callLeader(calling, control.MethodFleetSync, req, &result)
-		cancel()
-		if err != nil {
-			clock.Sleep(ctx, tickInterval)
-			continue
-		}
-		c.applyLeaderState(result)
-	}
-}
-
-// followWait is how long the leader holds a follower's sync call that has no news.
-const followWait = 500 * time.Millisecond
-
-// applyLeaderState applies the leader's sync result to the local registry.
-func (c *Coordinator) applyLeaderState(result control.FleetSyncResult) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leadership != nil {
-		return
-	}
-	now := c.now()
-	for _, u := range result.Upstreams {
-		if u.State == fleet.Gone {
-			c.registry.Depart(u.ID, u.StartedMS, fleet.Gone)
-			continue
-		}
-		c.registry.Announce(now, u)
-	}
-	c.followRequest.Session = result.Session
-	c.followRequest.Revision = result.Revision
-	c.followRequest.Index = result.Index
-	c.replicaManager.setAddresses(result.Coordinators)
+// departed reports whether the durable state holds a departure, or a later one of the incarnation.
+func departed(st durable.State, d durable.Departure) bool {
+	return slices.ContainsFunc(st.Departures, func(k durable.Departure) bool {
+		return k.ID == d.ID && k.StartedMS == d.StartedMS && (k.Gone || !d.Gone)
+	})
 }
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -42,8 +42,10 @@
 	syncWaitPerEntryHost = 15 * time.Millisecond
 	// syncTimeout bounds a sync call beyond its wait; after that another coordinator is tried.
 	syncTimeout = 700 * time.Millisecond
-	// syncRetry is the delay after a failed sync call.
-	syncRetry = 50 * time.Millisecond
+	// syncRetry is the mean delay after a failed sync call. It doubles with each failure in a row up to
+	// maxSyncRetry, so that coordinators that fall behind are not called more often than others.
+	syncRetry    = 50 * time.Millisecond
+	maxSyncRetry = 400 * time.Millisecond
 	// missingTimeout is how long an upstream unknown to a settled leader is kept.
 	missingTimeout = 3 * time.Second
 
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
+	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/durable"
 	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
@@ -37,7 +40,8 @@
 	metrics         *Metrics
 	requestLog      *requestLog
 
-	installMu          sync.Mutex // serializes document replacement, so that versions only increase
+	servedByFollower   atomic.Bool // the last sync result came from a coordinator that follows the leader
+	installMu          sync.Mutex  // serializes document replacement, so that versions only increase
 	index              atomic.Pointer[catalog.Index]
 	lastSync           atomic.Int64 // time of the last successful sync
 	linkLostAt         atomic.Int64 // when a coordinator last reached an upstream that refused this entry host
@@ -122,8 +126,9 @@
 
 // Run synchronizes with the coordinators until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
-	syncRequest := control.FleetSyncRequest{Process: g.cfg.Name, Zone: g.cfg.Zone, EntryHost: true}
+	syncRequest := control.FleetSyncRequest{Process: g.cfg.Name, Zone: g.cfg.Zone, EntryHost: true, AnyCoordinator: true}
 	reached := false
+	retry := syncRetry
 	var work sync.WaitGroup
 	work.Go(func() { g.documentFetcher.run(ctx, g) })
 	work.Go(func() { g.reporter.run(ctx, g) })
@@ -136,10 +141,10 @@
 		}
 		g.metrics.recordSync(err)
 		if err != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(syncRetry):
-			}
+			clock.Sleep(ctx, retry/2+rand.N(retry))
+			retry = min(2*retry, maxSyncRetry)
+		} else {
+			retry = syncRetry
 		}
 		g.pool.CloseExpired()
 		g.relayPool.CloseExpired()
@@ -168,6 +173,8 @@
 	if ready, _ := g.Ready(); ready && !g.links.cutOff() {
 		syncRequest.RelayAddress = g.cfg.RelayAddress
 	}
+	inForce := g.documentVersion()
+	syncRequest.InForce = &inForce
 	wait := min(max(syncWait, time.Duration(g.balancer.entryCount())*syncWaitPerEntryHost), maxSyncWait)
 	syncRequest.WaitMS = wait.Milliseconds()
 	calling, cancel := context.WithTimeout(ctx, wait+syncTimeout)
@@ -183,6 +190,7 @@
 		}
 	}
 	// Only afterwards, so that a new entry host serves nothing before it knows the quarantine.
+	g.installSynced(result.Document)
 	g.documentFetcher.request(result.DocumentVersion, result.Coordinators)
 	for _, address := range g.balancer.applySync(g.now(), result, usage, newer) {
 		g.pool.CloseIdleTo(address)
@@ -205,10 +213,47 @@
 		g.caller.AddAddress(p)
 		g.suspects.AddAddress(p)
 	}
-	g.suspects.HintLeader(g.caller.Address())
+	g.followServer(result)
 	return nil
 }
 
+// installSynced puts a document in force that came with a sync result, if one did.
+func (g *Gateway) installSynced(d *durable.Document) {
+	if d == nil {
+		return
+	}
+	raw, err := d.Raw()
+	if err != nil {
+		g.cfg.Logger.Error("document can't be unpacked; keeping the previous one", "version", d.Version, "cause", err)
+		return
+	}
+	g.installDocument(raw)
+}
+
+// followServer moves to the coordinator that answers this entry host. Entry hosts spread over those
+// that follow the leader, so that the leader has its processor for what only it can do.
+func (g *Gateway) followServer(result control.FleetSyncResult) {
+	answering := g.caller.Address()
+	if result.Leader == "" { // an earlier version: only the leader answers
+		g.servedByFollower.Store(false)
+		g.suspects.HintLeader(answering)
+		return
+	}
+	g.servedByFollower.Store(answering != result.Leader)
+	g.suspects.HintLeader(result.Leader)
+	if next := chooseServer(g.cfg.Name, result.Servers); next != "" && next != answering {
+		g.caller.HintLeader(next)
+	}
+}
+
+// documentVersion returns the version of the document in force, -1 if there is none.
+func (g *Gateway) documentVersion() int64 {
+	if x := g.index.Load(); x != nil {
+		return x.Set.Version
+	}
+	return -1
+}
+
 // installDocument puts a document in force if it is newer than the present one.
 func (g *Gateway) installDocument(raw []byte) {
 	set, err := g.cfg.Decode(raw)
@@ -244,7 +289,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 		defer cancel()
 		var none struct{}
-		err := g.suspects.CallOnce(ctx, control.MethodFleetSuspect, req, &none)
+		caller := g.suspects
+		if g.servedByFollower.Load() {
+			caller = g.caller // it reports a head to the leader once for all entry hosts
+		}
+		err := caller.CallOnce(ctx, control.MethodFleetSuspect, req, &none)
 		if err != nil {
 			// The first answer may have named the leader.
 			err = g.suspects.CallOnce(ctx, control.MethodFleetSuspect, req, &none)
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -88,6 +88,62 @@
 	return changed
 }
 
+// Mirror takes over the record of another registry. Of an incarnation that is known from a later
+// announcement only the state and the cordon are taken over.
+func (r *Registry) Mirror(now time.Duration, u Upstream) {
+	known := r.entries[u.ID]
+	if known != nil {
+		if u.StartedMS < known.StartedMS {
+			return
+		}
+		if u.StartedMS == known.StartedMS {
+			u.State = LaterState(known.State, u.State)
+			if u.Sequence < known.Sequence {
+				newer := known.Upstream
+				newer.State, newer.Cordoned, newer.Deregistered = u.State, u.Cordoned, u.Deregistered
+				u = newer
+			}
+		}
+	}
+	if u.State != Gone {
+		r.idByAddress[u.Address] = u.ID
+	}
+	fresh := known == nil
+	if fresh {
+		known = &Entry{}
+		r.entries[u.ID] = known
+	}
+	changed := fresh || u.differs(&known.Upstream)
+	visible := fresh && u.TakesRequests() || !fresh && u.routingDiffers(&known.Upstream)
+	known.Upstream = u
+	known.Heard = now
+	if changed {
+		r.bumpRevision(known, visible)
+	}
+}
+
+// Heard records that an incarnation announced itself without a change. It reports whether the
+// announcement is known to be its newest.
+func (r *Registry) Heard(at time.Duration, id string, startedMS, sequence int64) bool {
+	e := r.entries[id]
+	if e == nil || e.StartedMS != startedMS || e.Sequence >= sequence {
+		return false
+	}
+	e.Sequence = sequence
+	e.Heard = max(e.Heard, at)
+	return true
+}
+
+// Changes reports whether an announcement changes anything that other processes must receive.
+func (r *Registry) Changes(u Upstream) bool {
+	e := r.entries[u.ID]
+	if e == nil || e.StartedMS != u.StartedMS || e.State != u.State || r.idByAddress[u.Address] != u.ID {
+		return true
+	}
+	u.Cordoned = e.Cordoned
+	return u.differs(&e.Upstream)
+}
+
 // Depart marks an incarnation as draining or gone. It reports whether other
 // coordinators must receive the change.
 func (r *Registry) Depart(id string, startedMS int64, state State) bool {
--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +16,9 @@
 	dialTimeout  = 500 * time.Millisecond
 	pingInterval = 500 * time.Millisecond
 	pingTimeout  = 1500 * time.Millisecond
+	// idleTimeout is the time without calls after which a client closes its connection. The next call
+	// opens another one.
+	idleTimeout = 5 * time.Second
 )
 
 // DialFunc opens a connection to host:port.
@@ -39,6 +43,9 @@
 	ctx     context.Context // context of dials; cancelled by Close
 	cancel  context.CancelFunc
 
+	calls    atomic.Int64 // in progress
+	calledAt atomic.Int64 // end of the last call, in Unix nanoseconds
+
 	mu      sync.Mutex
 	conn    *jsonrpc2.Conn
 	dialing *pendingDial // nil if no dial is in progress
@@ -64,6 +71,7 @@
 // Call sends a request and waits for its result. An error returned by the server is a
 // *jsonrpc2.Error. Other errors are ErrNotSent, ErrNoReply or ErrClosed.
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
+	defer c.beginCall()()
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return err
@@ -74,6 +82,7 @@
 
 // Notify sends a notification. It does not report whether the server received it.
 func (c *Client) Notify(ctx context.Context, method string, params any) error {
+	defer c.beginCall()()
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return err
@@ -81,6 +90,31 @@
 	return c.convertError(conn, conn.Notify(ctx, method, params))
 }
 
+// beginCall counts a call until the returned function is called.
+func (c *Client) beginCall() (end func()) {
+	c.calls.Add(1)
+	return func() {
+		c.calledAt.Store(time.Now().UnixNano())
+		c.calls.Add(-1)
+	}
+}
+
+// closeIdle closes the connection if no call was in progress for idleTimeout, and reports whether it
+// did.
+func (c *Client) closeIdle(conn *jsonrpc2.Conn) bool {
+	c.mu.Lock()
+	// Calls are counted before they get the connection under the lock.
+	idle := c.calls.Load() == 0 && time.Since(time.Unix(0, c.calledAt.Load())) > idleTimeout
+	if idle && c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	if idle {
+		_ = conn.Close()
+	}
+	return idle
+}
+
 func (c *Client) convertError(conn *jsonrpc2.Conn, err error) error {
 	if err == nil {
 		return nil
@@ -140,14 +174,16 @@
 		d.err = ErrClosed
 		return
 	}
-	stream := jsonrpc2.NewBufferedStream(raw, codec{})
+	heard := &heardConn{Conn: raw}
+	stream := jsonrpc2.NewBufferedStream(heard, codec{})
 	d.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{}, jsonrpc2.SetLogger(connLogger{}))
 	c.conn = d.conn
-	go c.monitor(d.conn)
+	go c.monitor(d.conn, heard)
 }
 
-// monitor pings a connection, and drops it when it ends or does not answer in time.
-func (c *Client) monitor(conn *jsonrpc2.Conn) {
+// monitor pings a connection on which nothing arrived since the last check, and drops it when it ends,
+// does not answer in time or is idle.
+func (c *Client) monitor(conn *jsonrpc2.Conn, heard *heardConn) {
 	tick := time.NewTicker(pingInterval)
 	defer tick.Stop()
 	for {
@@ -157,6 +193,12 @@
 			return
 		case <-tick.C:
 		}
+		if c.closeIdle(conn) {
+			return
+		}
+		if heard.arrived() {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
 		err := conn.Call(ctx, pingMethod, struct{}{}, nil)
 		cancel()
