--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -36,6 +36,8 @@
 	AnyCoordinator bool `json:"any,omitempty"`
 	// ServesEntryHosts is set by a coordinator that answers entry hosts with what the leader tells it.
 	ServesEntryHosts bool `json:"serves,omitempty"`
+	// OperatorAddress is the host:port at which such a coordinator takes announcements of upstreams.
+	OperatorAddress string `json:"operators,omitempty"`
 	// InForce is the version of the document in force at an entry host, -1 for none. Processes of
 	// earlier versions don't tell it.
 	InForce *int64 `json:"in_force,omitempty"`
@@ -85,9 +87,9 @@
 	Servers []string `json:"servers,omitempty"`
 }
 
-// FleetAnnounceResult holds the leader's address for upstreams.
+// FleetAnnounceResult holds the address for the upstream's next announcements.
 type FleetAnnounceResult struct {
-	Leader string `json:"leader"` // host:port for operators and upstreams
+	Leader string `json:"leader"` // host:port of a coordinator, not always of the leader
 }
 
 // FleetSuspectRequest reports a head that has stopped responding.
--- a/pkg/coordinator/announce.go
+++ b/pkg/coordinator/announce.go
@@ -74,13 +74,14 @@
 			"state", u.State, "sequence", u.Sequence, "seat", seatString(u.Assignment), "staged", u.StagedModels, "domain", u.FabricDomain)
 	}
 	c.updatePlanner(u.ID)
+	next := c.announceAddress(l, u.ID)
 	c.mu.Unlock()
 	if u.State == fleet.Draining {
 		if err := c.commitDeparture(ctx, r.store, durable.Departure{ID: u.ID, StartedMS: u.StartedMS}); err != nil {
 			return control.FleetAnnounceResult{}, c.toRPCError(err)
 		}
 	}
-	return control.FleetAnnounceResult{Leader: c.cfg.OperatorAddress}, nil
+	return control.FleetAnnounceResult{Leader: next}, nil
 }
 
 // commitDeparture puts a departure into the log, unless it is there, and waits until it is in force.
--- a/pkg/coordinator/following.go
+++ b/pkg/coordinator/following.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/rendezvous"
 )
 
 const (
@@ -91,6 +92,22 @@
 	return addresses
 }
 
+// announceAddress returns the host:port for the next announcements of an upstream: that of a
+// coordinator that follows, so that announcements without a change don't reach the leader one by one.
+// The caller holds the lock.
+func (c *Coordinator) announceAddress(l *leadership, id string) string {
+	var addresses []string
+	for _, name := range l.servers(c.now()) {
+		if a := l.processes[name].request.OperatorAddress; a != "" {
+			addresses = append(addresses, a)
+		}
+	}
+	if a := rendezvous.Choose(id, addresses); a != "" {
+		return a
+	}
+	return c.cfg.OperatorAddress
+}
+
 // followLeader mirrors the leader's state while another coordinator leads, so that this one can
 // answer entry hosts and a new leader knows the upstreams immediately.
 func (c *Coordinator) followLeader(ctx context.Context) {
@@ -136,6 +153,7 @@
 	c.followRequest.LimitRevision = result.LimitRevision
 	c.followRequest.RelayRevision = result.RelayRevision
 	c.followRequest.ServesEntryHosts = result.Leader != ""
+	c.followRequest.OperatorAddress = c.cfg.OperatorAddress
 	c.replicaManager.setAddresses(result.Coordinators)
 	c.updateFollowing(now, result, c.registry.VisibleRevision() != visible)
 }
--- a/pkg/coordinator/in_force.go
+++ b/pkg/coordinator/in_force.go
@@ -145,7 +145,7 @@
 func (l *leadership) lagging(now time.Duration, change *pendingChange) []string {
 	var names []string
 	for name, p := range l.processes {
-		if !p.request.EntryHost || now-p.receivedAt > touchTimeout {
+		if !p.request.EntryHost || l.outOfTouch(now, p) {
 			continue
 		}
 		if p.confirmed.Index < change.index || p.request.InForce != nil && p.confirmed.InForce < change.version {
@@ -156,6 +156,16 @@
 	return names
 }
 
+// outOfTouch reports whether an entry host is known to be silent. If the coordinator that it calls is
+// silent itself, nothing is known. The caller holds the lock.
+func (l *leadership) outOfTouch(now time.Duration, p *processSync) bool {
+	if now-p.receivedAt <= touchTimeout {
+		return false
+	}
+	server := l.processes[p.server]
+	return p.server == "" || server != nil && now-server.receivedAt < serverTimeout
+}
+
 // named names some entry hosts.
 func named(names []string) string {
 	if len(names) > maxNamedLaggards {
--- a/pkg/coordinator/limits.go
+++ b/pkg/coordinator/limits.go
@@ -47,8 +47,11 @@
 func (c *Coordinator) recordLimits(req control.FleetSyncRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if l := c.leadership; l != nil && l.limits.record(c.now(), req.Limits) {
+	switch l, f := c.leadership, c.following; {
+	case l != nil && l.limits.record(c.now(), req.Limits):
 		l.notifyChange()
+	case l == nil && f != nil && f.limits.record(c.now(), req.Limits):
+		c.requestReport(true)
 	}
 }
 
--- a/pkg/coordinator/relays.go
+++ b/pkg/coordinator/relays.go
@@ -6,8 +6,8 @@
 )
 
 // relayTimeout is how long after its last sync an entry host is named to others as one that relays: one
-// and a half times the longest time between syncs.
-const relayTimeout = 1500 * time.Millisecond
+// and a half times the longest time between syncs and the way of a report to the leader.
+const relayTimeout = 1875 * time.Millisecond
 
 // relayList holds the entry hosts that pass requests on to upstreams for others.
 type relayList struct {
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -146,6 +146,7 @@
 		if isNew {
 			c.cfg.Logger.Info("process started to sync with a coordinator that follows", "process_name", s.Process, "entry", s.EntryHost, "zone", s.Zone, "coordinator", report.Coordinator)
 		}
+		p.server = report.Coordinator
 		confirms = p.record(now-time.Duration(s.HeldMS)*time.Millisecond, s.FleetSyncRequest) || confirms
 		limits = l.limits.record(now-time.Duration(s.HeldMS)*time.Millisecond, s.Limits) || limits
 	}
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -85,6 +85,7 @@
 	if isNew {
 		c.cfg.Logger.Info("process started to sync with this coordinator", "process_name", req.Process, "entry", req.EntryHost, "zone", req.Zone, "leads", c.leadership != nil)
 	}
+	p.server = ""
 	confirms := p.record(c.now(), req)
 	switch {
 	case c.leadership != nil && confirms:
--- a/pkg/coordinator/sync_server.go
+++ b/pkg/coordinator/sync_server.go
@@ -44,6 +44,7 @@
 	request    control.FleetSyncRequest
 	confirmed  control.FleetConfirmed // the newest changes in force there
 	unreported bool                   // the leader does not know what was confirmed
+	server     string                 // the coordinator that reported the call; empty if it came here
 }
 
 // record stores a sync request that was received at a time. It reports whether the request confirms
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
+	"github.com/sesamemux/sesamemux/pkg/rendezvous"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
@@ -241,7 +242,7 @@
 	}
 	g.servedByFollower.Store(answering != result.Leader)
 	g.suspects.HintLeader(result.Leader)
-	if next := chooseServer(g.cfg.Name, result.Servers); next != "" && next != answering {
+	if next := rendezvous.Choose(g.cfg.Name, result.Servers); next != "" && next != answering {
 		g.caller.HintLeader(next)
 	}
 }
