--- a/pkg/coordinator/following.go
+++ b/pkg/coordinator/following.go
@@ -16,7 +16,7 @@
 	followWait = 250 * time.Millisecond
 	// maxLeaderSilence is how long a coordinator answers entry hosts without hearing of the leader. Then
 	// others may know more.
-	maxLeaderSilence = 3 * time.Second
+	maxLeaderSilence = 2 * time.Second
 	// suspectInterval is the minimum time between two reports of one silent head to the leader.
 	suspectInterval = probeAnswerTTL
 	// serverTimeout is how long after its last sync a coordinator is named to entry hosts as one that
