Pass on events of a resumed stream only if they go on where it broke off

Cause: nothing compared the IDs of events over the attempts of a stream. Change: eventOrder. IDs of events must increase, over all attempts; if they were consecutive, a resumed stream must go on with the next one. An answer that does not is treated like one of another request: the stream continues elsewhere, or is broken off. Ruled out: dropping the repeated events: the answer of a run that ignores where to go on need not be the same text. IDs that are no numbers are not compared. Conclusion: fixed for numbered events.

--- a/pkg/entry/event_splitter.go
+++ b/pkg/entry/event_splitter.go
@@ -14,6 +14,13 @@
 type eventSplitter struct {
 	partial []byte
 	lastID  string // ID of the last whole event
+	order   eventOrder
+}
+
+// begin prepares for the answer of another attempt, which goes on after lastID.
+func (e *eventSplitter) begin() {
+	e.partial = e.partial[:0]
+	e.order.begin(e.lastID)
 }
 
 // add appends bytes and returns the events completed by them, and their number.
@@ -26,6 +33,9 @@
 			break
 		}
 		if id, ok := eventID(e.partial[end : end+i]); ok {
+			if !e.order.follows(id) {
+				break
+			}
 			e.lastID = id
 		}
 		end += i + size
@@ -52,6 +62,8 @@
 // the last read.
 func (e *eventSplitter) check(end error) error {
 	switch {
+	case e.order.violation != "":
+		return eris.Wrap(errMismatchedAnswer, e.order.violation)
 	case e.partialTooLong():
 		return eris.Wrapf(errMismatchedAnswer, "an event exceeds %d bytes", maxEventBytes)
 	case end == io.EOF && e.hasPartial():
--- a/pkg/entry/relayed_stream.go
+++ b/pkg/entry/relayed_stream.go
@@ -42,7 +42,7 @@
 // forwardEvents forwards the events of another entry host's answer.
 func (s *streamRelay) forwardEvents(resp *upstream.Response, w *silenceWatch) error {
 	c := s.call
-	s.splitter.partial = s.splitter.partial[:0]
+	s.splitter.begin()
 	buf := make([]byte, relayBuffer)
 	for {
 		w.begin()
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -222,7 +222,7 @@
 func (s *streamRelay) relay(w *stallTimer) error {
 	g, t, header := s.call.gateway, s.attempt.placement.target, s.attempt.resp.Header
 	body := s.attempt.body()
-	s.splitter.partial = s.splitter.partial[:0]
+	s.splitter.begin()
 	buf := make([]byte, relayBuffer)
 	began := g.now()
 	last := began
