Deny no request by a document that coordinators have not confirmed for two seconds

Cause: an entry host that has heard nothing of coordinators denied requests as if it knew the newest document. Change: unknown routes and keys are refused with 503 and Retry-After while the last answer of a coordinator is older than 2 s. Its longest pause between two answers is about 1.1 s. Ruled out: asking a coordinator for each denial, as clients with unknown keys would load them. Conclusion: a backstop; acknowledgements already wait for entry hosts in touch.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -24,6 +24,7 @@
 	retryBudgetSpent reason = "budget of repeats is spent"
 	deadlineReached  reason = "no time is left"
 	noDocument       reason = "no document is in force yet"
+	outdatedDocument reason = "the document does not allow the request, and may be outdated"
 	unknownService   reason = "the placer's document has no such service"
 	linksLost        reason = "this entry host can't reach upstreams"
 	olderDocument    reason = "this entry host holds an older document"
--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -134,14 +134,14 @@
 	}
 	c.route = c.index.Route(c.r.Host, path)
 	if c.route == nil {
-		c.reject(http.StatusNotFound, unknownRoute)
+		c.deny(http.StatusNotFound, unknownRoute)
 		return false
 	}
 	if c.index.RequiresAPIKey() && !c.route.Public {
 		key, bearer := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
 		o := c.index.Organisation(key)
 		if !bearer || o == nil {
-			c.reject(http.StatusUnauthorized, unknownKey)
+			c.deny(http.StatusUnauthorized, unknownKey)
 			return false
 		}
 		c.organisation = o.Name
@@ -304,6 +304,19 @@
 	c.writeLocalAnswer(status, string(why))
 }
 
+// maxDenialAge is how long ago a coordinator must have confirmed the document that denies a request.
+const maxDenialAge = 2 * time.Second
+
+// deny rejects a request that the document does not allow. If coordinators have been silent for
+// longer, a newer document may allow it, so that the client is told to come back.
+func (c *call) deny(status int, why reason) {
+	if g := c.gateway; g.now()-time.Duration(g.lastSync.Load()) > maxDenialAge {
+		c.refuse(outdatedDocument, time.Second)
+		return
+	}
+	c.reject(status, why)
+}
+
 // reject answers that the request is invalid or not allowed.
 func (c *call) reject(status int, why reason) {
 	c.reason = why
