--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -78,3 +78,45 @@
 		t.Error("LastGroup was cleared with the assignment")
 	}
 }
+
+func TestMirrorTakesOverCordonsAndLaterStatesButNoOlderRecord(t *testing.T) {
+	r := NewRegistry()
+	head := Upstream{ID: "u", Service: "s", Address: "u:1", Zone: "z", FabricDomain: "d", StartedMS: 5, Sequence: 7, State: Ready,
+		Assignment: &Assignment{Group: "m/1", Epoch: 1, State: AssignmentOpen}}
+	r.Mirror(0, head)
+	cordoned := head
+	cordoned.Cordoned, cordoned.Sequence = true, 6
+	r.Mirror(0, cordoned)
+	if e := r.Get("u"); !e.Cordoned || e.Sequence != 7 || e.Visible != r.VisibleRevision() {
+		t.Errorf("a cordon is not taken over: %+v", e)
+	}
+	draining := head
+	draining.State = Draining
+	r.Mirror(0, draining)
+	if e := r.Get("u"); e.State != Draining || e.Cordoned {
+		t.Errorf("a later state is not taken over: %+v", e)
+	}
+	r.Mirror(0, head)
+	if e := r.Get("u"); e.State != Draining {
+		t.Errorf("the state went back: %+v", e)
+	}
+	earlier := head
+	earlier.StartedMS, earlier.Sequence = 4, 90
+	r.Mirror(0, earlier)
+	if e := r.Get("u"); e.StartedMS != 5 {
+		t.Errorf("an earlier incarnation replaces a later one: %+v", e)
+	}
+}
+
+func TestHeardTakesOnlyTheNewestAnnouncementOfTheIncarnation(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(0, Upstream{ID: "u", Address: "u:1", StartedMS: 5, Sequence: 7, State: Ready})
+	for _, c := range []struct {
+		started, sequence int64
+		want              bool
+	}{{5, 7, false}, {4, 90, false}, {5, 8, true}, {5, 8, false}} {
+		if got := r.Heard(1, "u", c.started, c.sequence); got != c.want {
+			t.Errorf("announcement %d of the incarnation of %d: %v", c.sequence, c.started, got)
+		}
+	}
+}
--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -206,6 +206,7 @@
 			c.dropConn(conn)
 			return
 		}
+		heard.arrived() // the answer to the ping does not count
 	}
 }
 
