Call the leader that the log names, and ping no connection that carries sync calls

Followers whose call to a busy leader took 0.8 s held it for unreachable for ten seconds and asked the others, who named it again: each call came several times. Pings on the connections of waiting sync calls were a quarter of all messages of a coordinator. Change: calls to the leader go to the one that the replica follows; the others are asked only if it follows none. They last 2 s and end with a change of the leader. The client of the entry hosts' sync calls sends no pings: a call without an answer on a silent connection drops it. Ruled out: longer pauses between pings for all clients; silent connections between replicas must be found soon. Tests of the client in idle_test.go.

--- a/pkg/coordinator/change.go
+++ b/pkg/coordinator/change.go
@@ -131,11 +131,26 @@
 	return control.FleetReadResult{Document: st.Document}, nil
 }
 
-// callLeader calls the leader, which is found through the other coordinators.
+// callLeader calls the leader that this replica follows. Only if it follows none, or that one leads no
+// more, the leader is searched through the other coordinators: a leader that is slow to answer must not
+// get its calls again by way of others.
 func (c *Coordinator) callLeader(ctx context.Context, method control.Method, params, result any) error {
-	if peer := c.leaderAddress(); peer != "" && peer != c.cfg.PeerAddress {
-		c.caller.HintLeader(peer)
+	address := c.leaderAddress()
+	if address == "" || address == c.cfg.PeerAddress {
+		return c.searchLeader(ctx, method, params, result)
 	}
+	err := c.caller.CallAt(ctx, address, method, params, result)
+	if isNotLeader(err) && ctx.Err() == nil {
+		return c.searchLeader(ctx, method, params, result)
+	}
+	if err != nil {
+		return eris.Wrapf(ErrUnavailable, "%s at %s: %v", method, address, err)
+	}
+	return nil
+}
+
+// searchLeader calls the leader, which is found through the other coordinators.
+func (c *Coordinator) searchLeader(ctx context.Context, method control.Method, params, result any) error {
 	err := c.caller.CallOnce(ctx, method, params, result)
 	if isNotLeader(err) && ctx.Err() == nil {
 		err = c.caller.CallOnce(ctx, method, params, result)
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -42,6 +42,7 @@
 	appliedIndex      uint64         // log index of the durable state applied to the registry
 	followRequest     control.FleetSyncRequest
 
+	leaderChanged     signal        // another replica leads, or none
 	decisionRequested chan struct{} // buffered signal to run the planner
 	reportRequested   chan struct{} // buffered signal to report to the leader
 }
@@ -190,5 +191,26 @@
 	if m, ok := st.Membership.Member(st.Leader); ok && (m.Address != c.cfg.PeerAddress || st.Role == raft.Leader) {
 		address = m.Address
 	}
-	c.knownLeader.Store(&address)
+	if before := c.knownLeader.Swap(&address); before == nil || *before != address {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.leaderChanged.broadcast()
+	}
+}
+
+// withLeader returns a context for calls to the leader that ends early if this replica follows another
+// one.
+func (c *Coordinator) withLeader(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	c.mu.Lock()
+	changed := c.leaderChanged.wait()
+	c.mu.Unlock()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
--- a/pkg/coordinator/following.go
+++ b/pkg/coordinator/following.go
@@ -16,7 +16,10 @@
 	followWait = 250 * time.Millisecond
 	// maxLeaderSilence is how long a coordinator answers entry hosts without hearing of the leader. Then
 	// others may know more.
-	maxLeaderSilence = 2 * time.Second
+	maxLeaderSilence = 3 * time.Second
+	// leaderTimeout bounds the calls in which a follower mirrors the leader and reports to it. A lost
+	// connection and a new leader end them earlier; given up any sooner, a busy leader gets them again.
+	leaderTimeout = 2 * time.Second
 	// suspectInterval is the minimum time between two reports of one silent head to the leader.
 	suspectInterval = probeAnswerTTL
 	// serverTimeout is how long after its last sync a coordinator is named to entry hosts as one that
@@ -121,7 +124,7 @@
 			clock.Sleep(ctx, followWait)
 			continue
 		}
-		calling, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+		calling, cancel := c.withLeader(ctx, followWait+leaderTimeout)
 		var result control.FleetSyncResult
 		err := c.callLeader(calling, control.MethodFleetSync, req, &result)
 		cancel()
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -72,7 +72,7 @@
 	if len(report.Syncs)+len(report.Confirmed)+len(report.Announced) == 0 {
 		return true
 	}
-	calling, cancel := context.WithTimeout(ctx, callTimeout)
+	calling, cancel := c.withLeader(ctx, leaderTimeout)
 	defer cancel()
 	var none struct{}
 	err := c.callLeader(calling, control.MethodFleetReport, report, &none)
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/sesamemux/sesamemux/pkg/leader"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
 	"github.com/sesamemux/sesamemux/pkg/rendezvous"
+	"github.com/sesamemux/sesamemux/pkg/rpc"
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
@@ -57,7 +58,7 @@
 func New(cfg Config) *Gateway {
 	g := &Gateway{
 		cfg:             cfg,
-		caller:          leader.NewCaller(cfg.Coordinators, cfg.Dial),
+		caller:          leader.NewCaller(cfg.Coordinators, cfg.Dial, rpc.WithoutPings()),
 		suspects:        leader.NewCaller(cfg.Coordinators, cfg.Dial),
 		balancer:        newBalancer(cfg),
 		documentFetcher: newDocumentFetcher(),
--- a/pkg/leader/caller.go
+++ b/pkg/leader/caller.go
@@ -24,7 +24,8 @@
 // Caller holds one client for each keeper and remembers which one leads. It is
 // safe for concurrent use.
 type Caller struct {
-	dial rpc.DialFunc
+	dial    rpc.DialFunc
+	options []rpc.ClientOption
 
 	mu         sync.Mutex
 	candidates []string // addresses, tried in turn
@@ -34,9 +35,10 @@
 }
 
 // NewCaller returns a caller that starts with the given keepers.
-func NewCaller(addresses []string, dial rpc.DialFunc) *Caller {
+func NewCaller(addresses []string, dial rpc.DialFunc, options ...rpc.ClientOption) *Caller {
 	return &Caller{
 		dial:       dial,
+		options:    options,
 		candidates: slices.Clone(addresses),
 		current:    addresses[0],
 		clients:    make(map[string]*rpc.Client),
@@ -96,6 +98,11 @@
 	return err
 }
 
+// CallAt sends one call to an address, whatever its outcome means for calls to the presumed leader.
+func (c *Caller) CallAt(ctx context.Context, address string, method control.Method, params, result any) error {
+	return c.clientFor(address).Call(ctx, string(method), params, result)
+}
+
 // leaderHint reports whether an error says that another keeper leads, and returns
 // its address if the error names it.
 func leaderHint(err error) (string, bool) {
@@ -123,13 +130,15 @@
 	return c.current
 }
 
-func (c *Caller) client() *rpc.Client {
+func (c *Caller) client() *rpc.Client { return c.clientFor(c.Address()) }
+
+func (c *Caller) clientFor(address string) *rpc.Client {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	client, ok := c.clients[c.current]
+	client, ok := c.clients[address]
 	if !ok {
-		client = rpc.NewClient(c.current, c.dial)
-		c.clients[c.current] = client
+		client = rpc.NewClient(address, c.dial, c.options...)
+		c.clients[address] = client
 	}
 	return client
 }
--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -46,8 +46,11 @@
 	calls    atomic.Int64 // in progress
 	calledAt atomic.Int64 // end of the last call, in Unix nanoseconds
 
+	withoutPings bool
+
 	mu      sync.Mutex
 	conn    *jsonrpc2.Conn
+	heard   *heardConn   // of conn
 	dialing *pendingDial // nil if no dial is in progress
 	closed  bool
 }
@@ -59,10 +62,21 @@
 	err  error
 }
 
+// ClientOption changes how a client works.
+type ClientOption func(*Client)
+
+// WithoutPings is for a client that always has a call in progress. It sends no pings; a call that gets
+// no answer in time on a silent connection drops that.
+func WithoutPings() ClientOption { return func(c *Client) { c.withoutPings = true } }
+
 // NewClient returns a client for a server's host:port.
-func NewClient(address string, dial DialFunc) *Client {
+func NewClient(address string, dial DialFunc, options ...ClientOption) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Client{address: address, dial: dial, ctx: ctx, cancel: cancel}
+	c := &Client{address: address, dial: dial, ctx: ctx, cancel: cancel}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Address returns the server's host:port.
@@ -76,7 +90,11 @@
 	if err != nil {
 		return err
 	}
+	began := time.Now()
 	err = conn.Call(ctx, method, params, result)
+	if err != nil && c.withoutPings && eris.Is(err, context.DeadlineExceeded) {
+		c.dropSilent(conn, began)
+	}
 	return c.convertError(conn, err)
 }
 
@@ -177,7 +195,7 @@
 	heard := &heardConn{Conn: raw}
 	stream := jsonrpc2.NewBufferedStream(heard, codec{})
 	d.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{}, jsonrpc2.SetLogger(connLogger{}))
-	c.conn = d.conn
+	c.conn, c.heard = d.conn, heard
 	go c.monitor(d.conn, heard)
 }
 
@@ -186,6 +204,7 @@
 func (c *Client) monitor(conn *jsonrpc2.Conn, heard *heardConn) {
 	tick := time.NewTicker(pingInterval)
 	defer tick.Stop()
+	checked := time.Now()
 	for {
 		select {
 		case <-conn.DisconnectNotify():
@@ -196,7 +215,8 @@
 		if c.closeIdle(conn) {
 			return
 		}
-		if heard.arrived() {
+		if c.withoutPings || !heard.silentSince(checked) {
+			checked = time.Now()
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
@@ -206,7 +226,17 @@
 			c.dropConn(conn)
 			return
 		}
-		heard.arrived() // the answer to the ping does not count
+		checked = time.Now() // the answer to the ping does not count
+	}
+}
+
+// dropSilent drops a connection on which nothing has arrived after a time.
+func (c *Client) dropSilent(conn *jsonrpc2.Conn, since time.Time) {
+	c.mu.Lock()
+	silent := c.conn == conn && c.heard.silentSince(since)
+	c.mu.Unlock()
+	if silent {
+		c.dropConn(conn)
 	}
 }
 
--- a/pkg/rpc/idle_test.go
+++ b/pkg/rpc/idle_test.go
@@ -66,3 +66,50 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+func TestClientWithoutPingsDropsAConnectionThatWentSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memconn.New(time.Millisecond)
+		server := NewServer()
+		Handle(server, "echo", func(_ context.Context, n int) (int, error) { return n, nil })
+		Handle(server, "wait", func(_ context.Context, d time.Duration) (int, error) { time.Sleep(d); return 0, nil })
+		l := network.Listen("s", "s:1")
+		go func() { _ = server.Serve(l) }()
+		var dials atomic.Int64
+		dial := network.Dialer("c")
+		client := NewClient("s:1", func(ctx context.Context, address string) (net.Conn, error) {
+			dials.Add(1)
+			return dial(ctx, address)
+		}, WithoutPings())
+		call := func(method string, params any, timeout time.Duration) error {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			var n int
+			return client.Call(ctx, method, params, &n)
+		}
+		late := make(chan error, 1)
+		go func() { late <- call("wait", 10*time.Second, time.Second) }()
+		time.Sleep(500 * time.Millisecond)
+		if err := call("echo", 1, time.Second); err != nil {
+			t.Error(err)
+		}
+		if err := <-late; err == nil {
+			t.Error("a call is answered before its time")
+		}
+		if err := call("echo", 1, time.Second); err != nil || dials.Load() != 1 {
+			t.Errorf("%d connections though answers arrived: %v", dials.Load(), err)
+		}
+		network.Cut("s", "c")
+		if err := call("echo", 1, time.Second); err == nil {
+			t.Error("a call is answered over a cut link")
+		}
+		network.Heal("s", "c")
+		if err := call("echo", 1, time.Second); err != nil || dials.Load() != 2 {
+			t.Errorf("%d connections after one went silent, want 2: %v", dials.Load(), err)
+		}
+		client.Close()
+		server.Close()
+		_ = l.Close()
+		time.Sleep(time.Minute)
+	})
+}
