--- a/pkg/coordinator/in_force_test.go
+++ b/pkg/coordinator/in_force_test.go
@@ -98,7 +98,6 @@
 					t.Errorf("a document that is in force is acknowledged after %v: %v", time.Since(began), err)
 				}
 				e.installs.Store(false)
-				began = time.Now()
 				if err := operator.PutDocument(context.Background(), []byte("v7")); !errors.Is(err, ErrUnavailable) {
 					t.Errorf("a document that is not in force is acknowledged: %v", err)
 				}
