Count what entry hosts tell of heads once, and only for a while

A follower whose entry hosts had all moved told no new sum, and the leader kept the last one; at the follower that an entry host had left its last call counted for 10 s more. Change: what a process has told counts for 3 s. Ruled out: placements of killed entry hosts, which end with the request's time. Evidence: TestRequestsOfAnEntryHostThatMovedOrEndedAreForgotten: before 10, 15, 10 and 10 requests were counted in place of 5, 5, 5 and 0; green now.

--- a/pkg/coordinator/following_test.go
+++ b/pkg/coordinator/following_test.go
@@ -157,3 +157,40 @@
 		}
 	})
 }
+
+func TestRequestsOfAnEntryHostThatMovedOrEndedAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.put("a", "v3")
+		time.Sleep(3 * time.Second)
+		leader := c.running[c.leader()]
+		running := func() int {
+			leader.mu.Lock()
+			defer leader.mu.Unlock()
+			return leader.leadership.totalUsage(leader.now()).Running["u"]
+		}
+		var followers []*process
+		for _, p := range c.running {
+			if p != leader {
+				followers = append(followers, p)
+			}
+		}
+		e := newEntryHost(followers[0], "e1")
+		for _, server := range []*process{followers[0], followers[1], leader, followers[0]} {
+			e.server = server
+			for range 30 { // 6 s
+				e.request.Running = map[string]int{"u": 5}
+				if err := e.sync(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if n := running(); n != 5 {
+				t.Errorf("%d requests are counted of an entry host that has 5", n)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		if n := running(); n != 0 {
+			t.Errorf("%d requests are counted of an entry host that ended", n)
+		}
+	})
+}
--- a/pkg/coordinator/usage.go
+++ b/pkg/coordinator/usage.go
@@ -6,6 +6,11 @@
 	"github.com/sesamemux/sesamemux/pkg/control"
 )
 
+// usageTTL is how long what a process has told about heads counts. It exceeds the longest time between
+// sync calls with the way of a report; an entry host that calls another coordinator counts twice until
+// then.
+const usageTTL = 3 * time.Second
+
 // usage is what one process has told about heads: an entry host about its own requests, a coordinator
 // about those of the entry hosts that it answers.
 type usage struct {
@@ -22,11 +27,14 @@
 	return u
 }
 
-// totalUsage adds up what all processes of a server have told.
+// totalUsage adds up what the processes of a server have told lately.
 func (s *syncServer) totalUsage(now time.Duration) control.FleetUsage {
 	total := control.FleetUsage{Running: map[string]int{}, AwaitingFirstEvent: map[string]int{}, OfferedLoad: map[string]float64{}, SinceLastEventMS: map[string]int64{}}
 	for _, p := range s.processes {
 		u := &p.usage
+		if now-u.at > usageTTL {
+			continue
+		}
 		for h, n := range u.Running {
 			total.Running[h] += n
 		}
