Name no leader while the replica is closed, and give types of their own files

The noted address of the leader outlived the replica that had noted it; calls would have gone there until the next replica opened. Types stood together in in_force.go and sync_server.go.

--- a/pkg/control/fleet_report.go
+++ b/pkg/control/fleet_report.go
@@ -5,7 +5,7 @@
 type FleetReport struct {
 	Coordinator string           `json:"coordinator"`     // host:port
 	Syncs       []FleetHeldSync  `json:"syncs,omitempty"` // without what Usage adds up
-	Usage       *FleetUsage      `json:"usage,omitempty"` // nil: unchanged
+	Usage       *FleetUsage      `json:"usage,omitempty"` // nil if none of them has called since the last report
 	Confirmed   []FleetConfirmed `json:"confirmed,omitempty"`
 	Announced   []FleetAnnounced `json:"announced,omitempty"`
 }
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -179,7 +179,7 @@
 
 // leaderAddress returns the leader's host:port as known to this replica, or an empty string.
 func (c *Coordinator) leaderAddress() string {
-	if a := c.knownLeader.Load(); a != nil {
+	if a := c.knownLeader.Load(); a != nil && c.replica.Load() != nil {
 		return *a
 	}
 	return ""
--- a/pkg/coordinator/in_force.go
+++ b/pkg/coordinator/in_force.go
@@ -19,39 +19,10 @@
 	// inForceTimeout is how long after its commit a change waits for entry hosts that are in touch and
 	// do not confirm it.
 	inForceTimeout = 2500 * time.Millisecond
-	// pendingChangeTTL is how long a change is remembered, so that its repeats are answered alike.
-	pendingChangeTTL = 30 * time.Second
 	// maxNamedLaggards bounds the entry hosts that a log line names.
 	maxNamedLaggards = 5
 )
 
-// pendingChange is a committed change that is not known to be in force everywhere.
-type pendingChange struct {
-	key         string
-	committedAt time.Duration
-	index       uint64 // of the log; entry hosts with a later state have the change
-	version     int64  // of the document, -1 if it is none
-	done        bool
-}
-
-// signal wakes all that wait for it. The owner of the coordinator's lock uses it.
-type signal struct{ ch chan struct{} }
-
-// wait returns a channel that is closed at the next broadcast.
-func (s *signal) wait() <-chan struct{} {
-	if s.ch == nil {
-		s.ch = make(chan struct{})
-	}
-	return s.ch
-}
-
-func (s *signal) broadcast() {
-	if s.ch != nil {
-		close(s.ch)
-		s.ch = nil
-	}
-}
-
 // changeKeys identifies a change, and the one that it takes back, if any.
 func changeKeys(command durable.Command) (key, undone string) {
 	switch {
@@ -105,22 +76,6 @@
 	}
 }
 
-// pendingChange returns the record of a change that is committed. The caller holds the lock.
-func (l *leadership) pendingChange(now time.Duration, key string, version int64, store *durable.Store) *pendingChange {
-	if p := l.changes[key]; p != nil {
-		return p
-	}
-	for k, p := range l.changes {
-		if now-p.committedAt > pendingChangeTTL {
-			delete(l.changes, k)
-		}
-	}
-	st, _ := store.State()
-	p := &pendingChange{key: key, committedAt: now, index: st.Index, version: version}
-	l.changes[key] = p
-	return p
-}
-
 // completeChange reports whether a change can be acknowledged. The caller holds the lock.
 func (c *Coordinator) completeChange(now time.Duration, l *leadership, change *pendingChange, lagging []string) bool {
 	took := now - change.committedAt
