End the session of entry hosts in one way when a leader takes no reports

Change: it calls stopFollowing. Waiting calls learn at once, in place of up to a second later, that the leader is of an earlier version.

--- a/pkg/coordinator/following.go
+++ b/pkg/coordinator/following.go
@@ -164,7 +164,7 @@
 // updateFollowing updates what entry hosts get here. The caller holds the lock.
 func (c *Coordinator) updateFollowing(now time.Duration, result control.FleetSyncResult, changed bool) {
 	if result.Leader == "" {
-		c.following = nil // of an earlier version, which takes no reports
+		c.stopFollowing() // a leader of an earlier version takes no reports
 		return
 	}
 	if f := c.following; f == nil || f.leaderSession != result.Session {
