Give entry hosts no document that the leader's log has left behind

Coordinators that follow answer entry hosts since, from their own replica. One whose disk stalls goes on hearing the leader, so that its entry hosts held the document of before the stall for its whole time; the leader acknowledged changes after 2.5 s all the same. A leader whose disk stalls goes on answering, too, after another one was elected. Cause: "heard of the leader" was taken for "knows what the leader knows". Change: a coordinator turns entry hosts away once its replica has been behind what the leader told for a second; the leader then names it to nobody. A leader whose replica handles no event for a second, more than an election takes, turns processes away as well. New metric sesame_coordinator_replica_lag_seconds, and a log line at each change.

--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/clock"
+	"github.com/sesamemux/sesamemux/pkg/disk"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/formation"
 	"github.com/sesamemux/sesamemux/pkg/rpc"
@@ -32,7 +33,8 @@
 	Seeds           []string // host:port of some coordinators, for sesamemux processes
 	FirstStart      bool     // the deployment starts for the first time
 	DataDir         string
-	Voters          int // intended number of voters
+	FS              disk.FS // of the replica's log; nil: the operating system's
+	Voters          int     // intended number of voters
 
 	LoadWindow time.Duration // see formation.Config
 	// Decode parses and validates an operator's document.
--- a/pkg/coordinator/following.go
+++ b/pkg/coordinator/following.go
@@ -35,8 +35,10 @@
 	heardAt       time.Duration
 	result        control.FleetSyncResult // the last one; without upstreams and durable state
 	limits        upstreamLimits          // that entry hosts told; only to notice changes
-	reportedAt    time.Duration           // the leader knows all sync calls up to then
-	fullReport    bool                    // the next report must not wait for its time
+	lag           replicaLag
+	behind        bool          // the replica does not keep up, so that entry hosts are turned away
+	reportedAt    time.Duration // the leader knows all sync calls up to then
+	fullReport    bool          // the next report must not wait for its time
 	announced     map[string]heardAnnouncement
 	suspected     map[string]time.Duration // when the leader was last told that a head is silent
 }
@@ -155,10 +157,10 @@
 	c.followRequest.Index = result.Index
 	c.followRequest.LimitRevision = result.LimitRevision
 	c.followRequest.RelayRevision = result.RelayRevision
-	c.followRequest.ServesEntryHosts = result.Leader != ""
 	c.followRequest.OperatorAddress = c.cfg.OperatorAddress
 	c.replicaManager.setAddresses(result.Coordinators)
 	c.updateFollowing(now, result, c.registry.VisibleRevision() != visible)
+	c.followRequest.ServesEntryHosts = c.following != nil && !c.following.behind
 }
 
 // updateFollowing updates what entry hosts get here. The caller holds the lock.
@@ -174,6 +176,7 @@
 	if c.following.update(now, result) || changed {
 		c.following.notifyChange()
 	}
+	c.observeLag(now, c.following, result.Index)
 }
 
 // stopFollowing ends the session of the entry hosts that are answered here. The caller holds the lock.
--- a/pkg/coordinator/metrics.go
+++ b/pkg/coordinator/metrics.go
@@ -15,6 +15,7 @@
 	// LeaderCalls and TimerDelay together tell a lost link from a short processor.
 	LeaderCalls *prometheus.CounterVec
 	TimerDelay  prometheus.Histogram
+	ReplicaLag  prometheus.Gauge
 }
 
 // NewMetrics returns metrics in a registry of their own.
@@ -41,7 +42,9 @@
 		TimerDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "sesame_coordinator_timer_delay_seconds", Help: "How late a timer of 100 ms ran, as the processor was busy or the process stood still.",
 			Buckets: []float64{.005, .02, .05, .1, .2, .5, 1, 2}}),
+		ReplicaLag: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "sesame_coordinator_replica_lag_seconds", Help: "For how long this coordinator's replica has been behind the leader."}),
 	}
-	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.DeadHosts, m.Trials, m.EndChecks, m.InForce, m.LeaderCalls, m.TimerDelay)
+	m.Registry.MustRegister(m.Leading, m.Orders, m.Suspicions, m.DeadHosts, m.Trials, m.EndChecks, m.InForce, m.LeaderCalls, m.TimerDelay, m.ReplicaLag)
 	return m
 }
--- a/pkg/coordinator/quorum_test.go
+++ b/pkg/coordinator/quorum_test.go
@@ -52,6 +52,7 @@
 	running map[string]*process
 	decode  func(raw []byte) (*catalog.Set, error)
 	engines EngineClient
+	disks   map[string]*stallableDisk
 }
 
 type process struct {
@@ -67,7 +68,7 @@
 func newClusterOf(t *testing.T, decode func(raw []byte) (*catalog.Set, error), engines EngineClient) *cluster {
 	c := &cluster{
 		t: t, dir: t.TempDir(), network: memconn.New(time.Millisecond), decode: decode, engines: engines,
-		seeds: []string{"a:1", "b:1", "c:1"}, running: map[string]*process{},
+		seeds: []string{"a:1", "b:1", "c:1"}, running: map[string]*process{}, disks: map[string]*stallableDisk{},
 	}
 	t.Cleanup(func() {
 		for name := range c.running {
@@ -86,9 +87,10 @@
 func (c *cluster) start(name string, first bool) {
 	address := name + ":1"
 	p := &process{stopped: &sync.WaitGroup{}, server: rpc.NewServer()}
+	c.disks[name] = &stallableDisk{}
 	p.Coordinator = New(Config{
 		Name: name, Zone: name, PeerAddress: address, OperatorAddress: name + ":2", Seeds: c.seeds, FirstStart: first,
-		DataDir: c.dataDir(name), Voters: 3, LoadWindow: 5 * time.Second,
+		DataDir: c.dataDir(name), FS: c.disks[name], Voters: 3, LoadWindow: 5 * time.Second,
 		Decode: c.decode, Engines: c.engines, Dial: c.network.Dialer(name), Clock: clock.NewMonotonic(), Logger: logging.Discard(),
 	})
 	p.Register(p.server)
@@ -105,6 +107,7 @@
 	p := c.running[name]
 	delete(c.running, name)
 	c.network.Kill(name)
+	c.disks[name].recover()
 	p.server.Close()
 	p.stop()
 	p.stopped.Wait()
--- a/pkg/coordinator/replica_manager.go
+++ b/pkg/coordinator/replica_manager.go
@@ -126,6 +126,7 @@
 		ClusterID: assignment.Cluster,
 		Address:   m.coordinator.cfg.PeerAddress,
 		Dir:       m.replicaDir(assignment),
+		FS:        m.coordinator.cfg.FS,
 		Transport: m.coordinator.transport,
 		Applier:   store,
 		Logger:    m.coordinator.cfg.Logger,
--- /dev/null
+++ b/pkg/coordinator/stalled_disk_test.go
@@ -0,0 +1,123 @@
+package coordinator
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sesamemux/sesamemux/pkg/disk"
+)
+
+// stallableDisk is the operating system's file system, whose syncs can be made to wait.
+type stallableDisk struct {
+	disk.OS
+	stalled atomic.Pointer[chan struct{}] // nil: it answers
+}
+
+// stall makes all syncs wait for recover.
+func (d *stallableDisk) stall() {
+	answers := make(chan struct{})
+	d.stalled.Store(&answers)
+}
+
+func (d *stallableDisk) recover() {
+	if answers := d.stalled.Swap(nil); answers != nil {
+		close(*answers)
+	}
+}
+
+func (d *stallableDisk) await() {
+	if answers := d.stalled.Load(); answers != nil {
+		<-*answers
+	}
+}
+
+func (d *stallableDisk) Create(name string) (disk.File, error) {
+	f, err := d.OS.Create(name)
+	return stallableFile{f, d}, err
+}
+
+func (d *stallableDisk) Append(name string) (disk.File, error) {
+	f, err := d.OS.Append(name)
+	return stallableFile{f, d}, err
+}
+
+func (d *stallableDisk) SyncDir(dir string) error {
+	d.await()
+	return d.OS.SyncDir(dir)
+}
+
+type stallableFile struct {
+	disk.File
+	disk *stallableDisk
+}
+
+func (f stallableFile) Sync() error {
+	f.disk.await()
+	return f.File.Sync()
+}
+
+// inForceLimit is the time after an acknowledgement from which no entry host may get an earlier
+// document.
+const inForceLimit = 2 * time.Second
+
+// expectNothingOlder checks for a while that a coordinator gives entry hosts no document below a
+// version.
+func expectNothingOlder(t *testing.T, server *process, version int64) {
+	t.Helper()
+	e := newEntryHost(server, "late")
+	for range 20 {
+		if err := e.sync(); err == nil && e.result.DocumentVersion < version {
+			t.Errorf("%s answers an entry host with version %d, %v after version %d was acknowledged", server.cfg.Name, e.result.DocumentVersion, inForceLimit, version)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func TestCoordinatorWithAStalledDiskGivesNoEarlierDocument(t *testing.T) {
+	for name, pick := range map[string]func(c *cluster) *process{
+		"it follows": func(c *cluster) *process { return c.follower() },
+		"it led":     func(c *cluster) *process { return c.running[c.leader()] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				c.put("a", "v3")
+				time.Sleep(3 * time.Second)
+				stalled := pick(c)
+				e := newEntryHost(stalled, "e1")
+				e.installs.Store(true)
+				go e.run()
+				defer close(e.stop)
+				time.Sleep(time.Second)
+				c.disks[stalled.cfg.Name].stall()
+				began := time.Now()
+				c.put(c.other(stalled), "v4")
+				if took := time.Since(began); took > 3*time.Second {
+					t.Errorf("the change was acknowledged after %v", took)
+				}
+				time.Sleep(inForceLimit)
+				expectNothingOlder(t, stalled, 4)
+				c.disks[stalled.cfg.Name].recover()
+				time.Sleep(3 * time.Second)
+				again := newEntryHost(stalled, "again")
+				if err := again.sync(); err != nil || again.result.DocumentVersion != 4 {
+					t.Errorf("after the stall: version %d, %v", again.result.DocumentVersion, err)
+				}
+			})
+		})
+	}
+}
+
+// other returns the name of a running coordinator that is not the given one.
+func (c *cluster) other(p *process) string {
+	for _, name := range []string{"a", "b", "c"} {
+		if c.running[name] != nil && c.running[name] != p {
+			return name
+		}
+	}
+	c.t.Fatal("there is no other coordinator")
+	return ""
+}
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/durable"
@@ -66,15 +65,15 @@
 // syncServerFor returns the server for a process: that of the leadership, or the one for the entry
 // hosts of a coordinator that follows. The caller holds the lock.
 func (c *Coordinator) syncServerFor(req control.FleetSyncRequest) (*syncServer, error) {
-	if l := c.leadership; l != nil {
-		return &l.syncServer, nil
-	}
-	f := c.following
-	if f == nil || !req.EntryHost || !req.AnyCoordinator {
+	l, f := c.leadership, c.following
+	if l == nil && (f == nil || !req.EntryHost || !req.AnyCoordinator) {
 		return nil, notLeader(c.leaderAddress())
 	}
-	if silent := c.now() - f.heardAt; silent > maxLeaderSilence {
-		return nil, &jsonrpc2.Error{Code: control.CodeUnavailable, Message: "nothing was heard of the leader for " + silent.String()}
+	if err := c.checkCurrent(); err != nil {
+		return nil, err
+	}
+	if l != nil {
+		return &l.syncServer, nil
 	}
 	return &f.syncServer, nil
 }
--- a/pkg/replica/core_loop.go
+++ b/pkg/replica/core_loop.go
@@ -14,6 +14,7 @@
 	defer ticker.Stop()
 	n.processReady()
 	for !n.stopping() {
+		n.turnedAt.Store(int64(time.Since(n.openedAt)))
 		n.handleNext(ticker.C)
 		n.handleQueued()
 		n.startReads()
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -7,6 +7,7 @@
 	mrand "math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/raft"
 	"github.com/sesamemux/sesamemux/pkg/wal"
@@ -55,6 +56,8 @@
 	lastReadToken  uint64
 	lastLeadership Leadership
 	unsavedMarks   []raft.Watermark // not written to the log yet
+	openedAt       time.Time
+	turnedAt       atomic.Int64 // when the core's goroutine waited for events last, in nanoseconds since openedAt
 
 	stop       chan struct{}
 	stopOnce   sync.Once
@@ -118,6 +121,7 @@
 		applied:           newAppliedIndex(st.Snapshot.Meta.Index),
 		addresses:         map[raft.ID]string{},
 		readBatches:       map[uint64][]*readRequest{},
+		openedAt:          time.Now(),
 		stop:              make(chan struct{}),
 		done:              make(chan struct{}),
 	}
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/raft"
 )
@@ -23,3 +24,9 @@
 	}
 	return <-result, nil
 }
+
+// Stalled returns for how long the replica has handled no event. It exceeds the tick interval if the
+// disk does not answer or the process is short of processor.
+func (n *Node) Stalled() time.Duration {
+	return time.Since(n.openedAt) - time.Duration(n.turnedAt.Load())
+}
