Pass operators' changes on to the leader where the own disk stalls

What callers saw: an operator who asked a coordinator with a stalled disk got no answer for 0.9 s, then 503, for each change and read. Cause: each coordinator tried its own replica first, and only its answer that it does not lead made it ask the leader. A replica whose disk stalls answers nothing. Change: only a coordinator that leads, and whose replica has handled events within the last second, proposes, reads and takes reports; others ask the leader at once. Ruled out: a shorter time for the try at the own replica; it would be a larger or smaller time bound in place of the fact.

--- a/pkg/coordinator/announce.go
+++ b/pkg/coordinator/announce.go
@@ -62,7 +62,7 @@
 // handleAnnounce records an announcement on the leader.
 func (c *Coordinator) handleAnnounce(ctx context.Context, u fleet.Upstream) (control.FleetAnnounceResult, error) {
 	c.mu.Lock()
-	l, r := c.leadership, c.replica.Load()
+	l, r := c.leading(), c.replica.Load()
 	if l == nil || r == nil {
 		c.mu.Unlock()
 		return control.FleetAnnounceResult{}, notLeader(c.leaderAddress())
@@ -120,7 +120,7 @@
 func (c *Coordinator) handleDepart(ctx context.Context, d durable.Departure) (struct{}, error) {
 	c.mu.Lock()
 	r := c.replica.Load()
-	if c.leadership == nil || r == nil {
+	if c.leading() == nil || r == nil {
 		c.mu.Unlock()
 		return struct{}{}, notLeader(c.leaderAddress())
 	}
--- a/pkg/coordinator/change.go
+++ b/pkg/coordinator/change.go
@@ -61,6 +61,9 @@
 
 // handleChange commits a change on the leader and waits until it is in force.
 func (c *Coordinator) handleChange(ctx context.Context, command durable.Command) (struct{}, error) {
+	if !c.leads() {
+		return struct{}{}, notLeader(c.leaderAddress())
+	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	err := c.propose(ctx, command)
@@ -107,8 +110,8 @@
 
 func (c *Coordinator) handleRead(ctx context.Context, _ struct{}) (control.FleetReadResult, error) {
 	r := c.replica.Load()
-	if r == nil {
-		return control.FleetReadResult{}, notLeader("")
+	if r == nil || !c.leads() {
+		return control.FleetReadResult{}, notLeader(c.leaderAddress())
 	}
 	if _, err := r.node.ReadIndex(ctx); err != nil {
 		return control.FleetReadResult{}, c.toRPCError(err)
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -89,6 +89,26 @@
 	c.cfg.Logger.Info("leadership started", "term", term, "upstreams", len(c.registry.All()))
 }
 
+// maxLeaderStall is how long the replica of a leader may handle no event. It exceeds the longest election
+// timeout, 0.8 s, so that another coordinator may lead by then.
+const maxLeaderStall = time.Second
+
+// leading returns the leadership of this coordinator. It is nil if another one leads, or may lead since
+// the replica here has stalled. The caller holds the lock.
+func (c *Coordinator) leading() *leadership {
+	r := c.replica.Load()
+	if r == nil || r.node.Stalled() > maxLeaderStall && len(c.coordinatorAddresses()) > 1 {
+		return nil
+	}
+	return c.leadership
+}
+
+func (c *Coordinator) leads() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leading() != nil
+}
+
 func (c *Coordinator) stepDown(reason string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -53,7 +53,7 @@
 func (c *Coordinator) changesOfRuns(req control.FleetRunsRequest) ([]quarantine.Change, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l, r := c.leadership, c.replica.Load()
+	l, r := c.leading(), c.replica.Load()
 	if l == nil || r == nil {
 		return nil, notLeader("")
 	}
@@ -128,12 +128,8 @@
 func (c *Coordinator) changesOfTrial(nowMS int64, req control.FleetTrialRequest) ([]quarantine.Change, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.leadership
-	if l == nil {
-		return nil, notLeader("")
-	}
-	r := c.replica.Load()
-	if r == nil {
+	l, r := c.leading(), c.replica.Load()
+	if l == nil || r == nil {
 		return nil, notLeader("")
 	}
 	st, _ := r.store.State()
--- a/pkg/coordinator/replica_lag.go
+++ b/pkg/coordinator/replica_lag.go
@@ -12,9 +12,6 @@
 	// maxReplicaLag is how long the replica of a coordinator that answers entry hosts may be behind the
 	// leader. Changes wait longer than that for entry hosts to confirm them.
 	maxReplicaLag = time.Second
-	// maxLeaderStall is how long the replica of a leader may handle no event. After the longest election
-	// timeout, 0.8 s, another coordinator may lead.
-	maxLeaderStall = time.Second
 )
 
 // replicaLag measures for how long a replica has been behind the durable state that its leader told.
@@ -49,16 +46,10 @@
 }
 
 // checkCurrent returns an error if other coordinators may have acknowledged changes that are not known
-// here: the leader is silent, or the replica does not keep up, for example because of its disk. The
-// caller holds the lock.
-func (c *Coordinator) checkCurrent() error {
-	now, f := c.now(), c.following
-	if c.leadership != nil {
-		if r := c.replica.Load(); r != nil && r.node.Stalled() > maxLeaderStall && len(c.coordinatorAddresses()) > 1 {
-			return notCurrent("the leader's replica has stalled for ", r.node.Stalled())
-		}
-		return nil
-	}
+// at this one, which follows: the leader is silent, or the replica does not keep up, for example because
+// of its disk. The caller holds the lock.
+func (c *Coordinator) checkCurrent(f *following) error {
+	now := c.now()
 	if silent := now - f.heardAt; silent > maxLeaderSilence {
 		return notCurrent("nothing was heard of the leader for ", silent)
 	}
--- a/pkg/coordinator/report.go
+++ b/pkg/coordinator/report.go
@@ -139,7 +139,7 @@
 func (c *Coordinator) handleReport(_ context.Context, report control.FleetReport) (struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.leadership
+	l := c.leading()
 	if l == nil {
 		return struct{}{}, notLeader(c.leaderAddress())
 	}
--- a/pkg/coordinator/stalled_disk_test.go
+++ b/pkg/coordinator/stalled_disk_test.go
@@ -76,11 +76,14 @@
 	}
 }
 
+// stalledCoordinators pick the coordinator whose disk stalls.
+var stalledCoordinators = map[string]func(c *cluster) *process{
+	"it follows": func(c *cluster) *process { return c.follower() },
+	"it led":     func(c *cluster) *process { return c.running[c.leader()] },
+}
+
 func TestCoordinatorWithAStalledDiskGivesNoEarlierDocument(t *testing.T) {
-	for name, pick := range map[string]func(c *cluster) *process{
-		"it follows": func(c *cluster) *process { return c.follower() },
-		"it led":     func(c *cluster) *process { return c.running[c.leader()] },
-	} {
+	for name, pick := range stalledCoordinators {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t)
@@ -111,6 +114,29 @@
 	}
 }
 
+func TestCoordinatorWithAStalledDiskPassesChangesAndReadsOn(t *testing.T) {
+	for name, pick := range stalledCoordinators {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				c.put("a", "v3")
+				time.Sleep(3 * time.Second)
+				stalled := pick(c)
+				c.disks[stalled.cfg.Name].stall()
+				c.put(c.other(stalled), "v4")
+				time.Sleep(3 * time.Second)
+				if err := stalled.PutDocument(t.Context(), []byte("v5")); err != nil {
+					t.Errorf("a change is not acknowledged: %v", err)
+				}
+				d, err := stalled.ReadDocument(t.Context())
+				if err != nil || d.Version != 5 {
+					t.Errorf("read %+v, %v; want version 5", d, err)
+				}
+			})
+		})
+	}
+}
+
 // other returns the name of a running coordinator that is not the given one.
 func (c *cluster) other(p *process) string {
 	for _, name := range []string{"a", "b", "c"} {
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -65,16 +65,16 @@
 // syncServerFor returns the server for a process: that of the leadership, or the one for the entry
 // hosts of a coordinator that follows. The caller holds the lock.
 func (c *Coordinator) syncServerFor(req control.FleetSyncRequest) (*syncServer, error) {
-	l, f := c.leadership, c.following
-	if l == nil && (f == nil || !req.EntryHost || !req.AnyCoordinator) {
+	if l := c.leading(); l != nil {
+		return &l.syncServer, nil
+	}
+	f := c.following
+	if f == nil || !req.EntryHost || !req.AnyCoordinator {
 		return nil, notLeader(c.leaderAddress())
 	}
-	if err := c.checkCurrent(); err != nil {
+	if err := c.checkCurrent(f); err != nil {
 		return nil, err
 	}
-	if l != nil {
-		return &l.syncServer, nil
-	}
 	return &f.syncServer, nil
 }
 
