Measure idle and silent connections between processes without the time of day

The times of the last call and of the last byte were kept as Unix nanoseconds. A time of day that jumps back by seconds made a live connection look silent, so that it was dropped after a late answer; one that jumps ahead kept a silent one from being pinged for as long. Change: both are kept since the client or the connection was made, by the monotonic clock. Ruled out: time.Time behind a pointer; it would allocate for each read. No test: virtual time has no time of day that jumps.

--- a/pkg/rpc/client.go
+++ b/pkg/rpc/client.go
@@ -40,11 +40,12 @@
 type Client struct {
 	address string
 	dial    DialFunc
+	created time.Time
 	ctx     context.Context // context of dials; cancelled by Close
 	cancel  context.CancelFunc
 
 	calls    atomic.Int64 // in progress
-	calledAt atomic.Int64 // end of the last call, in Unix nanoseconds
+	calledAt atomic.Int64 // end of the last call, in nanoseconds since created
 
 	withoutPings bool
 
@@ -72,7 +73,7 @@
 // NewClient returns a client for a server's host:port.
 func NewClient(address string, dial DialFunc, options ...ClientOption) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Client{address: address, dial: dial, ctx: ctx, cancel: cancel}
+	c := &Client{address: address, dial: dial, created: time.Now(), ctx: ctx, cancel: cancel}
 	for _, o := range options {
 		o(c)
 	}
@@ -112,7 +113,7 @@
 func (c *Client) beginCall() (end func()) {
 	c.calls.Add(1)
 	return func() {
-		c.calledAt.Store(time.Now().UnixNano())
+		c.calledAt.Store(int64(time.Since(c.created)))
 		c.calls.Add(-1)
 	}
 }
@@ -122,7 +123,7 @@
 func (c *Client) closeIdle(conn *jsonrpc2.Conn) bool {
 	c.mu.Lock()
 	// Calls are counted before they get the connection under the lock.
-	idle := c.calls.Load() == 0 && time.Since(time.Unix(0, c.calledAt.Load())) > idleTimeout
+	idle := c.calls.Load() == 0 && time.Since(c.created)-time.Duration(c.calledAt.Load()) > idleTimeout
 	if idle && c.conn == conn {
 		c.conn = nil
 	}
@@ -192,7 +193,7 @@
 		d.err = ErrClosed
 		return
 	}
-	heard := &heardConn{Conn: raw}
+	heard := newHeardConn(raw)
 	stream := jsonrpc2.NewBufferedStream(heard, codec{})
 	d.conn = jsonrpc2.NewConn(context.Background(), stream, noHandler{}, jsonrpc2.SetLogger(connLogger{}))
 	c.conn, c.heard = d.conn, heard
