Ignore token counts that no request can have

Negative counts make a group look empty. Cause: the field was taken as any integer. Change: counts below 0 or above what a group can hold (2^24 where that is not known) are replaced by the means of the service. Looked at for the same cause, without a finding: answers to probes and orders (only their status is used), Retry-After and limits of upstreams (bounded, tested), X-Deadline-Ms (compared as numbers).

--- a/pkg/entry/call.go
+++ b/pkg/entry/call.go
@@ -245,14 +245,7 @@
 	if c.model == "" && len(e.Models) > 0 {
 		c.model = e.Models[0].Name
 	}
-	c.promptTokens, c.answerTokens = e.MeanPromptTokens, e.MeanAnswerTokens
-	prompt, most, found := strings.Cut(c.r.Header.Get(h.TokenCounts), ",")
-	if n, err := strconv.Atoi(strings.TrimSpace(prompt)); err == nil && found {
-		c.promptTokens = n
-	}
-	if n, err := strconv.Atoi(strings.TrimSpace(most)); err == nil && found {
-		c.answerTokens = min(n, c.answerTokens)
-	}
+	c.promptTokens, c.answerTokens = tokenCounts(e, c.r.Header.Get(h.TokenCounts))
 }
 
 // serve forwards the request and answers the client.
