End the trial of a request before another entry host runs it

What callers saw: sound requests that share a part with a bad one were answered 503, "another run of this request is on trial", for ten seconds and more: TestPromptPartThatCompletedBeforeItCrashesUpstreams.../entry_hosts_restarted_long_true, 100 to 116 of 336 sound requests began after the crashes, 200 of 200 before. An entry host gets a trial, finds the upstream gone and its links lost, and passes the request on to another entry host. That one asks for a trial of its own, waits for the first one until it gives up, and the first one then counts as run, since the relay counted as sent: two such trials that decide nothing make all requests with the part wait ten seconds. Change: a trial in which nothing was sent ends, as one that did not run, before the request is relayed. Ruled out: handing the trial over with the request (the other entry host may be of an earlier version).

--- a/pkg/entry/peer_relay.go
+++ b/pkg/entry/peer_relay.go
@@ -43,6 +43,9 @@
 		if address == "" {
 			return false
 		}
+		if c.sent == c.sentBeforeTrial {
+			c.endTrial(true) // the other entry host asks for a trial of its own
+		}
 		c.asked[address] = true
 		c.relay = address
 		err := p.attempt(address)
--- a/pkg/entry/peer_relay_test.go
+++ b/pkg/entry/peer_relay_test.go
@@ -23,6 +23,11 @@
 	g.links.record(&linkRound{result: reach.Round{Failed: reach.Witnesses}})
 }
 
+// reachUpstreams lets an entry host know that it can reach upstreams.
+func reachUpstreams(g *Gateway) {
+	g.links.record(&linkRound{result: reach.Round{Connected: 1}})
+}
+
 // serveRelays lets an entry host relay for others.
 func (b *harness) serveRelays(g *Gateway, host string) {
 	s := &http.Server{Handler: g.RelayHandler(), ErrorLog: logging.Discard().StandardLog()}
--- a/pkg/entry/silent_trial_test.go
+++ b/pkg/entry/silent_trial_test.go
@@ -53,9 +53,16 @@
 
 // grantTrials lets a coordinator grant each trial.
 func (b *harness) grantTrials() {
+	b.answerTrials(func(control.FleetTrialRequest) control.FleetTrialResult {
+		return control.FleetTrialResult{Verdict: quarantine.NeedsTrial}
+	})
+}
+
+// answerTrials lets a coordinator answer the questions for trials.
+func (b *harness) answerTrials(answer func(req control.FleetTrialRequest) control.FleetTrialResult) {
 	server := rpc.NewServer()
-	rpc.Handle(server, string(control.MethodFleetTrial), func(context.Context, control.FleetTrialRequest) (control.FleetTrialResult, error) {
-		return control.FleetTrialResult{Verdict: quarantine.NeedsTrial}, nil
+	rpc.Handle(server, string(control.MethodFleetTrial), func(_ context.Context, req control.FleetTrialRequest) (control.FleetTrialResult, error) {
+		return answer(req), nil
 	})
 	l := b.network.Listen("nobody", "nobody:1")
 	go func() { _ = server.Serve(l) }()
