Run the tests of entry hosts without the race detector on arm64, where it crashes

Change: where GOARCH is arm64, the race phase leaves out pkg/entry, whose tests run without the race detector in the phase before, and says so. On x86-64 nothing changes. Conclusion: kept until the detector's runtime is mended.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,10 @@
 KNOWN_RED := $(shell sed -n 's/^test \([^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 TEST := $(GO) test -count=1 -timeout 30m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
+# On arm64 the race detector's own runtime crashes in long runs of the tests of these packages
+# (__sanitizer::StackDepotBase::Put). They run there without it.
+RACE_CRASHES_ON_ARM64 := ./pkg/entry
+
 .PHONY: build test lint format-check vet demo trial prove soak bench check-cgo
 
 build:
@@ -17,7 +21,12 @@
 test:
 	@test ! -s KNOWN-RED.txt || { echo "known to be red, passed over:"; cat KNOWN-RED.txt; }
 	$(TEST) ./...
+ifeq ($(shell $(GO) env GOARCH),arm64)
+	@echo "without the race detector on arm64: $(RACE_CRASHES_ON_ARM64)"
+	$(TEST) -race $$($(GO) list ./... | grep -vxF "$$($(GO) list $(RACE_CRASHES_ON_ARM64))")
+else
 	$(TEST) -race ./...
+endif
 
 format-check:
 	@test -z "$$(gofmt -l cmd pkg platform)" || { gofmt -l cmd pkg platform; echo "run gofmt -w on the files above"; exit 1; }
