--- a/pkg/coordinator/replica_lag.go
+++ b/pkg/coordinator/replica_lag.go
@@ -71,9 +71,11 @@
 	lag := f.lag.at(now, held)
 	c.metrics.ReplicaLag.Set(lag.Seconds())
 	behind := lag > maxReplicaLag
-	if behind != f.behind {
-		c.cfg.Logger.Warn("replica keeps up with the leader, or no longer does; entry hosts are answered only while it does", "keeps_up", !behind,
-			"index", held, "leader_index", f.lag.index, "lag_ms", lag.Milliseconds())
+	switch {
+	case behind && !f.behind:
+		c.cfg.Logger.Warn("replica fell behind the leader; turning entry hosts away", "index", held, "leader_index", f.lag.index, "lag_ms", lag.Milliseconds())
+	case f.behind && !behind:
+		c.cfg.Logger.Info("replica caught up with the leader; answering entry hosts again", "index", held)
 	}
 	f.behind = behind
 	if behind {
