Share the set-up of the tests with stalled disks

Change: both tests play through eachStalledCoordinator; checks and bounds as before. Conclusion: no change of behaviour.

--- a/pkg/coordinator/stalled_disk_test.go
+++ b/pkg/coordinator/stalled_disk_test.go
@@ -76,65 +76,61 @@
 	}
 }
 
-// stalledCoordinators pick the coordinator whose disk stalls.
-var stalledCoordinators = map[string]func(c *cluster) *process{
-	"it follows": func(c *cluster) *process { return c.follower() },
-	"it led":     func(c *cluster) *process { return c.running[c.leader()] },
-}
-
-func TestCoordinatorWithAStalledDiskGivesNoEarlierDocument(t *testing.T) {
-	for name, pick := range stalledCoordinators {
+// eachStalledCoordinator plays once with the coordinator whose disk will stall following, and once with it
+// leading.
+func eachStalledCoordinator(t *testing.T, play func(t *testing.T, c *cluster, p *process)) {
+	for name, pick := range map[string]func(c *cluster) *process{
+		"it follows": func(c *cluster) *process { return c.follower() },
+		"it led":     func(c *cluster) *process { return c.running[c.leader()] },
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t)
 				c.put("a", "v3")
 				time.Sleep(3 * time.Second)
-				stalled := pick(c)
-				e := newEntryHost(stalled, "e1")
-				e.installs.Store(true)
-				go e.run()
-				defer close(e.stop)
-				time.Sleep(time.Second)
-				c.disks[stalled.cfg.Name].stall()
-				began := time.Now()
-				c.put(c.other(stalled), "v4")
-				if took := time.Since(began); took > 3*time.Second {
-					t.Errorf("the change was acknowledged after %v", took)
-				}
-				time.Sleep(inForceLimit)
-				expectNothingOlder(t, stalled, 4)
-				c.disks[stalled.cfg.Name].recover()
-				time.Sleep(3 * time.Second)
-				again := newEntryHost(stalled, "again")
-				if err := again.sync(); err != nil || again.result.DocumentVersion != 4 {
-					t.Errorf("after the stall: version %d, %v", again.result.DocumentVersion, err)
-				}
+				play(t, c, pick(c))
 			})
 		})
 	}
 }
 
+func TestCoordinatorWithAStalledDiskGivesNoEarlierDocument(t *testing.T) {
+	eachStalledCoordinator(t, func(t *testing.T, c *cluster, p *process) {
+		e := newEntryHost(p, "e1")
+		e.installs.Store(true)
+		go e.run()
+		defer close(e.stop)
+		time.Sleep(time.Second)
+		c.disks[p.cfg.Name].stall()
+		began := time.Now()
+		c.put(c.other(p), "v4")
+		if took := time.Since(began); took > 3*time.Second {
+			t.Errorf("the change was acknowledged after %v", took)
+		}
+		time.Sleep(inForceLimit)
+		expectNothingOlder(t, p, 4)
+		c.disks[p.cfg.Name].recover()
+		time.Sleep(3 * time.Second)
+		again := newEntryHost(p, "again")
+		if err := again.sync(); err != nil || again.result.DocumentVersion != 4 {
+			t.Errorf("after the stall: version %d, %v", again.result.DocumentVersion, err)
+		}
+	})
+}
+
 func TestCoordinatorWithAStalledDiskPassesChangesAndReadsOn(t *testing.T) {
-	for name, pick := range stalledCoordinators {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t)
-				c.put("a", "v3")
-				time.Sleep(3 * time.Second)
-				stalled := pick(c)
-				c.disks[stalled.cfg.Name].stall()
-				c.put(c.other(stalled), "v4")
-				time.Sleep(3 * time.Second)
-				if err := stalled.PutDocument(t.Context(), []byte("v5")); err != nil {
-					t.Errorf("a change is not acknowledged: %v", err)
-				}
-				d, err := stalled.ReadDocument(t.Context())
-				if err != nil || d.Version != 5 {
-					t.Errorf("read %+v, %v; want version 5", d, err)
-				}
-			})
-		})
-	}
+	eachStalledCoordinator(t, func(t *testing.T, c *cluster, p *process) {
+		c.disks[p.cfg.Name].stall()
+		c.put(c.other(p), "v4")
+		time.Sleep(3 * time.Second)
+		if err := p.PutDocument(t.Context(), []byte("v5")); err != nil {
+			t.Errorf("a change is not acknowledged: %v", err)
+		}
+		d, err := p.ReadDocument(t.Context())
+		if err != nil || d.Version != 5 {
+			t.Errorf("read %+v, %v; want version 5", d, err)
+		}
+	})
 }
 
 // other returns the name of a running coordinator that is not the given one.
