Forget upstreams at followers that ended while another leader led

What callers saw: refusals for as long as it lasts ("budget of repeats is spent", after a 421): entry hosts sent requests to incarnations that had been replaced 20 s before. The users would have seen refusals and late requests after each change of the leader. Followers mirror the leader's records. A new leader's first answer leaves ended upstreams out, and a mirrored owner of an address did not replace the one before, so that a follower kept what had ended in the meantime for ever. Change: a leader's first answer names ended upstreams to coordinators; the new owner of an address replaces the one before in a mirrored registry as in the leader's; what a settled leader does not name is dropped.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -41,6 +41,7 @@
 	documentDecodedAt time.Duration  // 0: never
 	appliedIndex      uint64         // log index of the durable state applied to the registry
 	followRequest     control.FleetSyncRequest
+	unlisted          map[string]struct{} // upstreams known here that the leader has not named yet
 
 	leaderChanged     signal        // another replica leads, or none
 	decisionRequested chan struct{} // buffered signal to run the planner
--- a/pkg/coordinator/following.go
+++ b/pkg/coordinator/following.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/rendezvous"
 )
 
@@ -159,10 +161,36 @@
 	c.followRequest.RelayRevision = result.RelayRevision
 	c.followRequest.OperatorAddress = c.cfg.OperatorAddress
 	c.replicaManager.setAddresses(result.Coordinators)
+	c.reconcileUpstreams(result)
 	c.updateFollowing(now, result, c.registry.VisibleRevision() != visible)
 	c.followRequest.ServesEntryHosts = c.following != nil && !c.following.behind
 }
 
+// reconcileUpstreams drops upstreams that a settled leader does not know: they have ended while another
+// one led. The caller holds the lock.
+func (c *Coordinator) reconcileUpstreams(result control.FleetSyncResult) {
+	if result.Full {
+		c.unlisted = map[string]struct{}{}
+		for _, e := range c.registry.All() {
+			if e.State != fleet.Gone {
+				c.unlisted[e.ID] = struct{}{}
+			}
+		}
+	}
+	for _, u := range result.Upstreams {
+		delete(c.unlisted, u.ID)
+	}
+	if !result.Converged || len(c.unlisted) == 0 {
+		return
+	}
+	dropped := slices.Sorted(maps.Keys(c.unlisted))
+	c.cfg.Logger.Info("dropping upstreams that the leader does not know", "upstreams", len(dropped), "ids", named(dropped), "leader", result.Leader)
+	for _, id := range dropped {
+		c.registry.Drop(id)
+	}
+	c.unlisted = nil
+}
+
 // updateFollowing updates what entry hosts get here. The caller holds the lock.
 func (c *Coordinator) updateFollowing(now time.Duration, result control.FleetSyncResult, changed bool) {
 	if result.Leader == "" {
--- a/pkg/coordinator/following_test.go
+++ b/pkg/coordinator/following_test.go
@@ -6,8 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sesamemux/sesamemux/pkg/clock"
 	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
+	"github.com/sesamemux/sesamemux/pkg/logging"
 	"github.com/sesamemux/sesamemux/pkg/ratelimit"
 )
 
@@ -194,3 +196,53 @@
 		}
 	})
 }
+
+func TestFollowerForgetsUpstreamsThatEndedWhileAnotherLeaderLed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.put("a", "v3")
+		time.Sleep(3 * time.Second)
+		follower := c.follower()
+		c.announce(c.leader(), fleet.Upstream{ID: "u1", Service: "plain", Address: "u:1", Zone: "z", StartedMS: 1, Sequence: 1, State: fleet.Ready})
+		time.Sleep(time.Second)
+		c.network.Partition([]string{follower.cfg.Name}, []string{"a", "b", "c"})
+		c.announce(c.leader(), fleet.Upstream{ID: "u2", Service: "plain", Address: "u:1", Zone: "z", StartedMS: 2, Sequence: 1, State: fleet.Ready})
+		time.Sleep(time.Second)
+		leader := c.running[c.leader()]
+		leader.transferLeadership(leader.replica.Load().node)
+		c.network.HealAll()
+		time.Sleep(3 * time.Second)
+		e := newEntryHost(follower, "e1")
+		if err := e.sync(); err != nil {
+			t.Fatal(err)
+		}
+		if len(e.result.Upstreams) != 1 || e.result.Upstreams[0].ID != "u2" {
+			t.Errorf("entry hosts get %+v", e.result.Upstreams)
+		}
+	})
+}
+
+func (c *cluster) announce(name string, u fleet.Upstream) {
+	if _, err := c.running[name].Announce(context.Background(), u); err != nil {
+		c.t.Error(err)
+	}
+}
+
+func TestUpstreamsThatASettledLeaderDoesNotNameAreDropped(t *testing.T) {
+	c := New(Config{PeerAddress: "f:1", Seeds: []string{"l:1"}, Clock: clock.NewMonotonic(), Logger: logging.Discard()})
+	upstream := func(id string) fleet.Upstream {
+		return fleet.Upstream{ID: id, Service: "plain", Address: id + ":1", Zone: "z", StartedMS: 1, Sequence: 1, State: fleet.Ready}
+	}
+	c.applyLeaderState(control.FleetSyncResult{Session: "1", Full: true, Leader: "l:1", Upstreams: []fleet.Upstream{upstream("u1"), upstream("u2"), upstream("u3")}})
+	c.applyLeaderState(control.FleetSyncResult{Session: "2", Full: true, Leader: "l:1", Upstreams: []fleet.Upstream{upstream("u1")}})
+	c.applyLeaderState(control.FleetSyncResult{Session: "2", Leader: "l:1", Upstreams: []fleet.Upstream{upstream("u2")}})
+	if e := c.registry.Get("u3"); e.State != fleet.Ready {
+		t.Error("an upstream is dropped that a new leader may not have heard yet")
+	}
+	c.applyLeaderState(control.FleetSyncResult{Session: "2", Leader: "l:1", Converged: true})
+	for id, want := range map[string]fleet.State{"u1": fleet.Ready, "u2": fleet.Ready, "u3": fleet.Gone} {
+		if e := c.registry.Get(id); e.State != want {
+			t.Errorf("%s is %s, want %s", id, e.State, want)
+		}
+	}
+}
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -154,7 +154,7 @@
 		changes = c.registry.VisibleSince
 	}
 	for _, u := range changes(since) {
-		if !full || u.State != fleet.Gone {
+		if !full || !req.EntryHost || u.State != fleet.Gone {
 			result.Upstreams = append(result.Upstreams, u)
 		}
 	}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -63,16 +63,9 @@
 	if u.Assignment != nil && u.Assignment.State != AssignmentJoining {
 		u.LastGroup = u.Assignment.Group
 	}
-	if owner := r.entries[r.idByAddress[u.Address]]; owner != nil && owner.ID != u.ID && owner.State != Gone {
-		if owner.StartedMS >= u.StartedMS {
-			return false
-		}
-		r.update(owner, func(e *Entry) {
-			e.State = Gone
-			e.Deregistered = false
-		})
+	if !r.takeAddress(u) {
+		return false
 	}
-	r.idByAddress[u.Address] = u.ID
 	if known == nil {
 		known = &Entry{}
 		r.entries[u.ID] = known
@@ -88,6 +81,33 @@
 	return changed
 }
 
+// takeAddress makes an incarnation the owner of its address; the one before it is gone. It returns false
+// if the present owner is newer.
+func (r *Registry) takeAddress(u Upstream) bool {
+	if owner := r.entries[r.idByAddress[u.Address]]; owner != nil && owner.ID != u.ID && owner.State != Gone {
+		if owner.StartedMS >= u.StartedMS {
+			return false
+		}
+		r.markGone(owner)
+	}
+	r.idByAddress[u.Address] = u.ID
+	return true
+}
+
+func (r *Registry) markGone(e *Entry) {
+	r.update(e, func(e *Entry) {
+		e.State = Gone
+		e.Deregistered = false
+	})
+}
+
+// Drop marks an incarnation as gone that another registry does not know.
+func (r *Registry) Drop(id string) {
+	if e := r.entries[id]; e != nil && e.State != Gone {
+		r.markGone(e)
+	}
+}
+
 // Mirror takes over the record of another registry. Of an incarnation that is known from a later
 // announcement only the state and the cordon are taken over.
 func (r *Registry) Mirror(now time.Duration, u Upstream) {
@@ -105,8 +125,8 @@
 			}
 		}
 	}
-	if u.State != Gone {
-		r.idByAddress[u.Address] = u.ID
+	if u.State != Gone && !r.takeAddress(u) {
+		return
 	}
 	fresh := known == nil
 	if fresh {
--- a/pkg/fleet/registry_test.go
+++ b/pkg/fleet/registry_test.go
@@ -108,6 +108,20 @@
 	}
 }
 
+func TestMirroredOwnerOfAnAddressReplacesTheOneBefore(t *testing.T) {
+	r := NewRegistry()
+	r.Mirror(0, Upstream{ID: "u1", Service: "s", Address: "u:1", StartedMS: 5, State: Ready})
+	before := r.VisibleRevision()
+	r.Mirror(0, Upstream{ID: "u2", Service: "s", Address: "u:1", StartedMS: 6, State: Ready})
+	if e := r.Get("u1"); e.State != Gone || e.Visible <= before {
+		t.Errorf("the incarnation before is %+v", e)
+	}
+	r.Mirror(0, Upstream{ID: "u1", Service: "s", Address: "u:1", StartedMS: 5, State: Ready})
+	if e1, e2 := r.Get("u1"), r.Get("u2"); e1.State != Gone || e2.State != Ready {
+		t.Errorf("it comes back: %+v, %+v", e1, e2)
+	}
+}
+
 func TestHeardTakesOnlyTheNewestAnnouncementOfTheIncarnation(t *testing.T) {
 	r := NewRegistry()
 	r.Announce(0, Upstream{ID: "u", Address: "u:1", StartedMS: 5, Sequence: 7, State: Ready})
