Report crashes again to new leaders only

Cause: an entry host told all crashes that it had seen again whenever its session changed. Sessions change also when it moves to another coordinator, so that each change of the leader brought the same reports two or three times. Change: sync results name the leader's session; only a new one has crashes reported again. Earlier versions name none: the session counts.

--- a/pkg/control/fleet.go
+++ b/pkg/control/fleet.go
@@ -83,6 +83,9 @@
 	// Leader is the host:port of the leading coordinator, which takes the reports of those that follow
 	// it. It is empty in answers of earlier versions, which come from the leader alone.
 	Leader string `json:"leader,omitempty"`
+	// LeaderSession is the session of that leader. It differs from Session in answers of coordinators that
+	// follow it.
+	LeaderSession string `json:"leader_session,omitempty"`
 	// Servers are the host:port of the coordinators that answer entry hosts in place of the leader.
 	Servers []string `json:"servers,omitempty"`
 }
--- a/pkg/coordinator/sync.go
+++ b/pkg/coordinator/sync.go
@@ -178,6 +178,7 @@
 		LimitRevision:      l.limits.revision,
 		RelayRevision:      l.relays.revision,
 		Leader:             c.cfg.PeerAddress,
+		LeaderSession:      l.session,
 		Servers:            l.servers(now),
 	}
 	if req.EntryHost || req.ServesEntryHosts {
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -42,6 +42,7 @@
 	metrics         *Metrics
 	requestLog      *requestLog
 
+	leaderSession      string      // of the last sync result; only the sync loop uses it
 	servedByFollower   atomic.Bool // the last sync result came from a coordinator that follows the leader
 	installMu          sync.Mutex  // serializes document replacement, so that versions only increase
 	index              atomic.Pointer[catalog.Index]
@@ -204,8 +205,8 @@
 	g.lastSync.Store(int64(g.now()))
 	if result.Session != syncRequest.Session {
 		g.cfg.Logger.Info("following a new leader session", "session", result.Session, "before", syncRequest.Session, "upstreams", len(result.Upstreams), "index", result.Index)
-		g.reporter.resend(g.guard, g.now())
 	}
+	g.followLeader(result)
 	syncRequest.Session = result.Session
 	syncRequest.Revision = result.Revision
 	syncRequest.LimitRevision = result.LimitRevision
@@ -232,6 +233,18 @@
 	g.installDocument(raw)
 }
 
+// followLeader reports to a new leader what a former one may have known alone.
+func (g *Gateway) followLeader(result control.FleetSyncResult) {
+	session := result.LeaderSession
+	if session == "" {
+		session = result.Session
+	}
+	if session != g.leaderSession {
+		g.leaderSession = session
+		g.reporter.resend(g.guard, g.now())
+	}
+}
+
 // followServer moves to the coordinator that answers this entry host. Entry hosts spread over those
 // that follow the leader, so that the leader has its processor for what only it can do.
 func (g *Gateway) followServer(result control.FleetSyncResult) {
