Let upstreams that a follower has dropped come back

A follower marked as gone what a settled leader did not name, and what is gone stays so: an upstream that was only cut off from a new leader, and announced itself later, would have been missing at that follower's entry hosts until it started anew. Change: the follower forgets the record and begins a new session for its entry hosts, which drop the upstream as they did when a leader did not name it: after 3 s. Ends that the leader knows arrive as before, at once.

--- a/pkg/coordinator/following.go
+++ b/pkg/coordinator/following.go
@@ -166,8 +166,8 @@
 	c.followRequest.ServesEntryHosts = c.following != nil && !c.following.behind
 }
 
-// reconcileUpstreams drops upstreams that a settled leader does not know: they have ended while another
-// one led. The caller holds the lock.
+// reconcileUpstreams forgets upstreams that a settled leader does not know: they have ended while another
+// one led, or come back as new ones. Entry hosts learn of that in a new session. The caller holds the lock.
 func (c *Coordinator) reconcileUpstreams(result control.FleetSyncResult) {
 	if result.Full {
 		c.unlisted = map[string]struct{}{}
@@ -183,12 +183,13 @@
 	if !result.Converged || len(c.unlisted) == 0 {
 		return
 	}
-	dropped := slices.Sorted(maps.Keys(c.unlisted))
-	c.cfg.Logger.Info("dropping upstreams that the leader does not know", "upstreams", len(dropped), "ids", named(dropped), "leader", result.Leader)
-	for _, id := range dropped {
-		c.registry.Drop(id)
+	unknown := slices.Sorted(maps.Keys(c.unlisted))
+	c.cfg.Logger.Info("forgetting upstreams that the leader does not know", "upstreams", len(unknown), "ids", named(unknown), "leader", result.Leader)
+	for _, id := range unknown {
+		c.registry.Forget(id)
 	}
 	c.unlisted = nil
+	c.stopFollowing()
 }
 
 // updateFollowing updates what entry hosts get here. The caller holds the lock.
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -88,26 +88,15 @@
 		if owner.StartedMS >= u.StartedMS {
 			return false
 		}
-		r.markGone(owner)
+		r.update(owner, func(e *Entry) {
+			e.State = Gone
+			e.Deregistered = false
+		})
 	}
 	r.idByAddress[u.Address] = u.ID
 	return true
 }
 
-func (r *Registry) markGone(e *Entry) {
-	r.update(e, func(e *Entry) {
-		e.State = Gone
-		e.Deregistered = false
-	})
-}
-
-// Drop marks an incarnation as gone that another registry does not know.
-func (r *Registry) Drop(id string) {
-	if e := r.entries[id]; e != nil && e.State != Gone {
-		r.markGone(e)
-	}
-}
-
 // Mirror takes over the record of another registry. Of an incarnation that is known from a later
 // announcement only the state and the cordon are taken over.
 func (r *Registry) Mirror(now time.Duration, u Upstream) {
@@ -245,9 +234,14 @@
 		if now-e.Heard < RecordTTL {
 			continue
 		}
-		delete(r.entries, id)
-		if r.idByAddress[e.Address] == id {
-			delete(r.idByAddress, e.Address)
-		}
+		r.Forget(id)
+	}
+}
+
+// Forget removes the record of an incarnation. The revision does not tell that.
+func (r *Registry) Forget(id string) {
+	if e := r.entries[id]; e != nil && r.idByAddress[e.Address] == id {
+		delete(r.idByAddress, e.Address)
 	}
+	delete(r.entries, id)
 }
