Begin a new session at a follower without losing what it knows

Dropping the follower's state for a new session lost the relays, which a leader names only when they change, and the confirmations that were not reported yet. Change: only the name of the session changes, and waiting calls are woken.

--- a/pkg/coordinator/following.go
+++ b/pkg/coordinator/following.go
@@ -53,11 +53,18 @@
 	reported  bool
 }
 
-// newFollowing returns the state for a leader's session. Sessions of one coordinator differ also
-// after a restart, as its revisions start over.
+// newFollowing returns the state for a leader's session.
 func newFollowing(now time.Duration, leaderSession, address string) *following {
-	session := leaderSession + "@" + address + "#" + strconv.FormatInt(int64(now), 36)
-	return &following{syncServer: newSyncServer(session), leaderSession: leaderSession, announced: map[string]heardAnnouncement{}, suspected: map[string]time.Duration{}}
+	f := &following{syncServer: newSyncServer(""), leaderSession: leaderSession, announced: map[string]heardAnnouncement{}, suspected: map[string]time.Duration{}}
+	f.beginSession(now, address)
+	return f
+}
+
+// beginSession begins a new session, in which entry hosts get the full state. Sessions of one
+// coordinator differ also after a restart, as its revisions start over.
+func (f *following) beginSession(now time.Duration, address string) {
+	f.session = f.leaderSession + "@" + address + "#" + strconv.FormatInt(int64(now), 36)
+	f.notifyChange()
 }
 
 // resultFor returns what the leader told last, for an entry host.
@@ -189,7 +196,9 @@
 		c.registry.Forget(id)
 	}
 	c.unlisted = nil
-	c.stopFollowing()
+	if c.following != nil {
+		c.following.beginSession(c.now(), c.cfg.PeerAddress)
+	}
 }
 
 // updateFollowing updates what entry hosts get here. The caller holds the lock.
