Try the links again after a question found them lost

Cause: the loop that tries lost links again waits for a failure of a request while the host is not cut off. The verdict may come from elsewhere, from a question whether an upstream or a link has failed. From then on no request is sent to upstreams, none fails, and the loop waits for ever. Evidence: the logs have one line that the links are lost, at the moment of such a question, and none after it. Change: the verdict itself wakes the loop.

--- a/pkg/entry/link_watcher.go
+++ b/pkg/entry/link_watcher.go
@@ -242,6 +242,7 @@
 	cutOff := w.links.CutOff()
 	if changed && cutOff {
 		w.lose()
+		w.failed() // run may be waiting for failures, and requests cause none any more
 	} else if changed {
 		w.intact, w.lose = context.WithCancel(context.Background())
 	}
