--- a/pkg/coordinator/replica_lag.go
+++ b/pkg/coordinator/replica_lag.go
@@ -8,11 +8,9 @@
 	"github.com/sesamemux/sesamemux/pkg/control"
 )
 
-const (
-	// maxReplicaLag is how long the replica of a coordinator that answers entry hosts may be behind the
-	// leader. Changes wait longer than that for entry hosts to confirm them.
-	maxReplicaLag = time.Second
-)
+// maxReplicaLag is how long the replica of a coordinator that answers entry hosts may be behind the leader.
+// Changes wait longer than that for entry hosts to confirm them.
+const maxReplicaLag = time.Second
 
 // replicaLag measures for how long a replica has been behind the durable state that its leader told.
 type replicaLag struct {
