Share the set-up of tests that need a cluster with a document

Cause: ten tests of followers, acknowledgements and stalled disks repeated the same three lines. Change: newSettledCluster; checks, bounds and times as before. Conclusion: no change of behaviour; only test files.

--- a/pkg/coordinator/following_test.go
+++ b/pkg/coordinator/following_test.go
@@ -15,9 +15,7 @@
 
 func TestFollowersAnswerEntryHostsLikeTheLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		c.put("a", "v3")
-		time.Sleep(3 * time.Second)
+		c := newSettledCluster(t)
 		u := fleet.Upstream{ID: "u", Service: "plain", Address: "u:1", Zone: "z", StartedMS: 1, Sequence: 1, State: fleet.Ready}
 		if _, err := c.running["a"].Announce(context.Background(), u); err != nil {
 			t.Fatal(err)
@@ -53,9 +51,7 @@
 
 func TestFollowerThatHearsNothingOfTheLeaderTurnsEntryHostsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		c.put("a", "v3")
-		time.Sleep(3 * time.Second)
+		c := newSettledCluster(t)
 		follower := c.follower()
 		e := newEntryHost(follower, "e1")
 		if err := e.sync(); err != nil {
@@ -76,9 +72,7 @@
 
 func TestChangesReachEntryHostsOfFollowersSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		c.put("a", "v3")
-		time.Sleep(3 * time.Second)
+		c := newSettledCluster(t)
 		e := newEntryHost(c.follower(), "e1")
 		e.request.WaitMS = 1000
 		for range 2 {
@@ -123,9 +117,7 @@
 
 func TestAnnouncementsWithoutAChangeReachTheLeaderWithReports(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		c.put("a", "v3")
-		time.Sleep(3 * time.Second)
+		c := newSettledCluster(t)
 		follower, leader := c.follower(), c.running[c.leader()]
 		u := fleet.Upstream{ID: "u", Service: "plain", Address: "u:1", Zone: "z", StartedMS: 1, Sequence: 1, State: fleet.Ready}
 		next, err := follower.Announce(context.Background(), u)
@@ -162,9 +154,7 @@
 
 func TestRequestsOfAnEntryHostThatMovedOrEndedAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		c.put("a", "v3")
-		time.Sleep(3 * time.Second)
+		c := newSettledCluster(t)
 		leader := c.running[c.leader()]
 		running := func() int {
 			leader.mu.Lock()
@@ -199,9 +189,7 @@
 
 func TestFollowerForgetsUpstreamsThatEndedWhileAnotherLeaderLed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		c.put("a", "v3")
-		time.Sleep(3 * time.Second)
+		c := newSettledCluster(t)
 		follower := c.follower()
 		c.announce(c.leader(), fleet.Upstream{ID: "u1", Service: "plain", Address: "u:1", Zone: "z", StartedMS: 1, Sequence: 1, State: fleet.Ready})
 		time.Sleep(time.Second)
--- a/pkg/coordinator/in_force_test.go
+++ b/pkg/coordinator/in_force_test.go
@@ -84,9 +84,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t)
-				c.put("a", "v3")
-				time.Sleep(3 * time.Second)
+				c := newSettledCluster(t)
 				e := newEntryHost(at(c), "e1")
 				e.installs.Store(true)
 				go e.run()
@@ -119,9 +117,7 @@
 
 func TestAcknowledgementDoesNotWaitForSilentOrEarlierEntryHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		c.put("a", "v3")
-		time.Sleep(3 * time.Second)
+		c := newSettledCluster(t)
 		silent := newEntryHost(c.follower(), "silent")
 		if err := silent.sync(); err != nil {
 			t.Fatal(err)
@@ -140,9 +136,7 @@
 
 func TestEvacuationAndDepartureWaitForEntryHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(t)
-		c.put("a", "v3")
-		time.Sleep(3 * time.Second)
+		c := newSettledCluster(t)
 		u := fleet.Upstream{ID: "u", Service: "plain", Address: "u:1", Zone: "z", StartedMS: 1, Sequence: 1, State: fleet.Ready}
 		if _, err := c.running["a"].Announce(context.Background(), u); err != nil {
 			t.Fatal(err)
--- a/pkg/coordinator/quorum_test.go
+++ b/pkg/coordinator/quorum_test.go
@@ -82,6 +82,14 @@
 	return c
 }
 
+// newSettledCluster returns a cluster with a document, in which the leader knows who is in touch.
+func newSettledCluster(t *testing.T) *cluster {
+	c := newCluster(t)
+	c.put("a", "v3")
+	time.Sleep(3 * time.Second)
+	return c
+}
+
 func (c *cluster) dataDir(name string) string { return filepath.Join(c.dir, name) }
 
 func (c *cluster) start(name string, first bool) {
--- a/pkg/coordinator/stalled_disk_test.go
+++ b/pkg/coordinator/stalled_disk_test.go
@@ -85,9 +85,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(t)
-				c.put("a", "v3")
-				time.Sleep(3 * time.Second)
+				c := newSettledCluster(t)
 				play(t, c, pick(c))
 			})
 		})
