Store announced and mirrored records in one way

Cause: Announce and Mirror ended in the same ten lines, which replace a record and raise the revisions. Change: Registry.store serves both.

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -66,11 +66,18 @@
 	if !r.takeAddress(u) {
 		return false
 	}
-	if known == nil {
+	return r.store(now, u)
+}
+
+// store replaces the record of an upstream and reports whether that changed anything that other
+// coordinators must receive.
+func (r *Registry) store(now time.Duration, u Upstream) bool {
+	known := r.entries[u.ID]
+	fresh := known == nil
+	if fresh {
 		known = &Entry{}
 		r.entries[u.ID] = known
 	}
-	fresh := known.ID == ""
 	changed := fresh || u.differs(&known.Upstream)
 	visible := fresh && u.TakesRequests() || !fresh && u.routingDiffers(&known.Upstream)
 	known.Upstream = u
@@ -117,18 +124,7 @@
 	if u.State != Gone && !r.takeAddress(u) {
 		return
 	}
-	fresh := known == nil
-	if fresh {
-		known = &Entry{}
-		r.entries[u.ID] = known
-	}
-	changed := fresh || u.differs(&known.Upstream)
-	visible := fresh && u.TakesRequests() || !fresh && u.routingDiffers(&known.Upstream)
-	known.Upstream = u
-	known.Heard = now
-	if changed {
-		r.bumpRevision(known, visible)
-	}
+	r.store(now, u)
 }
 
 // Heard records that an incarnation announced itself without a change. It reports whether the
