Direct no call of a coordinator to itself

Callers see one refused change.

Cause: a coordinator looks for the leader with two calls at most. Its caller could hold its own address as the presumed leader (the others had named it while its leadership began). The first call then went to itself and was lost, the second went to a follower, which named the leader too late.

Change: a caller may exclude an address; coordinators exclude their own.

Ruled out: more calls in a search. During an election that would multiply the calls of upstreams and operators.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -91,6 +91,7 @@
 		decisionRequested: make(chan struct{}, 1),
 		reportRequested:   make(chan struct{}, 1),
 	}
+	c.caller.Exclude(cfg.PeerAddress)
 	c.ends = endcheck.New(upstream.DialFunc(cfg.Dial), c.now, nil)
 	c.followRequest = control.FleetSyncRequest{Process: cfg.PeerAddress, Zone: cfg.Zone}
 	c.replicaManager = &replicaManager{coordinator: c}
--- a/pkg/coordinator/replica_manager.go
+++ b/pkg/coordinator/replica_manager.go
@@ -58,9 +58,7 @@
 	defer m.mu.Unlock()
 	m.peers = slices.Clone(addresses)
 	for _, a := range addresses {
-		if a != m.coordinator.cfg.PeerAddress {
-			m.coordinator.caller.AddAddress(a)
-		}
+		m.coordinator.caller.AddAddress(a)
 	}
 }
 
--- a/pkg/coordinator/stalled_disk_test.go
+++ b/pkg/coordinator/stalled_disk_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sesamemux/sesamemux/pkg/control"
 	"github.com/sesamemux/sesamemux/pkg/disk"
 )
 
@@ -141,3 +142,20 @@
 	c.t.Fatal("there is no other coordinator")
 	return ""
 }
+
+func TestFormerLeaderThatWasReferredToItselfReachesTheNextLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSettledCluster(t)
+		p := c.running[c.leader()]
+		var result control.FleetReadResult
+		if err := p.caller.CallOnce(t.Context(), control.MethodFleetRead, struct{}{}, &result); !isNotLeader(err) {
+			t.Fatalf("a follower answers %v", err)
+		}
+		c.disks[p.cfg.Name].stall()
+		c.put(c.other(p), "v4")
+		time.Sleep(3 * time.Second)
+		if err := p.PutDocument(t.Context(), []byte("v5")); err != nil {
+			t.Errorf("a change is not acknowledged: %v", err)
+		}
+	})
+}
--- a/pkg/leader/caller.go
+++ b/pkg/leader/caller.go
@@ -30,6 +30,7 @@
 	mu         sync.Mutex
 	candidates []string // addresses, tried in turn
 	current    string
+	excluded   string
 	clients    map[string]*rpc.Client
 	failedAt   map[string]time.Time // time of the last connection failure, by address
 }
@@ -46,6 +47,14 @@
 	}
 }
 
+// Exclude keeps calls from being directed to an address: the own one of a process that is a keeper itself,
+// which other keepers may still name as the leader.
+func (c *Caller) Exclude(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.excluded = address
+}
+
 // Call finds the leader and calls it. It does not repeat a call that may have
 // taken effect, and returns rpc.ErrNoReply then.
 func (c *Caller) Call(ctx context.Context, method control.Method, params, result any) error {
@@ -58,10 +67,8 @@
 		}
 		hint, moved := leaderHint(err)
 		switch {
-		case moved && hint != "":
-			c.setCurrent(hint)
 		case moved:
-			c.advanceFrom(client.Address())
+			c.follow(hint, client.Address())
 		case eris.Is(err, rpc.ErrNotSent):
 			c.markUnreachable(client.Address())
 		case eris.Is(err, rpc.ErrNoReply):
@@ -86,13 +93,9 @@
 	if err == nil {
 		return nil
 	}
-	hint, moved := leaderHint(err)
-	switch {
-	case moved && hint != "" && hint != client.Address():
-		c.setCurrent(hint)
-	case moved:
-		c.advanceFrom(client.Address())
-	default:
+	if hint, moved := leaderHint(err); moved {
+		c.follow(hint, client.Address())
+	} else {
 		c.markUnreachable(client.Address())
 	}
 	return err
@@ -143,20 +146,38 @@
 	return client
 }
 
-// setCurrent directs the next call to an address and adds it to the candidates.
-func (c *Caller) setCurrent(address string) {
+// follow directs the next call to the leader that a keeper names, or to the next candidate if it names
+// none but itself.
+func (c *Caller) follow(hint, from string) {
+	if hint == "" || hint == from || !c.setCurrent(hint) {
+		c.advanceFrom(from)
+	}
+}
+
+// setCurrent directs the next call to an address and adds it to the candidates. It reports whether calls may
+// go there.
+func (c *Caller) setCurrent(address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.current = address
-	if !slices.Contains(c.candidates, address) {
-		c.candidates = append(c.candidates, address)
+	if address == c.excluded {
+		return false
 	}
+	c.current = address
+	c.addCandidate(address)
+	return true
 }
 
-// AddAddress adds an address to the candidates.
+// AddAddress adds an address to the candidates, unless it is excluded.
 func (c *Caller) AddAddress(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if address != c.excluded {
+		c.addCandidate(address)
+	}
+}
+
+// addCandidate adds an address to the candidates once. The caller holds the lock.
+func (c *Caller) addCandidate(address string) {
 	if !slices.Contains(c.candidates, address) {
 		c.candidates = append(c.candidates, address)
 	}
