Take only links that carry answers for links that work

Cause: a connect that succeeds was the evidence of a link, for requests and for the rounds that look for other upstreams. A host on the way may accept a connection in the place of an upstream.

Change: a round sends each upstream a health check for an incarnation that none is; a refusal (421) comes at once, also from one that has no room. A new connection for a request counts once it has carried bytes, and makes the host look if it breaks before or carries nothing for 0.8 s. A round begins with one upstream, as failures of single upstreams cause more rounds now. An upstream whose link failed, or has carried nothing since all were lost, gets the same question before the next request, so that requests that may run only once are not lost on it. Failures of attempts from before the links came back are not held against upstreams.

Ruled out: the upstream's own health check: it waits for a slot, so that an overload looks like a cut. Evidence of requests alone: it takes requests that are lost.

Tests: the losses "opened and reset", "opened and mute" and "new ones mute" in linkLosses. Before: TestEntryHostsWithoutUpstreamsServeAsOthersDo 0 of 360, 0 of 720, 0 of 1080 (reset), 3 of 360, 2 of 720 (mute); after: all 18 cases and TestLinksThatFailAgainAndAgain pass. TestEntryHostsThatReachFewUpstreamsServeAsOthersDo with proven rounds only 551 to 672 of 720, with the question before requests it passes. TestLinksAreTriedAgainAfterAQuestionFoundThemLost took a connect for a link; its upstreams answer now. The harness of pkg/entry refuses requests for other incarnations as upstreams do.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -243,7 +243,7 @@
 	t.lastReceivedAt = now
 	t.suspectUntil = 0
 	t.consecutiveFailures = 0
-	t.unreachable = false
+	t.unreachable, t.unproven = false, false
 	if want > 0 {
 		t.slowness += slownessGain * (float64(gap)/float64(want) - t.slowness)
 	}
@@ -260,7 +260,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t.lastReceivedAt = now
-	t.unreachable = false
+	t.unreachable, t.unproven = false, false
 	if ok {
 		t.consecutiveFailures = 0
 		t.backoffUntil, t.rejectedUntil = 0, 0
@@ -287,6 +287,14 @@
 	t.unreachable = true
 }
 
+// isUnproven reports whether it is unknown if the link to an upstream works.
+func (b *balancer) isUnproven(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[id]
+	return t != nil && t.unproven
+}
+
 // lacksLinks reports whether an upstream that could serve the request was unreachable from here.
 func (b *balancer) lacksLinks(req placementRequest) bool {
 	b.mu.Lock()
@@ -294,14 +302,15 @@
 	return slices.ContainsFunc(b.candidates(req), func(t *target) bool { return t.unreachable })
 }
 
-// forgetLinkFailures discards failures and suspicions of upstreams that this entry host could not reach.
+// forgetLinkFailures discards failures and suspicions of upstreams that this entry host could not reach. Not
+// all links fail or come back together, so that each has to be proven again.
 func (b *balancer) forgetLinkFailures() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, t := range b.targets {
 		t.consecutiveFailures, t.errorRate = 0, 0
 		t.backoffUntil, t.suspectUntil = 0, 0
-		t.unreachable = false
+		t.unreachable, t.unproven = false, true
 	}
 }
 
--- a/pkg/entry/cut_off_placer_test.go
+++ b/pkg/entry/cut_off_placer_test.go
@@ -12,7 +12,7 @@
 // TestPlacerThatReachesNoUpstreamPlacesForOthers: the placer's own links say nothing about those of the
 // entry hosts that it places for.
 func TestPlacerThatReachesNoUpstreamPlacesForOthers(t *testing.T) {
-	for _, loss := range linkLosses {
+	for _, loss := range failingLosses {
 		for _, partial := range []bool{false, true} {
 			t.Run(fmt.Sprint(loss.name, ", partial: ", partial), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -72,7 +72,7 @@
 		metrics:         NewMetrics(),
 	}
 	g.relays = newRelayPeers(cfg.RelayAddress)
-	g.links = newLinkWatcher(cfg, g.now, g.balancer.witnesses, g.linksChanged)
+	g.links = newLinkWatcher(cfg, g.now, g.linkQuestion, g.balancer.witnesses, g.linksChanged)
 	g.ends = endcheck.New(cfg.DialBackend, g.now, g.secondOpinion)
 	g.started = g.now()
 	g.ending, g.endRequests = context.WithCancel(context.Background())
--- a/pkg/entry/gateway_test.go
+++ b/pkg/entry/gateway_test.go
@@ -173,6 +173,10 @@
 		if err != nil {
 			return
 		}
+		if r.Header.Get(testHeaders.Incarnation) == noIncarnation {
+			fixedAnswer(http.StatusMisdirectedRequest, "", "other")(c, r, "")
+			continue
+		}
 		b.mu.Lock()
 		b.requests[id] = append(b.requests[id], r)
 		b.bodies[id] = append(b.bodies[id], string(body))
--- a/pkg/entry/link_loss_test.go
+++ b/pkg/entry/link_loss_test.go
@@ -23,8 +23,15 @@
 	{"hang", func(n *memconn.Network, e, u string) { n.Cut(e, u); n.Cut(u, e) }, func(n *memconn.Network, e, u string) { n.Heal(e, u); n.Heal(u, e) }},
 	{"reset", func(n *memconn.Network, e, u string) { n.Refuse(e, u); n.ResetBetween(e, u) }, (*memconn.Network).Accept},
 	{"new ones refused", (*memconn.Network).Refuse, (*memconn.Network).Accept},
+	{"opened and reset", func(n *memconn.Network, e, u string) { n.ResetOnceOpen(e, u); n.ResetBetween(e, u) }, (*memconn.Network).Accept},
+	{"opened and mute", func(n *memconn.Network, e, u string) { n.MuteOnceOpen(e, u); n.Cut(e, u); n.Cut(u, e) },
+		func(n *memconn.Network, e, u string) { n.Accept(e, u); n.Heal(e, u); n.Heal(u, e) }},
+	{"new ones mute", (*memconn.Network).MuteOnceOpen, (*memconn.Network).Accept},
 }
 
+// failingLosses are those by which requests fail. Others keep their places at heads while they wait.
+var failingLosses = linkLosses[:4]
+
 // eachLinkLoss plays each way in which links fail.
 func eachLinkLoss(t *testing.T, play func(t *testing.T, loss linkLoss)) {
 	for _, loss := range linkLosses {
--- a/pkg/entry/link_retry_test.go
+++ b/pkg/entry/link_retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -22,12 +23,18 @@
 			if lost.Load() {
 				return nil, eris.New("refused")
 			}
-			ours, _ := net.Pipe()
+			ours, theirs := net.Pipe()
+			go func() {
+				_, _ = theirs.Read(make([]byte, 512))
+				_, _ = theirs.Write([]byte("HTTP/1.1 421 Misdirected Request"))
+			}()
 			return ours, nil
 		}
 		began := time.Now()
 		w := newLinkWatcher(Config{DialBackend: connect, Logger: logging.Discard()}, func() time.Duration { return time.Since(began) },
-			func(int) []string { return []string{"a:1", "b:1", "c:1"} }, func(bool) {})
+			func(u witness) (*http.Request, error) {
+				return http.NewRequest(http.MethodGet, "http://"+u.address, nil)
+			}, func(int) []witness { return []witness{{"a:1", "s"}, {"b:1", "s"}, {"c:1", "s"}} }, func(bool) {})
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { w.run(ctx); close(done) }()
--- a/pkg/entry/link_watcher.go
+++ b/pkg/entry/link_watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,25 +16,32 @@
 )
 
 const (
-	// linkTimeout bounds a connection attempt of a round: several round trips between regions.
+	// linkTimeout bounds an attempt of a round: several round trips between regions.
 	linkTimeout = 300 * time.Millisecond
-	// secondLinkTimeout is linkTimeout for the upstreams tried after all others of a round failed.
-	secondLinkTimeout = 150 * time.Millisecond
+	// shortLinkTimeout is linkTimeout for the first upstream of a round, and for those tried after all
+	// others failed.
+	shortLinkTimeout = 150 * time.Millisecond
 	// slowConnect is the duration of a request's connection attempt from which the links are checked.
 	slowConnect = 150 * time.Millisecond
+	// slowFirstByte is how long a new connection may carry nothing before the links are checked: longer
+	// than an upstream takes to begin most answers.
+	slowFirstByte = 800 * time.Millisecond
 	// linkCheckInterval is the shortest time between rounds that failures cause.
 	linkCheckInterval = 250 * time.Millisecond
 	// linkRetryInterval is the time between rounds of a host that is cut off.
 	linkRetryInterval = 200 * time.Millisecond
-	// linkEvidenceAge is how long a connection to another upstream shows that the links work.
+	// linkEvidenceAge is how long the first bytes of a new connection to some upstream show that the links
+	// work.
 	linkEvidenceAge = 100 * time.Millisecond
 )
 
 // linkWatcher finds out whether this entry host has lost its links to all upstreams. Failures make it
-// try several of them; while it is cut off it tries until they can be reached again.
+// try several of them; while it is cut off it tries until they can be reached again. A link works if a new
+// connection carries bytes: hosts on the way may accept connections in the place of upstreams.
 type linkWatcher struct {
 	connect   upstream.DialFunc
-	witnesses func(n int) []string // addresses of n different upstreams
+	question  func(witness) (*http.Request, error) // a request that an upstream answers at once and does not run
+	witnesses func(n int) []witness                // n different upstreams
 	changed   func(cutOff bool)
 	now       func() time.Duration
 	logger    *log.Logger
@@ -45,8 +53,10 @@
 	links         reach.Links
 	intact        context.Context // done while the host is cut off
 	lose          context.CancelFunc
-	lastConnected time.Duration // begin of the last successful attempt; 0: none yet
+	lastConnected time.Duration // begin of the last connection attempt that led to an answer; 0: none yet
+	lastCarried   time.Duration // when a new connection carried its first bytes last; 0: never
 	lastHeard     time.Duration // when the last request was sent that an upstream has answered
+	restored      time.Duration // when the links last worked again after a loss; 0: they were never lost
 	lastRound     *linkRound
 }
 
@@ -57,8 +67,8 @@
 	result reach.Round
 }
 
-func newLinkWatcher(cfg Config, now func() time.Duration, witnesses func(int) []string, changed func(bool)) *linkWatcher {
-	w := &linkWatcher{connect: cfg.DialBackend, witnesses: witnesses, changed: changed, now: now, logger: cfg.Logger, failures: make(chan struct{}, 1)}
+func newLinkWatcher(cfg Config, now func() time.Duration, question func(witness) (*http.Request, error), witnesses func(int) []witness, changed func(bool)) *linkWatcher {
+	w := &linkWatcher{connect: cfg.DialBackend, question: question, witnesses: witnesses, changed: changed, now: now, logger: cfg.Logger, failures: make(chan struct{}, 1)}
 	w.intact, w.lose = context.WithCancel(context.Background())
 	return w
 }
@@ -70,6 +80,13 @@
 	return w.links.CutOff()
 }
 
+// lostSince reports whether the links were lost at some time from then on.
+func (w *linkWatcher) lostSince(then time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.links.CutOff() || w.restored > then
+}
+
 // failed notes that an upstream could not be reached, or not at once.
 func (w *linkWatcher) failed() {
 	select {
@@ -90,20 +107,21 @@
 	slow := time.AfterFunc(slowConnect, w.failed)
 	defer slow.Stop()
 	conn, err := w.connect(dialing, address)
-	switch {
-	case err == nil:
-		w.connected(began)
-	case ctx.Err() == nil:
-		w.failed()
+	if err != nil {
+		if ctx.Err() == nil {
+			w.failed()
+		}
+		return nil, err
 	}
-	return conn, err
+	return newWatchedConn(conn, slowFirstByte, func() { w.carried(began) }, w.failed), nil
 }
 
-// connected notes a successful attempt that began at a time.
-func (w *linkWatcher) connected(began time.Duration) {
+// carried notes that a connection whose attempt began at a time has carried its first bytes.
+func (w *linkWatcher) carried(began time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastConnected = max(w.lastConnected, began)
+	w.lastCarried = w.now()
 }
 
 // heard notes an answer to a request that was sent at a time. It says nothing about new connections.
@@ -138,11 +156,11 @@
 	}
 }
 
-// worked reports whether a connection was opened just now.
+// worked reports whether a new connection carried its first bytes just now.
 func (w *linkWatcher) worked() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.lastConnected != 0 && w.now()-w.lastConnected < linkEvidenceAge
+	return w.lastCarried != 0 && w.now()-w.lastCarried < linkEvidenceAge
 }
 
 // confirm reports whether the host has reached some upstream after since. Without that the failure of an
@@ -179,27 +197,38 @@
 		<-r.done
 		return r
 	}
-	addresses := w.witnesses(reach.Witnesses)
-	first := min(reach.FirstWitnesses, len(addresses))
-	r.result = w.tryAll(addresses[:first], linkTimeout)
-	if r.result.Connected == 0 && !w.cutOff() {
-		rest := w.tryAll(addresses[first:], secondLinkTimeout)
-		r.result.Connected += rest.Connected
-		r.result.Failed += rest.Failed
-	}
+	r.result = w.tryInTurn(w.witnesses(reach.Witnesses))
 	w.record(r)
 	close(r.done)
 	return r
 }
 
+// tryInTurn tries more and more upstreams until one answers. If the host is cut off already, a few are
+// enough.
+func (w *linkWatcher) tryInTurn(all []witness) reach.Round {
+	few := min(reach.FirstWitnesses, len(all))
+	if w.cutOff() {
+		return w.tryAll(all[:few], linkTimeout)
+	}
+	one := min(1, few)
+	result := w.tryAll(all[:one], shortLinkTimeout)
+	if result.Connected == 0 {
+		result = result.Plus(w.tryAll(all[one:few], linkTimeout))
+	}
+	if result.Connected == 0 {
+		result = result.Plus(w.tryAll(all[few:], shortLinkTimeout))
+	}
+	return result
+}
+
 // tryAll tries upstreams at once.
-func (w *linkWatcher) tryAll(addresses []string, timeout time.Duration) reach.Round {
+func (w *linkWatcher) tryAll(witnesses []witness, timeout time.Duration) reach.Round {
 	var result reach.Round
-	reached := make(chan bool, len(addresses))
-	for _, address := range addresses {
-		go func() { reached <- w.try(address, timeout) }()
+	reached := make(chan bool, len(witnesses))
+	for _, u := range witnesses {
+		go func() { reached <- w.try(u, timeout) }()
 	}
-	for range addresses {
+	for range witnesses {
 		if <-reached {
 			result.Connected++
 		} else {
@@ -218,17 +247,31 @@
 	}
 }
 
-// try reports whether a connection to an upstream can be opened.
-func (w *linkWatcher) try(address string, timeout time.Duration) bool {
+// try reports whether an upstream answers on a new connection.
+func (w *linkWatcher) try(u witness, timeout time.Duration) bool {
 	began := w.now()
+	question, err := w.question(u)
+	if err != nil {
+		w.logger.Warn("links can't be checked with an upstream", "address", u.address, "service", u.service, "cause", err)
+		return false
+	}
+	question.Close = true
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	conn, err := w.connect(ctx, address)
+	conn, err := w.connect(ctx, u.address)
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
-	w.connected(began)
+	defer func() { _ = conn.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	if err := question.Write(conn); err != nil {
+		return false
+	}
+	var answer [512]byte
+	if n, _ := conn.Read(answer[:]); n == 0 {
+		return false
+	}
+	w.carried(began)
 	return true
 }
 
@@ -244,6 +287,7 @@
 		w.lose()
 		w.failed() // run may be waiting for failures, and requests cause none any more
 	} else if changed {
+		w.restored = w.now()
 		w.intact, w.lose = context.WithCancel(context.Background())
 	}
 	w.mu.Unlock()
--- a/pkg/entry/send.go
+++ b/pkg/entry/send.go
@@ -90,6 +90,7 @@
 		// have run.
 		NewConnection: c.route.Kind == catalog.AtMostOnce,
 		BeforeSend:    func() error { return c.gateway.balancer.mayReceive(c.gateway.now(), u) },
+		Question:      c.questionFirst(u),
 	})
 	if err != nil {
 		return nil, err
@@ -115,6 +116,21 @@
 	return resp, nil
 }
 
+// questionFirst returns what is asked before the request is sent to an upstream whose link may lead nowhere,
+// or nil. A request that must not be repeated is not risked on it.
+func (c *call) questionFirst(u *fleet.Upstream) *http.Request {
+	g := c.gateway
+	if !g.balancer.isUnproven(u.ID) {
+		return nil
+	}
+	question, err := g.linkQuestion(witness{u.Address, u.Service})
+	if err != nil {
+		g.cfg.Logger.Warn("upstream can't be asked before a request", "upstream", u.ID, "cause", err)
+		return nil
+	}
+	return question
+}
+
 // checkBelongs returns an error unless an answer is a final one to this request.
 func (c *call) checkBelongs(resp *upstream.Response) error {
 	attempt := c.gateway.cfg.Headers.Attempt
@@ -219,7 +235,7 @@
 	case errors.Is(err, errNotRun):
 		g.balancer.recordRejection(now, t)
 	case errors.Is(err, errWithheld): // which is no failure of the upstream
-	case g.links.cutOff(): // the attempt failed because of this entry host's links
+	case g.links.lostSince(p.chosenAt): // the attempt failed because of this entry host's links
 	case errors.Is(err, upstream.ErrNotSent):
 		g.balancer.recordUnreachable(now, t)
 		if p.upstream.IsOpenHead() {
--- a/pkg/entry/target.go
+++ b/pkg/entry/target.go
@@ -33,6 +33,7 @@
 	backoffUntil        time.Duration // after failures of connections from here
 	rejectedUntil       time.Duration // after a rejection by the upstream
 	unreachable         bool          // no connection could be opened since it last answered
+	unproven            bool          // its link failed, or all links were lost, since it last answered
 	consecutiveFailures int
 	errorRate           float64 // exponential average of failed answers
 	slowness            float64 // exponential average of actual to expected event interval
@@ -91,4 +92,5 @@
 	pause := min(minBackoff<<min(t.consecutiveFailures, 5), maxBackoff)
 	t.consecutiveFailures++
 	t.backoffUntil = now + pause
+	t.unproven = true
 }
--- a/pkg/memconn/network.go
+++ b/pkg/memconn/network.go
@@ -20,7 +20,7 @@
 	mu        sync.Mutex
 	changed   chan struct{} // closed and replaced when a direction is cut or healed
 	cut       map[direction]struct{}
-	refused   map[direction]struct{}
+	opening   map[direction]opening // how new connections fail
 	listeners map[string]*listener
 	conns     map[*conn]struct{}
 
@@ -33,7 +33,7 @@
 		latency:   latency,
 		changed:   make(chan struct{}),
 		cut:       make(map[direction]struct{}),
-		refused:   make(map[direction]struct{}),
+		opening:   make(map[direction]opening),
 		listeners: make(map[string]*listener),
 		conns:     make(map[*conn]struct{}),
 
@@ -52,21 +52,30 @@
 }
 
 // Refuse makes new connections from one host to another fail at once. Open ones are kept.
-func (n *Network) Refuse(from, to string) {
-	n.update(func() { n.refused[direction{from, to}] = struct{}{} })
+func (n *Network) Refuse(from, to string) { n.fail(from, to, openingRefused) }
+
+// ResetOnceOpen makes new connections from one host to another open, and resets them at once. Those that
+// are open are kept.
+func (n *Network) ResetOnceOpen(from, to string) { n.fail(from, to, openingReset) }
+
+// MuteOnceOpen makes new connections from one host to another open without carrying anything, also
+// afterwards. Those that are open are kept.
+func (n *Network) MuteOnceOpen(from, to string) { n.fail(from, to, openingMute) }
+
+func (n *Network) fail(from, to string, how opening) {
+	n.update(func() { n.opening[direction{from, to}] = how })
 }
 
-// Accept ends Refuse.
+// Accept ends Refuse, ResetOnceOpen and MuteOnceOpen.
 func (n *Network) Accept(from, to string) {
-	n.update(func() { delete(n.refused, direction{from, to}) })
+	n.update(func() { delete(n.opening, direction{from, to}) })
 }
 
-// isRefused reports whether connections from one host to another fail.
-func (n *Network) isRefused(d direction) bool {
+// openingOf returns how new connections from one host to another fail.
+func (n *Network) openingOf(d direction) opening {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_, refused := n.refused[d]
-	return refused
+	return n.opening[d]
 }
 
 // ResetBetween resets the open connections that one host opened to another.
@@ -186,13 +195,23 @@
 		// The host of the address is unknown, so the refusal ignores cuts and latency.
 		return nil, &net.OpError{Op: "dial", Net: "mem", Err: syscall.ECONNREFUSED}
 	}
-	if err := n.handshake(ctx, from, l.host); err != nil {
-		return nil, err
+	how := n.openingOf(direction{from, l.host})
+	if how != openingMute { // which a host on the way accepts
+		if err := n.handshake(ctx, from, l.host); err != nil {
+			return nil, err
+		}
 	}
-	if n.isRefused(direction{from, l.host}) {
+	if how == openingRefused {
 		return nil, &net.OpError{Op: "dial", Net: "mem", Err: syscall.ECONNREFUSED}
 	}
 	client, server := n.newPair(from, l.host, address)
+	switch how {
+	case openingReset:
+		client.reset()
+		return client, nil
+	case openingMute:
+		return client, nil
+	}
 	select {
 	case l.queue <- server:
 		if l.closed() {
--- a/pkg/reach/links.go
+++ b/pkg/reach/links.go
@@ -1,8 +1,8 @@
 package reach
 
 const (
-	// FirstWitnesses is the number of upstreams tried at first in a round.
-	FirstWitnesses = 3
+	// FirstWitnesses is the number of upstreams tried in a round if the first one can't be reached, with it.
+	FirstWitnesses = 4
 	// Witnesses is the number tried if none of those can be reached: they may have ended together.
 	Witnesses = 12
 )
@@ -11,9 +11,14 @@
 // has ended.
 const minWitnesses = 2
 
-// Round is the result of connection attempts to different upstreams.
+// Round is the result of attempts to get an answer from different upstreams, each on a new connection.
 type Round struct{ Connected, Failed int }
 
+// Plus returns the result of both rounds together.
+func (r Round) Plus(other Round) Round {
+	return Round{r.Connected + other.Connected, r.Failed + other.Failed}
+}
+
 // Confirms reports whether the host can reach upstreams, as far as is known: too few attempts don't
 // tell a lost link from an upstream that has ended.
 func (r Round) Confirms() bool { return r.Connected > 0 || r.Failed < minWitnesses }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -35,7 +35,7 @@
 // Do sends a request and returns once the response header has arrived. When ctx ends,
 // the connection is closed, even while the body is being read.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx, r)
+	c, err := p.getAnswering(ctx, r)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/upstream/idle_check.go
+++ b/pkg/upstream/idle_check.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,7 +12,11 @@
 // openAndEmpty reports whether an idle connection is open and has no unread bytes. A
 // connection with unread bytes must not be reused, as they belong to no request.
 func (c *conn) openAndEmpty() bool {
-	sc, ok := c.raw.(syscall.Conn)
+	inner := c.raw
+	if w, ok := inner.(interface{ NetConn() net.Conn }); ok {
+		inner = w.NetConn()
+	}
+	sc, ok := inner.(syscall.Conn)
 	if !ok {
 		return c.reader.Buffered() == 0
 	}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -133,31 +134,63 @@
 	return c, nil
 }
 
+// getAnswering returns a live connection on which the upstream has answered the request's question, if there
+// is one.
+func (p *Pool) getAnswering(ctx context.Context, r *Request) (*conn, error) {
+	c, err := p.get(ctx, r)
+	if err != nil || r.Question == nil {
+		return c, err
+	}
+	stop := context.AfterFunc(ctx, c.close)
+	_, err = p.ask(c, r.Question)
+	if stop() && err == nil {
+		return c, nil
+	}
+	c.close()
+	if errors.Is(err, errUnusableAfterProbe) { // but it was answered
+		return p.connect(ctx, c.key)
+	}
+	return nil, &UnreachableError{Address: r.Address, Cause: err}
+}
+
 // probe checks that the connection is live and leads to the expected incarnation.
 func (p *Pool) probe(c *conn) error {
-	c.readTimeout = p.options.ProbeTimeout
-	_ = c.raw.SetWriteDeadline(time.Now().Add(p.options.ProbeTimeout))
-	ask := "GET " + p.options.ProbePath + " HTTP/1.1\r\nHost: " + c.key.address + "\r\n\r\n"
-	if _, err := io.WriteString(c.raw, ask); err != nil {
-		return &UnreachableError{Address: c.key.address, Cause: err}
-	}
-	res, err := c.readHead(http.MethodGet)
+	r, err := http.NewRequest(http.MethodGet, "http://"+c.key.address+p.options.ProbePath, nil)
 	if err != nil {
 		return &UnreachableError{Address: c.key.address, Cause: err}
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxProbeBytes))
+	body, err := p.ask(c, r)
 	if err != nil {
 		return &UnreachableError{Address: c.key.address, Cause: err}
 	}
-	if res.Close || c.reader.Buffered() > 0 {
-		return &UnreachableError{Address: c.key.address, Cause: errUnusableAfterProbe}
-	}
 	if c.key.incarnation == 0 {
 		return nil
 	}
 	return c.checkIncarnation(body)
 }
 
+// ask sends a request without a body and returns the body of the answer. errUnusableAfterProbe means that
+// the connection can't be used any more though the request was answered.
+func (p *Pool) ask(c *conn, r *http.Request) ([]byte, error) {
+	c.readTimeout = p.options.ProbeTimeout
+	_ = c.raw.SetWriteDeadline(time.Now().Add(p.options.ProbeTimeout))
+	if err := r.Write(c.raw); err != nil {
+		return nil, err
+	}
+	res, err := c.readHead(r.Method)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxProbeBytes))
+	if err != nil {
+		return nil, err
+	}
+	if res.Close || c.reader.Buffered() > 0 {
+		return nil, errUnusableAfterProbe
+	}
+	return body, nil
+}
+
 // maxProbeBytes limits the response body of a probe.
 const maxProbeBytes = 1 << 20
 
--- a/pkg/upstream/request.go
+++ b/pkg/upstream/request.go
@@ -21,6 +21,8 @@
 	BeforeSend func() error
 	// NewConnection prevents the reuse of an idle connection.
 	NewConnection bool
+	// Question is sent before the request, which follows only if the upstream answers it; nil: none.
+	Question *http.Request
 }
 
 // head appends the request line and the header to b.
