Hold no attempt against its prompt by answers from before a cut

In the end callers would be refused sound requests.

Cause: an attempt that broke off counts unless the links may have failed, and they count as working if an answer came to a request that was sent within the last 0.4 s. In the first 0.4 s of a cut such answers are from before it. Where the upstream's address accepted connections, links were not asked for at all; a connection that was opened in the cut was judged by the links after it.

Change: after a break the links must show that they work from then on; in a silence, in its later half. Attempts from before links came back count no more.

--- a/pkg/entry/link_watcher.go
+++ b/pkg/entry/link_watcher.go
@@ -182,6 +182,12 @@
 	}
 }
 
+// confirmInSilence is confirm for an upstream that has been silent since a time. The links may have been
+// lost after its last bytes, so that its early silence shows nothing.
+func (w *linkWatcher) confirmInSilence(since, now time.Duration) bool {
+	return w.confirm(since + (now-since)/2)
+}
+
 // round tries several upstreams, unless another round is in progress, and records the result. It
 // returns the round, which is finished.
 func (w *linkWatcher) round() *linkRound {
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -297,7 +297,7 @@
 		p, noticed := sb.placement, c.gateway.now()
 		c.requestFingerprint() // while nothing else reads it
 		go func() {
-			if state := c.gateway.endStateOf(&p.upstream, err); c.gateway.blames(noticed, state) {
+			if state := c.gateway.endStateOf(&p.upstream, err); c.gateway.blames(p, noticed, state, err) {
 				c.accuse(p, noticed, state, "")
 			}
 		}()
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -179,7 +179,7 @@
 	c.recordExchange(a.placement, a.resp, a.err)
 	err := w.wrapError(s.relayAnswer(w))
 	s.standby = w.stop(err == nil)
-	if w.silentTrial() && err != nil && !brokeOff(err) && !provesNotRun(err) && c.gateway.blames(c.gateway.now(), endcheck.Unknown) {
+	if w.silentTrial() && err != nil && !brokeOff(err) && !provesNotRun(err) && c.gateway.blames(a.placement, c.gateway.now(), endcheck.Unknown, err) {
 		c.accuse(a.placement, c.gateway.now(), endcheck.Unknown, c.trial)
 		c.trial = ""
 	}
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -157,7 +157,7 @@
 // settleAttempt reports a failed attempt to the quarantine.
 func (c *call) settleAttempt(p *placement, noticed time.Duration, state endcheck.State, err error) {
 	if brokeOff(err) {
-		if c.gateway.blames(noticed, state) {
+		if c.gateway.blames(p, noticed, state, err) {
 			c.accuse(p, noticed, state, c.trial)
 			c.trial = ""
 		}
@@ -168,14 +168,20 @@
 	}
 }
 
-// blames reports whether an attempt that broke off is held against the request: not if it may have been a
-// link of this entry host. noticed is when it broke off.
-func (g *Gateway) blames(noticed time.Duration, state endcheck.State) bool {
+// blames reports whether an attempt that broke off with err is held against the request: not if it may have
+// been a link of this entry host. noticed is when it broke off.
+func (g *Gateway) blames(p *placement, noticed time.Duration, state endcheck.State, err error) bool {
 	switch state {
 	case endcheck.LinkLost:
 		return false
-	case endcheck.Unknown:
-		return g.links.confirm(noticed - streamingHeadTimeout)
+	case endcheck.Alive, endcheck.Unknown:
+		if g.links.lostSince(p.chosenAt) {
+			return false
+		}
+		if errors.Is(err, upstream.ErrConnectionLost) {
+			return g.links.confirm(noticed)
+		}
+		return g.links.confirmInSilence(noticed-streamingHeadTimeout, noticed)
 	}
 	return true
 }
@@ -185,7 +191,7 @@
 	g, noticed := c.gateway, c.gateway.now()
 	c.requestFingerprint() // while nothing else reads it
 	go func() {
-		if g.links.confirm(since) {
+		if !g.links.lostSince(p.chosenAt) && g.links.confirmInSilence(since, noticed) {
 			c.accuse(p, noticed, endcheck.Unknown, "")
 		}
 	}()
