--- a/pkg/raft/doc.go
+++ b/pkg/raft/doc.go
@@ -16,6 +16,9 @@
 // when its entry is appended to the log. A replica ID is never reused, and IDs
 // increase.
 //
+// A replica without a leader campaigns by a pre-vote first. Of several that do so at the same time all but the
+// best candidate withdraw, so that they do not split the votes.
+//
 // # Identity
 //
 // Each data directory has a random store ID. On its first start an initial member
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -143,7 +143,10 @@
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	_, err = p.ask(c, r.Question)
-	if stop() && err == nil {
+	if !stop() {
+		err = ctx.Err()
+	}
+	if err == nil {
 		return c, nil
 	}
 	c.close()
