--- a/review/stand2/truncated.go
+++ b/review/stand2/truncated.go
@@ -121,6 +121,9 @@
 	req.Header.Set("X-Attempt-Id", attempt)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(timeLimit.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+clientKey)
+	req.Header.Set("X-Model", engineModel) // of the routes that carry it
+	req.Header.Set("X-Token-Counts", "1460,80")
+	req.Header.Set("X-Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
 	client := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: (&net.Dialer{}).DialContext}}
 	resp, err := client.Do(req)
 	if err != nil {
