--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,7 +17,7 @@
 // scenario plays a case, without its disruption if trouble is false. It reports whether the rule was broken.
 type scenario func(d *deployment, r *record, trouble bool) (broken bool, err error)
 
-var scenarios = map[string]scenario{"truncated": truncated, "evacuation": evacuation, "poison": poison, "joined": joined}
+var scenarios = map[string]scenario{"truncated": truncated, "evacuation": evacuation, "poison": poison, "joined": joined, "turned": turned}
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "runner" {
--- a/review/stand2/poison.go
+++ b/review/stand2/poison.go
@@ -27,7 +27,7 @@
 	}
 	events := filepath.Join(d.dir, "events")
 	f := &fleet{d: d, r: r, events: events}
-	for i := range 3 {
+	for i := range 3 { // as many as the booking service of the installation
 		if err := f.keep(i); err != nil {
 			return false, err
 		}
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -22,6 +23,7 @@
 	coordinators               []string
 	born                       int64
 	size                       int
+	turned                     string // file that exists once the request of turnedPath ends runners
 	pause                      time.Duration
 	log                        *os.File
 }
@@ -36,6 +38,7 @@
 	f.StringVar(&r.address, "address", "", "")
 	f.IntVar(&r.size, "size", 800, "bytes of an answer")
 	f.DurationVar(&r.pause, "pause", 0, "between the halves of an answer")
+	f.StringVar(&r.turned, "turned", "", "file that exists once a request ends runners")
 	coordinators := f.String("coordinators", "", "")
 	events := f.String("events", "", "file for what runs")
 	if err := f.Parse(args); err != nil {
@@ -98,14 +101,18 @@
 			}
 			continue
 		}
-		r.run(c, req.URL.Path, attempt)
+		r.run(c, req.URL.Path, req.Header.Get("Last-Event-Id"), attempt)
 		return
 	}
 }
 
-func (r *runner) run(c net.Conn, path, attempt string) {
+func (r *runner) run(c net.Conn, path, lastEvent, attempt string) {
 	body := answerBody(attempt, r.size)
 	_, _ = fmt.Fprintf(r.log, "%s begins %s\n", r.id, attempt)
+	if path == turnedPath {
+		r.stream(c, lastEvent, attempt)
+		return
+	}
 	if path == poisonPath {
 		time.Sleep(poisonLife) // it runs on after its connection is closed
 		os.Exit(1)
@@ -119,6 +126,26 @@
 	}
 }
 
+// stream answers with events, in chunks. Once the request has turned bad, the runner ends after some of them.
+func (r *runner) stream(c net.Conn, lastEvent, attempt string) {
+	from, _ := strconv.Atoi(lastEvent)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n",
+		attempt, signatureOf(r.id))
+	began := time.Now()
+	for i := from + 1; i <= turnedEvents; i++ {
+		if _, err := os.Stat(r.turned); err == nil && time.Since(began) > turnedLife {
+			os.Exit(1)
+		}
+		event := fmt.Sprintf("id: %d\ndata: %s/%d\n\n", i, attempt, i)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return
+		}
+		time.Sleep(turnedPause)
+	}
+	_, _ = fmt.Fprint(c, "0\r\n\r\n")
+	_, _ = fmt.Fprintf(r.log, "%s ends %s\n", r.id, attempt)
+}
+
 func signatureOf(id string) string { return "sig." + id }
 
 // answerBody returns the whole answer to an attempt.
--- a/review/stand2/truncated.go
+++ b/review/stand2/truncated.go
@@ -70,6 +70,7 @@
 	p, err := d.newProcess("runner-"+id, []string{
 		os.Args[0], "runner", "-id", id, "-service", "wuno96b", "-zone", zones[i%len(zones)], "-address", fmt.Sprintf("127.0.9.%d:%d", 70+i, d.port),
 		"-coordinators", strings.Join(coordinators, ","), "-events", events, "-size", fmt.Sprint(answerSize), "-pause", answerPause.String(),
+		"-turned", filepath.Join(d.dir, turnedFile),
 	})
 	if err != nil {
 		return nil, err
