--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -80,7 +80,8 @@
 	stopped sync.Once
 }
 
-// NewFleet starts coordinators and entry hosts. Its processes run in the present folder, the repository's root.
+// NewFleet starts coordinators and entry hosts. Its processes run in the present folder, the repository's root. With an
+// error it returns those that were started, to be stopped.
 func NewFleet(record *Record, cores, entries int) (*Fleet, error) {
 	dir, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
@@ -106,7 +107,7 @@
 	}
 	for _, p := range append(append([]*Process{}, f.Cores...), f.Entries...) {
 		if err := p.Start(); err != nil {
-			return nil, err
+			return f, err
 		}
 	}
 	return f, nil
