formation: a host that a late join put back into its group leaves it first

Cause: after a confirmed leave the planner took each later announcement of that epoch for an old one (host.leftEpoch). A join without an answer that is carried out after the leave puts the host back, and its announcement was ignored.

Change: a newer announcement of the epoch counts. A host found in another group than the one that it is to join is told to leave. Between the late join and its announcement only the host knows: a join of a host that may still carry out an earlier one is bound to the number of orders in the host's report, as its precondition (Order.OnlyIfFree).

Ruled out: fencing tokens that rise with each order.

Conclusion: why it works: the join is refused by the host itself if anything came between.

--- a/pkg/formation/doc.go
+++ b/pkg/formation/doc.go
@@ -10,7 +10,8 @@
 // Invariants:
 //   - A group's open order is given only after each member reported ready under the group's name
 //     and epoch.
-//   - A host gets a join only while its newest report shows no other group, or after it confirmed
-//     that it left.
+//   - A host gets a join only while its newest announcement shows no other group, or after it
+//     confirmed that it left. If an earlier join may still be carried out late, the host itself must
+//     refuse the new one unless it is free (Order.OnlyIfFree).
 //   - An epoch is never used for two groups.
 package formation
--- a/pkg/formation/forming.go
+++ b/pkg/formation/forming.go
@@ -232,7 +232,8 @@
 			}
 			m.noOrderBefore = now + joinRetryDelay
 			orders = append(orders, p.newOrder(m, Order{
-				Kind: Join, Group: g.name, Epoch: g.epoch, Model: g.model, Members: g.memberIDs(), Reason: "group forms",
+				Kind: Join, Group: g.name, Epoch: g.epoch, Model: g.model, Members: g.memberIDs(), OnlyIfFree: m.mayJoinLate(),
+				Reason: "group forms",
 			}))
 		}
 	}
--- a/pkg/formation/host.go
+++ b/pkg/formation/host.go
@@ -18,17 +18,28 @@
 	noOrderBefore    time.Duration
 	stagingModel     string        // model whose staging order was accepted
 	stagingDue       time.Duration // when that staging should be complete
-	leftEpoch        int64         // epoch of the group that it last confirmed to have left
+	leftEpoch        int64         // epoch of the group that it last confirmed to have left, 0 if it announced it later
 	freeSince        time.Duration
+	acceptedJoin     int64 // highest epoch of the joins that it accepted in this incarnation
+	unansweredJoin   int64 // highest epoch of the joins that it may still carry out late
 }
 
+// mayJoinLate reports whether the host may still carry out an earlier join. It refuses joins whose
+// epoch is lower than one that it accepted, but not a repetition of the last one.
+func (h *host) mayJoinLate() bool { return h.unansweredJoin > 0 && h.unansweredJoin >= h.acceptedJoin }
+
 // hasWeights reports whether the host has the weights of a model.
 func (h *host) hasWeights(model string) bool { return slices.Contains(h.StagedModels, model) }
 
 // inGroup reports whether the host announced membership of a group and has not confirmed leaving
-// it.
+// it since.
 func (h *host) inGroup() bool { return h.Assignment != nil && h.Assignment.Epoch != h.leftEpoch }
 
+// isElsewhere reports whether the host is to join a forming group but is in another one.
+func (h *host) isElsewhere() bool {
+	return h.group != nil && h.group.phase == forming && h.inGroup() && h.Assignment.Epoch != h.group.epoch
+}
+
 // joinTime returns how long the host takes to join a group of a model. ok is false if it has no
 // weights of the model and may not load them.
 func (h *host) joinTime(now time.Duration, m modelPlan, mayLoad bool) (time.Duration, bool) {
--- a/pkg/formation/lifecycle.go
+++ b/pkg/formation/lifecycle.go
@@ -161,7 +161,7 @@
 	var orders []Order
 	unclear := p.unclearGroups()
 	for _, h := range p.hostsByID() {
-		if h.group != nil || !p.announced(h) || !h.inGroup() || unclear[h.Assignment.Epoch] || !canOrder(now, h) ||
+		if h.group != nil && !h.isElsewhere() || !p.announced(h) || !h.inGroup() || unclear[h.Assignment.Epoch] || !canOrder(now, h) ||
 			now-h.lastAnnouncement > HostSilenceTimeout {
 			continue
 		}
--- a/pkg/formation/order.go
+++ b/pkg/formation/order.go
@@ -21,7 +21,10 @@
 	Epoch   int64
 	Model   string
 	Members []string // IDs of the group's members, the head first; joins only
-	Reason  string
+	// OnlyIfFree is set for a join of a host that an earlier join may still put into another group.
+	// The host must refuse it unless it is in no other group when it receives it.
+	OnlyIfFree bool
+	Reason     string
 }
 
 // OrderResult is how an order ended.
--- a/pkg/formation/planner.go
+++ b/pkg/formation/planner.go
@@ -56,11 +56,14 @@
 		hosts:           map[string]*host{},
 		groups:          map[int64]*group{},
 		evacuated:       map[string]bool{},
-		nextEpoch:       int64(cfg.Term)*epochsPerTerm + 1,
+		nextEpoch:       firstEpochOf(cfg.Term),
 		runningRequests: map[string]int{},
 	}
 }
 
+// firstEpochOf returns the lowest epoch of a term.
+func firstEpochOf(term uint64) int64 { return int64(term)*epochsPerTerm + 1 }
+
 // SetService sets the service in force; nil if there is no engine service.
 func (p *Planner) SetService(s *catalog.Service) { p.service = s }
 
@@ -89,6 +92,10 @@
 	h := p.hosts[u.ID]
 	if h == nil {
 		h = &host{freeSince: now}
+		if heard <= p.cfg.StartedAt {
+			// A former leadership may have ordered any of its epochs.
+			h.unansweredJoin = firstEpochOf(p.cfg.Term) - 1
+		}
 		p.hosts[u.ID] = h
 		p.sortedHosts = nil
 		p.newestHostSeenAt = now
@@ -97,11 +104,14 @@
 		}
 	}
 	if h.StartedMS != u.StartedMS {
-		*h = host{group: h.group, freeSince: now}
+		*h = host{group: h.group, freeSince: now, unansweredJoin: h.unansweredJoin}
 	}
 	if heard > h.lastAnnouncement {
 		h.dead = false
 	}
+	if u.Sequence > h.Sequence && u.Assignment != nil && u.Assignment.Epoch == h.leftEpoch {
+		h.leftEpoch = 0 // a late join has put it back
+	}
 	h.Upstream = u
 	h.lastAnnouncement = heard
 	h.lastModel = fleet.ModelOf(u.LastGroup)
@@ -188,6 +198,10 @@
 	case o.Kind == Stage && r == Accepted:
 		h.stagingModel = o.Model
 		h.stagingDue = now + p.loadTime(o.Model)
+	case o.Kind == Join && r == Accepted:
+		h.acceptedJoin = max(h.acceptedJoin, o.Epoch)
+	case o.Kind == Join && r == Unknown:
+		h.unansweredJoin = max(h.unansweredJoin, o.Epoch)
 	case o.Kind == Join && r == Rejected:
 		if g := p.groups[o.Epoch]; g != nil && g.phase == forming {
 			p.retire(now, g, "a member rejected its join order")
--- a/pkg/formation/simulation_test.go
+++ b/pkg/formation/simulation_test.go
@@ -24,14 +24,37 @@
 	members          []string
 	sequence         int64
 	nextAnnouncement time.Duration
+	cutUntil         time.Duration // until then it is cut off from the planner; requests still reach it
+	begunOrders      int64         // orders that changed something
+	reports          []simReport   // one for each change, the oldest first
+}
+
+// simReport is what a host reports on request.
+type simReport struct {
+	at          time.Duration
+	begunOrders int64
+	assignment  *fleet.Assignment
 }
 
 // delayedOrder is an order that is executed after its answer was lost.
 type delayedOrder struct {
-	due   time.Duration
-	order Order
+	due          time.Duration
+	order        Order
+	precondition int64 // see simulation.execute
+}
+
+// delayedAnnouncement is an announcement that has not arrived yet.
+type delayedAnnouncement struct {
+	due      time.Duration
+	upstream fleet.Upstream
 }
 
+// noPrecondition is the precondition of orders without one.
+const noPrecondition = -1
+
+// reportLag is the age of the state that hosts report on request.
+const reportLag = 200 * time.Millisecond
+
 // simulation simulates a service's hosts in virtual time and checks the invariants.
 type simulation struct {
 	t                *testing.T
@@ -42,6 +65,9 @@
 	hosts            map[string]*simHost
 	delayed          []delayedOrder
 	delayProbability float64
+	announcements    []delayedAnnouncement
+	delivered        map[string]int64 // sequence of the newest announcement that arrived, by host
+	maxAnnounceDelay time.Duration    // 0: announcements arrive at once and in order
 	term             uint64
 	membersByEpoch   map[int64][]string // members by epoch
 	readyByEpoch     map[int64]map[string]bool
@@ -51,7 +77,7 @@
 
 func newSimulation(t *testing.T, seed uint64, models ...catalog.Model) *simulation {
 	s := &simulation{
-		t: t, rand: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]*simHost{}, term: 1,
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]*simHost{}, delivered: map[string]int64{}, term: 1,
 		membersByEpoch: map[int64][]string{}, readyByEpoch: map[int64]map[string]bool{},
 		service: &catalog.Service{Name: "models", Engine: &catalog.Engine{
 			Slots: 26, LoadsPerS: 4, ConcurrentLoads: 6, FormationTime: 300 * time.Millisecond, Models: models,
@@ -96,7 +122,51 @@
 		}
 	}
 	u.LastGroup = h.LastGroup
-	s.planner.ObserveHost(s.now, u, s.now)
+	h.report(s.now)
+	switch {
+	case s.now < h.cutUntil:
+	case s.maxAnnounceDelay == 0:
+		s.planner.ObserveHost(s.now, u, s.now)
+	default:
+		delay := time.Duration(s.rand.Int64N(int64(s.maxAnnounceDelay)))
+		s.announcements = append(s.announcements, delayedAnnouncement{s.now + delay, u})
+	}
+}
+
+// deliverAnnouncements passes on the delayed announcements that are due, unless a newer one of the
+// host has arrived.
+func (s *simulation) deliverAnnouncements() {
+	kept := s.announcements[:0]
+	for _, a := range s.announcements {
+		switch {
+		case a.due > s.now:
+			kept = append(kept, a)
+		case a.upstream.Sequence > s.delivered[a.upstream.ID]:
+			s.delivered[a.upstream.ID] = a.upstream.Sequence
+			s.planner.ObserveHost(s.now, a.upstream, s.now)
+		}
+	}
+	s.announcements = kept
+}
+
+// report records the state that the host reports from now on.
+func (h *simHost) report(now time.Duration) {
+	r := simReport{at: now, begunOrders: h.begunOrders}
+	if h.Assignment != nil {
+		seat := *h.Assignment
+		r.assignment = &seat
+	}
+	h.reports = append(h.reports, r)
+}
+
+// reportAt returns the newest report that is at least reportLag old, nil if there is none.
+func (h *simHost) reportAt(now time.Duration) *simReport {
+	for i := len(h.reports) - 1; i >= 0; i-- {
+		if now-h.reports[i].at >= reportLag {
+			return &h.reports[i]
+		}
+	}
+	return nil
 }
 
 // step advances time by 50 ms.
@@ -111,11 +181,12 @@
 			kept = append(kept, l)
 			continue
 		}
-		s.execute(l.order)
+		s.execute(l.order, l.precondition)
 	}
 	s.delayed = kept
+	s.deliverAnnouncements()
 	for _, u := range s.planner.SilentHosts(s.now) {
-		if s.hosts[u.ID] == nil || s.hosts[u.ID].dead {
+		if s.hosts[u.ID] == nil || s.hosts[u.ID].dead || s.now < s.hosts[u.ID].cutUntil {
 			s.planner.MarkDead(u.ID)
 		}
 	}
@@ -177,20 +248,37 @@
 		}
 		s.membersByEpoch[o.Epoch] = o.Members
 	}
+	precondition := int64(noPrecondition)
+	if h := s.hosts[o.Host.ID]; h != nil && (h.dead || s.now < h.cutUntil) {
+		s.planner.OrderCompleted(s.now, o, Unknown)
+		return
+	}
+	if o.OnlyIfFree {
+		r := s.hosts[o.Host.ID].reportAt(s.now)
+		if r == nil || r.assignment != nil && r.assignment.Epoch != o.Epoch {
+			s.planner.OrderCompleted(s.now, o, Unknown)
+			return
+		}
+		precondition = r.begunOrders
+	}
 	if s.rand.Float64() < s.delayProbability {
-		s.delayed = append(s.delayed, delayedOrder{s.now + 2*time.Second + time.Duration(s.rand.IntN(10_000))*time.Millisecond, o})
+		s.delayed = append(s.delayed, delayedOrder{s.now + 2*time.Second + time.Duration(s.rand.IntN(10_000))*time.Millisecond, o, precondition})
 		s.planner.OrderCompleted(s.now, o, Unknown)
 		return
 	}
-	s.planner.OrderCompleted(s.now, o, s.execute(o))
+	s.planner.OrderCompleted(s.now, o, s.execute(o, precondition))
 }
 
-// execute executes an order on its host and checks that it is permitted.
-func (s *simulation) execute(o Order) OrderResult {
+// execute executes an order on its host and checks that it is permitted. A host that has begun
+// another number of orders than the precondition says refuses it.
+func (s *simulation) execute(o Order, precondition int64) OrderResult {
 	h := s.hosts[o.Host.ID]
 	if h == nil || h.dead || h.StartedMS != o.Host.StartedMS {
 		return Unknown
 	}
+	if precondition != noPrecondition && precondition != h.begunOrders {
+		return Unknown
+	}
 	mine := h.Assignment != nil && h.Assignment.Group == o.Group && h.Assignment.Epoch == o.Epoch
 	switch o.Kind {
 	case Join:
@@ -204,16 +292,19 @@
 				s.t.Fatalf("%v: group %s opened before %s was ready", s.now, o.Group, m)
 			}
 		}
+		h.begunOrders++
 		h.openAt = s.now + s.service.Engine.FormationTime
 	case Leave:
 		if !mine {
 			return Rejected
 		}
+		h.begunOrders++
 		h.Assignment = nil
 		h.openAt = 0
 		s.announce(h)
 	case Stage:
 		m, _ := s.service.Engine.Model(o.Model)
+		h.begunOrders++
 		h.staging = o.Model
 		h.stageUntil = s.now + s.planner.loadTime(m.Name)
 	}
@@ -229,7 +320,7 @@
 	}
 	if h.Assignment != nil {
 		head := s.hosts[h.members[0]]
-		if head != nil && !head.dead && head.Assignment != nil && head.Assignment.Epoch == h.Assignment.Epoch && head.Assignment.State == fleet.AssignmentOpen {
+		if head != nil && !head.dead && head.Assignment != nil && head.Assignment.Epoch == h.Assignment.Epoch && (head.Assignment.State == fleet.AssignmentOpen || head.Assignment.State == fleet.AssignmentClosing) {
 			s.t.Fatalf("%v: %s joins %s while the head of %s is open", s.now, h.ID, o.Group, h.Assignment.Group)
 		}
 	}
@@ -243,6 +334,7 @@
 		h.joinUntil = s.now + m.LoadTime/10
 		h.StagedModels = []string{o.Model}
 	}
+	h.begunOrders++
 	h.highestEpoch = o.Epoch
 	h.members = o.Members
 	h.openAt = 0
