coordinator: senders of orders without a version name their base themselves

Cause: the age of an order was guessed from the connection that it came over (a close that arrived, the kernel's time of the last bytes). Bytes that a cut held up are fresh, and the close comes a round trip later; in a frozen process the figures depend on the kernel. One class with departures, which have no version either.

Departures name the incarnation. The internal retry on a conflict goes: it based a late order anew.

Ruled out: the age of the connection when its first byte is read. It says nothing of a kept connection, or of a process that stood still before it accepted.

Conclusion: the evidence lies with the leader and the sender alone.

--- a/pkg/control/fleet_change.go
+++ b/pkg/control/fleet_change.go
@@ -1,6 +1,10 @@
 package control
 
-import "github.com/sesamemux/sesamemux/pkg/durable"
+import (
+	"fmt"
+
+	"github.com/sesamemux/sesamemux/pkg/durable"
+)
 
 // FleetBaseRequest asks the leader for what an order of an operator or upstream is based on, of which one
 // field is set.
@@ -19,6 +23,14 @@
 	StartedMS int64 `json:"born,omitempty"`
 }
 
+// String returns the base as it is written in logs.
+func (b FleetBase) String() string {
+	if b.StartedMS != 0 {
+		return fmt.Sprintf("incarnation of %d", b.StartedMS)
+	}
+	return fmt.Sprintf("order %d of term %d", b.Sequence, b.Term)
+}
+
 // FleetChangeRequest asks the leader to put a change in force.
 type FleetChangeRequest struct {
 	durable.Command
--- a/pkg/coordinator/announce.go
+++ b/pkg/coordinator/announce.go
@@ -104,16 +104,13 @@
 	return s.Group + ":" + string(s.State)
 }
 
-// Depart records that an upstream leaves. The departure is durable before it is acknowledged. It is of
-// the lifetime that the leader knows while the sender still waits, so that a later one does not end with it.
-func (c *Coordinator) Depart(ctx context.Context, id string) error {
+// Depart records that an upstream leaves. The departure is durable before it is acknowledged. It is of the
+// incarnation that its base names, so that a later one does not end with it; see InstanceBase.
+func (c *Coordinator) Depart(ctx context.Context, id string, base *control.FleetBase) error {
 	calling, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	base, err := c.base(calling, control.FleetBaseRequest{Instance: id})
 	d := durable.Departure{ID: id, Gone: true}
 	switch {
-	case err != nil:
-		return unavailable(err)
 	case base != nil && base.Absent:
 		return nil // never known, so no process uses it
 	case base != nil:
--- a/pkg/coordinator/change.go
+++ b/pkg/coordinator/change.go
@@ -27,17 +27,18 @@
 	return err
 }
 
-// Evacuate withholds new requests from a failure domain. The change is durable when it returns nil.
-func (c *Coordinator) Evacuate(ctx context.Context, zone string) error {
-	err := c.applyOrder(ctx, durable.Command{Evacuate: zone})
-	c.cfg.Logger.Info("evacuation requested", "zone", zone, "acknowledged", err == nil, "cause", err)
+// Evacuate withholds new requests from a failure domain. The change is durable when it returns nil. It is
+// refused with ErrUnavailable if another order for the domain came after the base; see ZoneBase.
+func (c *Coordinator) Evacuate(ctx context.Context, zone string, base *control.FleetBase) error {
+	err := c.applyOrder(ctx, durable.Command{Evacuate: zone}, base)
+	c.cfg.Logger.Info("evacuation requested", "zone", zone, "base", base, "acknowledged", err == nil, "cause", err)
 	return err
 }
 
-// Restore ends an evacuation. The change is durable when it returns nil.
-func (c *Coordinator) Restore(ctx context.Context, zone string) error {
-	err := c.applyOrder(ctx, durable.Command{Restore: zone})
-	c.cfg.Logger.Info("end of evacuation requested", "zone", zone, "acknowledged", err == nil, "cause", err)
+// Restore ends an evacuation. Its base and errors are those of Evacuate.
+func (c *Coordinator) Restore(ctx context.Context, zone string, base *control.FleetBase) error {
+	err := c.applyOrder(ctx, durable.Command{Restore: zone}, base)
+	c.cfg.Logger.Info("end of evacuation requested", "zone", zone, "base", base, "acknowledged", err == nil, "cause", err)
 	return err
 }
 
--- a/pkg/coordinator/departure_test.go
+++ b/pkg/coordinator/departure_test.go
@@ -67,10 +67,14 @@
 		if _, err := c.running[follower].Announce(context.Background(), u); err != nil {
 			t.Fatal(err)
 		}
+		former, err := c.running[follower].InstanceBase(context.Background(), "u")
+		if err != nil {
+			t.Fatal(err)
+		}
 		c.network.Cut(follower, leader)
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
-		if c.running[follower].Depart(ctx, "u") == nil {
+		if c.depart(ctx, follower, "u") == nil {
 			t.Fatal("a departure is acknowledged that did not reach the leader")
 		}
 		u.StartedMS = 2
@@ -82,7 +86,13 @@
 		if e := c.upstream(leader, "u"); e.StartedMS != 2 || e.State != fleet.Ready {
 			t.Errorf("the next lifetime has ended: %+v", e)
 		}
-		if err := c.running[follower].Depart(context.Background(), "u"); err != nil {
+		if err := c.running[follower].Depart(context.Background(), "u", former); err != nil {
+			t.Error(err)
+		}
+		if e := c.upstream(leader, "u"); e.StartedMS != 2 || e.State != fleet.Ready {
+			t.Errorf("a departure that came late has ended the next lifetime: %+v", e)
+		}
+		if err := c.depart(context.Background(), follower, "u"); err != nil {
 			t.Error(err)
 		}
 		if e := c.upstream(leader, "u"); e.State != fleet.Gone {
--- a/pkg/coordinator/in_force_test.go
+++ b/pkg/coordinator/in_force_test.go
@@ -144,20 +144,20 @@
 		e := newEntryHost(c.follower(), "e1")
 		go e.run()
 		time.Sleep(3 * time.Second)
-		if err := c.running["a"].Evacuate(context.Background(), "z"); err != nil {
+		if err := c.evacuate(context.Background(), "a"); err != nil {
 			t.Error(err)
 		}
 		close(e.stop)
 		time.Sleep(300 * time.Millisecond)
 		// It is in touch still, and has heard of neither.
-		if err := c.running["a"].Restore(context.Background(), "z"); !errors.Is(err, ErrUnavailable) {
+		if err := c.restore(context.Background(), "a"); !errors.Is(err, ErrUnavailable) {
 			t.Errorf("the end of an evacuation is acknowledged that an entry host does not know: %v", err)
 		}
 		e.stop = make(chan struct{})
 		go e.run()
 		defer func() { close(e.stop) }()
 		time.Sleep(time.Second)
-		if err := c.running["a"].Restore(context.Background(), "z"); err != nil {
+		if err := c.restore(context.Background(), "a"); err != nil {
 			t.Error(err)
 		}
 		u.State, u.Sequence = fleet.Draining, 2
--- a/pkg/coordinator/order_base.go
+++ b/pkg/coordinator/order_base.go
@@ -12,9 +12,6 @@
 	"github.com/sesamemux/sesamemux/pkg/sender"
 )
 
-// maxOrderAttempts bounds how often an order is based anew because others came first.
-const maxOrderAttempts = 4
-
 // zoneOrders numbers the orders of a term by zone. A leader proposes them one after the other, in the
 // order of their numbers.
 type zoneOrders struct {
@@ -34,29 +31,30 @@
 	return command.Restore
 }
 
-// applyOrder commits an order for a zone, which has no version. The leader names the last order for the
-// zone while the sender still waits, and carries this one out only as the next: whatever the sender does
-// after giving up comes later than that, so that the order can't overtake it wherever it is held up.
-func (c *Coordinator) applyOrder(ctx context.Context, command durable.Command) error {
+// ZoneBase returns what an order for a failure domain is to be based on, nil if the leader is of an earlier
+// version. The sender of the order has to name it: an order that was held up, here or on its way, is then
+// known to be older than what its sender did after giving up.
+func (c *Coordinator) ZoneBase(ctx context.Context, zone string) (*control.FleetBase, error) {
+	return c.base(ctx, control.FleetBaseRequest{Zone: zone})
+}
+
+// InstanceBase returns what the departure of an upstream is to be based on, as ZoneBase does for orders.
+func (c *Coordinator) InstanceBase(ctx context.Context, id string) (*control.FleetBase, error) {
+	return c.base(ctx, control.FleetBaseRequest{Instance: id})
+}
+
+// applyOrder commits an order for a zone, which has no version. The leader carries it out only as the next
+// one after its base.
+func (c *Coordinator) applyOrder(ctx context.Context, command durable.Command, base *control.FleetBase) error {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	var err error
-	for range maxOrderAttempts {
-		var base *control.FleetBase
-		if base, err = c.base(ctx, control.FleetBaseRequest{Zone: orderedZone(command)}); err != nil {
-			return unavailable(err)
-		}
-		err = c.commitChange(ctx, control.FleetChangeRequest{Command: command, Base: base})
-		if !hasCode(err, control.CodeConflict) {
-			break
-		}
-	}
-	return unavailable(err)
+	return unavailable(c.commitChange(ctx, control.FleetChangeRequest{Command: command, Base: base}))
 }
 
-// base returns what an order is based on, if its sender still waits after the leader has told it. It is nil
-// if the leader is of an earlier version.
+// base returns what an order is to be based on, if its sender is not known to have left.
 func (c *Coordinator) base(ctx context.Context, req control.FleetBaseRequest) (*control.FleetBase, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	base, err := c.handleBase(ctx, req)
 	if isNotLeader(err) {
 		err = c.callLeader(ctx, control.MethodFleetBase, req, &base)
@@ -65,10 +63,13 @@
 	if hasCode(err, jsonrpc2.CodeMethodNotFound) {
 		known, err = nil, nil
 	}
+	if err == nil {
+		err = sender.Check(ctx)
+	}
 	if err != nil {
-		return nil, err
+		return nil, unavailable(err)
 	}
-	return known, sender.Check(ctx)
+	return known, nil
 }
 
 // handleBase tells what an order is based on. No quorum needs to confirm that this coordinator leads: what
--- a/pkg/coordinator/overtaken_test.go
+++ b/pkg/coordinator/overtaken_test.go
@@ -21,16 +21,50 @@
 	return leader, names[0], names[1]
 }
 
+// orderAttempts is how often the sender of an order tries again if others came first.
+const orderAttempts = 4
+
 // order sends the evacuation of z, or its end, to a coordinator and fails the test unless it is acknowledged.
 func (c *cluster) order(name string, evacuate bool) {
 	c.t.Helper()
-	send := c.running[name].Restore
+	send := c.restore
 	if evacuate {
-		send = c.running[name].Evacuate
+		send = c.evacuate
+	}
+	var err error
+	for range orderAttempts {
+		if err = send(context.Background(), name); err == nil {
+			return
+		}
+	}
+	c.t.Fatal(err)
+}
+
+// evacuate sends the evacuation of z to a coordinator, as a sender that follows its redirection.
+func (c *cluster) evacuate(ctx context.Context, name string) error {
+	base, err := c.running[name].ZoneBase(ctx, "z")
+	if err != nil {
+		return err
 	}
-	if err := send(context.Background(), "z"); err != nil {
-		c.t.Fatal(err)
+	return c.running[name].Evacuate(ctx, "z", base)
+}
+
+// restore is evacuate for the end of the evacuation.
+func (c *cluster) restore(ctx context.Context, name string) error {
+	base, err := c.running[name].ZoneBase(ctx, "z")
+	if err != nil {
+		return err
+	}
+	return c.running[name].Restore(ctx, "z", base)
+}
+
+// depart sends the departure of an upstream to a coordinator, as a sender that follows its redirection.
+func (c *cluster) depart(ctx context.Context, name, id string) error {
+	base, err := c.running[name].InstanceBase(ctx, id)
+	if err != nil {
+		return err
 	}
+	return c.running[name].Depart(ctx, id, base)
 }
 
 func (c *cluster) evacuated(name string) bool {
@@ -46,7 +80,7 @@
 		c.network.Cut(follower, leader)
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
-		if c.running[follower].Restore(ctx, "z") == nil {
+		if c.restore(ctx, follower) == nil {
 			t.Fatal("an order is acknowledged that did not reach the leader")
 		}
 		c.order(other, false)
@@ -59,6 +93,31 @@
 	})
 }
 
+// What a sender does after it has given up comes later than an order that is based on what was in force
+// before, wherever that one is held up and however sound its connection looks.
+func TestOrderThatComesAfterItsSenderHasGoneOnChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSettledCluster(t)
+		leader, follower, other := c.roles()
+		for _, name := range []string{leader, follower} {
+			c.order(follower, true)
+			base, err := c.running[name].ZoneBase(context.Background(), "z")
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.order(other, false)
+			c.order(other, true)
+			if c.running[name].Restore(context.Background(), "z", base) == nil {
+				t.Errorf("%s acknowledges an order that comes late", name)
+			}
+			time.Sleep(2 * time.Second)
+			if !c.evacuated(leader) {
+				t.Fatalf("an order that came late to %s has undone an acknowledged evacuation", name)
+			}
+		}
+	})
+}
+
 func TestOrderWhoseSenderHasLeftIsNotPassedOnToTheLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newSettledCluster(t)
@@ -69,7 +128,7 @@
 		closed := sender.WithState(context.Background(), func() (sender.State, error) { return sender.State{Closed: true}, nil })
 		for _, name := range []string{leader, follower} {
 			for _, ctx := range []context.Context{ended, closed} {
-				if c.running[name].Restore(ctx, "z") == nil {
+				if c.restore(ctx, name) == nil {
 					t.Errorf("%s acknowledges an order to nobody", name)
 				}
 				time.Sleep(time.Second)
