quarantine: three assumed crashes make a suspect, not four

Cause: four assumed crashes and two trials, both after the third crash, use up all three runs that are allowed later than contact_ms after it. One accusation that comes late or not at all, as where an entry host is short of processor, is one run too many.

Change: the third assumed crash makes a suspect, so that two trials are all that is sent from then on, and one run is left for what is noticed late. A suspect runs in trials; it isn't refused.

--- a/pkg/quarantine/crash.go
+++ b/pkg/quarantine/crash.go
@@ -23,9 +23,9 @@
 const (
 	// suspectCrashes is the number of crashes from which a request is a suspect.
 	suspectCrashes = 2
-	// suspectFailures is the same for crashes of which some are assumed: more upstreams than one
-	// request usually reaches, with its client's own retry.
-	suspectFailures = 4
+	// suspectFailures is the same for crashes of which some are assumed. What ends upstreams silently
+	// has then ended no more of them than may be before its further runs are counted.
+	suspectFailures = 3
 )
 
 // Suspicious reports whether a request, or a part, with these crashes is a suspect. Crashes under one
