entry: watch runs while they last, and until their upstream's fate shows

Cause, all of one class: a crash was held against a request only if it showed in a window after the request had ended. - Silence behind a buffered request was looked at only once its time was over. - A run whose client had left was watched for 2 s, though runners work until the time limit that they got. - Streams whose time was over, and standbys that were dropped, failed or left behind, were not watched at all. - Silence that might have been that of the entry host's own links was dropped for good, and so was a host that another incarnation answered for.

Change: buffered runs are watched from 0.6 s on; runs that end without an answer until 2 s after their time limit, with fewer questions from 2 s on; abandoned standbys and beside-attempts too. While it is unclear whether the upstream or the links are silent the watch goes on, up to 10 s, until the upstream answers (nothing is held against the run) or turns out to be gone. An incarnation whose address has a newer owner has ended. Parts of prompts are accused as before.

Test: TestCrashesOfAnyShapeAreBounded draws how and when a request ends its upstream, what clients and entry hosts see of it, when and where it arrives, and how soon the upstream is back; harmless requests beside it are counted.

--- a/pkg/entry/buffered_attempt.go
+++ b/pkg/entry/buffered_attempt.go
@@ -7,11 +7,16 @@
 	"github.com/sesamemux/sesamemux/pkg/upstream"
 )
 
+// silentRunTime is how long an attempt lasts until its upstream is watched.
+const silentRunTime = 600 * time.Millisecond
+
 // bufferedAttempt is one attempt to answer a buffered request at an upstream. Its results are read
 // only after run has returned.
 type bufferedAttempt struct {
 	placement *placement
 	silentAt  time.Duration // from when another upstream may be tried beside it
+	watchAt   time.Duration // from when its upstream is watched
+	watched   bool
 	ctx       context.Context
 	cancel    context.CancelFunc
 	resp      *upstream.Response // nil if there is none
@@ -23,7 +28,8 @@
 // request.
 func newBufferedAttempt(c *call, p *placement) *bufferedAttempt {
 	left := c.remaining()
-	a := &bufferedAttempt{placement: p, silentAt: c.gateway.now() + time.Duration(float64(left)*attemptTimeShare)}
+	now := c.gateway.now()
+	a := &bufferedAttempt{placement: p, silentAt: now + time.Duration(float64(left)*attemptTimeShare), watchAt: now + silentRunTime}
 	a.ctx, a.cancel = context.WithTimeout(c.ctx, left)
 	return a
 }
--- a/pkg/entry/buffered_attempts.go
+++ b/pkg/entry/buffered_attempts.go
@@ -33,7 +33,10 @@
 	for {
 		select {
 		case <-timer.C:
-			r.startAnother()
+			r.watchSilent()
+			if newest := r.running[len(r.running)-1]; r.call.gateway.now() >= newest.silentAt {
+				r.startAnother()
+			}
 		case a := <-r.done:
 			err := r.settle(a)
 			if err == nil {
@@ -57,10 +60,26 @@
 	}()
 }
 
-// untilCheck returns the time until it is checked whether another upstream is tried.
+// untilCheck returns the time until it is checked whether an attempt is watched, or another upstream tried.
 func (r *bufferedAttempts) untilCheck() time.Duration {
 	newest := r.running[len(r.running)-1]
-	return max(newest.silentAt-r.call.gateway.now(), streamCheckInterval)
+	next := newest.silentAt
+	if !newest.watched {
+		next = min(next, newest.watchAt)
+	}
+	return max(next-r.call.gateway.now(), streamCheckInterval)
+}
+
+// watchSilent watches the upstreams of attempts that have been silent for a while: whether they end or have
+// gone shows before the time of the request is over. A trial runs until then.
+func (r *bufferedAttempts) watchSilent() {
+	c := r.call
+	for _, a := range r.running {
+		if !a.watched && c.gateway.now() >= a.watchAt && c.trial == "" {
+			a.watched = true
+			c.watch(c.accusedRun(a.placement, ""))
+		}
+	}
 }
 
 // startAnother tries another upstream beside the silent ones if the request may be sent to it.
@@ -102,6 +121,9 @@
 		err = c.confirmEnd(p, a.resp)
 	}
 	r.release(a)
+	if a.watched && !leftUnanswered(err) {
+		c.gateway.runWatch.drop(c.accusedRun(p, ""))
+	}
 	if err != nil {
 		c.recordUpstreamFailure(p, err)
 		c.recordAbandonedAnswer(p, a.resp)
@@ -160,6 +182,7 @@
 	r.release(a)
 	if !provesNotRun(a.err) {
 		c.possibleExecutions++
+		c.watchAbandoned(a.placement)
 	}
 }
 
--- a/pkg/entry/failed_attempt.go
+++ b/pkg/entry/failed_attempt.go
@@ -71,9 +71,12 @@
 	g, u := c.gateway, &p.upstream
 	noticed := g.now()
 	switch {
-	case c.route.Kind != catalog.Stream && leftUnanswered(err): // the silence of a stream is noted while it lasts
+	case c.route.Kind != catalog.Stream && leftUnanswered(err):
 		c.watchRun(p)
 		return
+	case leftUnanswered(err): // the stream accuses the parts of its prompt while it lasts
+		c.leaveRun(p, err)
+		return
 	case !brokeOff(err):
 		c.settleAttempt(p, noticed, endcheck.Unknown, err)
 		return
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -54,6 +54,7 @@
 	senders  map[string]string // entry host by attempt
 	faults   []fault
 
+	crash       *crashShape            // how requests whose body begins with "crash shaped" end upstreams
 	soundUntil  time.Time              // until then no request and no part ends upstreams
 	prefill     time.Duration          // from the arrival of a request with a bad part until its answer begins
 	partCrashes map[string][]time.Time // ends of upstreams under a bad part, by its ID
@@ -402,7 +403,7 @@
 func (h *simulatedHost) end() bool {
 	ended := h.stop(false)
 	if ended {
-		time.AfterFunc(restartTime, h.start)
+		time.AfterFunc(h.fleet.restartTime(), h.start)
 	}
 	return ended
 }
@@ -532,6 +533,10 @@
 		h.runBadPart(part, attempt, id)
 		return false
 	}
+	if crashes && strings.HasPrefix(body, "crash shaped") {
+		h.runShaped(c, r, attempt, id)
+		return false
+	}
 	if h.runUnanswered(body) {
 		return false
 	}
@@ -650,7 +655,7 @@
 		others = append(others, p.name)
 	}
 	h.fleet.network.Partition([]string{h.name}, others)
-	time.AfterFunc(restartTime, func() {
+	time.AfterFunc(h.fleet.restartTime(), func() {
 		h.fleet.network.Kill(h.name)
 		h.fleet.heal(h.name, others)
 		h.start()
--- a/pkg/entry/run_watch.go
+++ b/pkg/entry/run_watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,24 +13,30 @@
 )
 
 const (
-	// runWatchTime is how long the upstream of a run whose answer nobody waits for any more is watched.
-	// Some upstreams run a request on after its connection is closed.
+	// runWatchTime is how long the upstream of a run is watched at least once nobody waits for its answer
+	// any more, and how long it is watched after the time limit of the run. Some upstreams run a request
+	// on after its connection is closed, until that limit.
 	runWatchTime = 2 * time.Second
+	// unclearWatchTime is how long an upstream whose silence may be that of this entry host's links is
+	// watched, so that its fate shows once they work.
+	unclearWatchTime = 10 * time.Second
 	// runCheckInterval is the time between the beginnings of questions to a watched upstream, unless one takes
 	// longer; runCheckIntervalPerEntryHost, for each entry host, where that is longer.
 	runCheckInterval             = 200 * time.Millisecond
 	runCheckIntervalPerEntryHost = 10 * time.Millisecond
+	// lateRunCheckInterval is runCheckInterval for runs that nobody has waited for during runWatchTime.
+	lateRunCheckInterval = 700 * time.Millisecond
 	// runCheckTimeout is how long a watched upstream may take for an answer to a question.
 	runCheckTimeout = 400 * time.Millisecond
 	// silentRunChecks is the number of questions in a row without an answer that show silence.
 	silentRunChecks = 2
 	// maxWatchedRuns limits the runs that are watched.
-	maxWatchedRuns = 1024
+	maxWatchedRuns = 4096
 )
 
-// runWatch keeps runs that ended without an answer: the time of the request was over, or its client left.
-// Whether their upstream ends or falls silent under them shows only afterwards. Overload is neither: an
-// upstream that is overloaded answers others.
+// runWatch keeps runs without an answer: they take long, the time of the request was over, or its client left.
+// Whether their upstream ends or falls silent under them shows only while they last or afterwards. Overload
+// is neither: an upstream that is overloaded answers others.
 type runWatch struct {
 	gateway *Gateway
 
@@ -42,10 +49,11 @@
 	runs  map[endcheck.Incarnation][]watchedRun
 }
 
-// watchedRun is a run that is watched until a time.
+// watchedRun is a run that is watched.
 type watchedRun struct {
 	accusedRun
-	until time.Duration
+	from time.Duration // it is checked often for runWatchTime from then on
+	over time.Duration // the upstream has stopped it by then
 }
 
 func newRunWatch(g *Gateway) *runWatch {
@@ -71,25 +79,54 @@
 	if w.count >= maxWatchedRuns || w.stopped.Err() != nil {
 		return false
 	}
-	w.count++
 	runs, watched := w.runs[who]
-	w.runs[who] = append(runs, watchedRun{r, w.gateway.now() + runWatchTime})
+	if i := slices.IndexFunc(runs, func(other watchedRun) bool { return other.sameRun(r) }); i >= 0 {
+		runs[i] = watchedRun{r, w.gateway.now(), max(w.gateway.now(), r.ends)}
+		return true
+	}
+	w.count++
+	now := w.gateway.now()
+	w.runs[who] = append(runs, watchedRun{r, now, max(now, r.ends)})
 	if !watched {
 		w.work.Go(func() { w.watch(who, &u) })
 	}
 	return true
 }
 
+// drop ends the watch of a run that has an answer after all.
+func (w *runWatch) drop(r accusedRun) {
+	who := endcheck.Incarnation{ID: r.upstream.ID, StartedMS: r.upstream.StartedMS}
+	w.take(who, func(other watchedRun) bool { return !other.sameRun(r) })
+}
+
+// checkInterval returns the time between the beginnings of questions to an upstream.
+func (w *runWatch) checkInterval(who endcheck.Incarnation) time.Duration {
+	now, interval := w.gateway.now(), lateRunCheckInterval
+	w.mu.Lock()
+	for _, r := range w.runs[who] {
+		if now-r.from < runWatchTime {
+			interval = runCheckInterval
+		}
+	}
+	w.mu.Unlock()
+	return max(interval, time.Duration(w.gateway.balancer.entryCount())*runCheckIntervalPerEntryHost)
+}
+
 // watch asks an upstream until none of its runs is left.
 func (w *runWatch) watch(who endcheck.Incarnation, u *fleet.Upstream) {
 	g := w.gateway
 	silent, silentSince := 0, time.Duration(0)
+	announced := false // its end was, and shows nothing
 	for {
-		began, interval := g.now(), max(runCheckInterval, time.Duration(g.balancer.entryCount())*runCheckIntervalPerEntryHost)
+		began, interval := g.now(), w.checkInterval(who)
 		state := g.examineLifetime(w.stopped, u, began-interval)
+		announced = announced || g.balancer.leaves(u)
+		if silent > 0 && g.links.lostSince(silentSince) {
+			silent = 0
+		}
 		switch {
 		case w.stopped.Err() != nil:
-		case state != endcheck.Alive && g.balancer.leaves(u): // its end was announced and shows nothing
+		case state != endcheck.Alive && announced:
 			silent = 0
 		case state == endcheck.Ended || state == endcheck.Refuses:
 			w.accuse(who, began, state)
@@ -103,7 +140,7 @@
 				w.accuse(who, silentSince, state)
 			}
 		}
-		if w.expire(who); w.forget(who) {
+		if w.expire(who, state == endcheck.Alive || announced); w.forget(who) {
 			return
 		}
 		clock.Sleep(w.stopped, max(began+interval-g.now(), 0))
@@ -138,14 +175,14 @@
 	return true
 }
 
-// accuse holds the end or the silence of an upstream against the runs that are watched there.
+// accuse holds the end or the silence of an upstream against the runs that are watched there. Silence that
+// may be that of this entry host's links accuses none.
 func (w *runWatch) accuse(who endcheck.Incarnation, noticed time.Duration, state endcheck.State) {
 	g := w.gateway
+	if state == endcheck.Unknown && !g.links.confirmInSilence(noticed, g.now()) {
+		return
+	}
 	for _, r := range w.take(who, func(watchedRun) bool { return false }) {
-		if state == endcheck.Unknown && (g.links.lostSince(r.began) || !g.links.confirmInSilence(noticed, g.now())) {
-			g.endWatchedTrial(r)
-			continue
-		}
 		g.metrics.BrokenAttempts.WithLabelValues(string(state)).Inc()
 		if g.requestLog.allow(g.now(), false) {
 			g.cfg.Logger.Info("upstream ended or fell silent behind a request without an answer", "request", r.attempt, "fingerprint", r.fingerprint,
@@ -155,10 +192,15 @@
 	}
 }
 
-// expire ends the watch of the runs of an upstream whose time is over.
-func (w *runWatch) expire(who endcheck.Incarnation) {
+// expire ends the watch of the runs of an upstream whose time is over: runWatchTime if the upstream is sound,
+// otherwise unclearWatchTime.
+func (w *runWatch) expire(who endcheck.Incarnation, sound bool) {
 	now, stops := w.gateway.now(), w.stopped.Err() != nil
-	for _, r := range w.take(who, func(r watchedRun) bool { return now < r.until && !stops }) {
+	more := unclearWatchTime
+	if sound {
+		more = runWatchTime
+	}
+	for _, r := range w.take(who, func(r watchedRun) bool { return now < r.over+more && !stops }) {
 		w.gateway.endWatchedTrial(r)
 	}
 }
@@ -205,6 +247,13 @@
 func (b *balancer) replaced(u *fleet.Upstream) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	t := b.targets[u.ID]
-	return t != nil && (t.StartedMS > u.StartedMS || t.StartedMS == u.StartedMS && t.State == fleet.Gone && !t.Deregistered)
+	if t := b.targets[u.ID]; t != nil {
+		return t.StartedMS > u.StartedMS || t.StartedMS == u.StartedMS && t.State == fleet.Gone && !t.Deregistered
+	}
+	for _, t := range b.targets {
+		if t.Address == u.Address && t.StartedMS > u.StartedMS {
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/entry/stall_timer.go
+++ b/pkg/entry/stall_timer.go
@@ -78,12 +78,13 @@
 	w.lastEventAt = w.call.gateway.now()
 }
 
-// drop gives up the standby in progress. The caller holds the lock.
+// drop gives up the standby in progress, which its upstream may run on. The caller holds the lock.
 func (w *stallTimer) drop() {
 	w.standby.dropped = true
 	w.standby.cancel()
 	if w.standby.counted {
 		w.standbyRuns++
+		w.call.watchAbandoned(w.standby.placement)
 	}
 	w.standby = nil
 }
@@ -218,8 +219,9 @@
 	}()
 }
 
-// admit takes a standby from the retry budget before it is sent. It reports whether it may be sent.
-func (w *stallTimer) admit(sb *standby) bool {
+// admit takes a standby from the retry budget before it is sent to an upstream. It reports whether it may be
+// sent.
+func (w *stallTimer) admit(sb *standby, p *placement) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	g := w.call.gateway
@@ -227,7 +229,7 @@
 		return false
 	}
 	g.metrics.Retries.WithLabelValues(retryCause(errAbandoned)).Inc()
-	sb.counted = true
+	sb.counted, sb.placement = true, p
 	return true
 }
 
@@ -293,7 +295,10 @@
 		w.standbyRuns++
 	}
 	c.recordUpstreamFailure(sb.placement, err)
-	if brokeOff(err) {
+	switch {
+	case leftUnanswered(err):
+		c.watchAbandoned(sb.placement)
+	case brokeOff(err):
 		p, noticed := sb.placement, c.gateway.now()
 		c.requestFingerprint() // while nothing else reads it
 		go func() {
--- a/pkg/entry/standby.go
+++ b/pkg/entry/standby.go
@@ -14,7 +14,7 @@
 const standbyTimeout = 1200 * time.Millisecond
 
 // standby is an attempt at another upstream beside a silent one. Its fields are read only after
-// done is closed, but for dropped, counted and late, which the stall timer guards.
+// done is closed, but for dropped, counted, late and placement, which the stall timer guards.
 type standby struct {
 	streamAttempt
 	done    chan struct{} // closed when the upstream sent the first event, or there will be none
@@ -32,12 +32,11 @@
 		sb.err = eris.New(string(why))
 		return
 	}
-	if !w.admit(sb) {
+	if !w.admit(sb, p) {
 		g.release(p)
 		sb.err = eris.New(string(retryBudgetSpent))
 		return
 	}
-	sb.placement = p
 	timer := time.AfterFunc(standbyTimeout, func() { w.standbyIsSilent(sb) })
 	defer timer.Stop()
 	sb.send()
--- a/pkg/entry/stream.go
+++ b/pkg/entry/stream.go
@@ -52,6 +52,9 @@
 	if s.standby != nil {
 		s.standby.cancel()
 		<-s.standby.done
+		if p := s.standby.placement; p != nil && !provesNotRun(s.standby.err) {
+			s.call.watchAbandoned(p)
+		}
 		s.standby.discard()
 	}
 }
--- a/pkg/entry/trial.go
+++ b/pkg/entry/trial.go
@@ -160,6 +160,8 @@
 		if c.gateway.blames(p, noticed, state, err) {
 			c.accuse(p, noticed, state, c.trial)
 			c.trial = ""
+		} else {
+			c.leaveRun(p, err)
 		}
 		return
 	}
@@ -192,8 +194,10 @@
 	c.requestFingerprint() // while nothing else reads it
 	go func() {
 		if !g.links.lostSince(p.chosenAt) && g.links.confirmInSilence(since, noticed) {
-			c.accuse(p, noticed, endcheck.Unknown, "")
+			c.accuse(p, since, endcheck.Unknown, "")
+			return
 		}
+		c.watchAbandoned(p)
 	}()
 }
 
@@ -219,7 +223,8 @@
 	g.reporter.crashed(report)
 }
 
-// leaveRun watches the upstream of an attempt whose client left, if it may still run the request.
+// leaveRun watches the upstream of an attempt without an answer, if it may still run the request: the client
+// left, or the links of this entry host may have failed.
 func (c *call) leaveRun(p *placement, err error) {
 	if !provesNotRun(err) && !errors.Is(err, upstream.ErrSendInterrupted) && !errors.Is(err, errMismatchedAnswer) {
 		run := c.accusedRun(p, c.trial)
@@ -228,6 +233,13 @@
 	}
 }
 
+// watchAbandoned watches the upstream of an attempt beside which others go on. It is no trial.
+func (c *call) watchAbandoned(p *placement) {
+	run := c.accusedRun(p, "")
+	run.parts = nil // as in leaveRun
+	c.watch(run)
+}
+
 // watchRun watches the upstream of an attempt whose time was over. Its trial, if it is one, lasts as long.
 func (c *call) watchRun(p *placement) { c.watch(c.accusedRun(p, c.trial)) }
 
@@ -237,10 +249,14 @@
 		if g.requestLog.allow(g.now(), false) {
 			g.cfg.Logger.Warn("a run without an answer is not watched; too many are, or the process stops", "request", c.r.Header.Get(g.cfg.Headers.Attempt), "upstream", run.upstream.ID)
 		}
-		c.endTrial(false)
+		if run.trial != "" {
+			c.endTrial(false)
+		}
 		return
 	}
-	c.trial = ""
+	if run.trial != "" {
+		c.trial = ""
+	}
 }
 
 // settleRequest reports the end of the request to the quarantine. Only a run whose end was marked by
