coordinator: series of full disks as a test; files of hints are written again

Found beside it: the files with the number of entry hosts and the known upstreams were not written again after a full disk until their content changed; a restart then began from outdated ones. And they and the file of the assignment went past the file system of the settings, so that no test could fill the disk under them.

Change: all that a coordinator writes goes through Config.FS; a hint counts as written only once it is.

Conclusion: open: real processes on a real full file system, and a file of another writer beside them.

--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -34,7 +34,7 @@
 	Seeds           []string // host:port of some coordinators, for sesamemux processes
 	FirstStart      bool     // the deployment starts for the first time
 	DataDir         string
-	FS              disk.FS // of the replica's log; nil: the operating system's
+	FS              disk.FS // of what this process writes; nil: the operating system's
 	Voters          int     // intended number of voters
 
 	LoadWindow time.Duration // see formation.Config
--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"github.com/sesamemux/sesamemux/pkg/catalog"
 	"github.com/sesamemux/sesamemux/pkg/census"
 	"github.com/sesamemux/sesamemux/pkg/control"
+	"github.com/sesamemux/sesamemux/pkg/disk"
 	"github.com/sesamemux/sesamemux/pkg/durable"
 	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
@@ -89,6 +90,9 @@
 
 // New returns a coordinator that is not running yet.
 func New(cfg Config) *Coordinator {
+	if cfg.FS == nil {
+		cfg.FS = disk.OS{}
+	}
 	c := &Coordinator{
 		cfg:               cfg,
 		transport:         keeper.NewTransport(cfg.Dial),
--- a/pkg/coordinator/hint_file.go
+++ b/pkg/coordinator/hint_file.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return err
 	}
-	return replaceFile(c.cfg.DataDir, name, raw)
+	return replaceFile(c.cfg.FS, c.cfg.DataDir, name, raw)
 }
 
 // readHint reads a file of writeHint. It returns false if there is none.
--- a/pkg/coordinator/known_entry_hosts.go
+++ b/pkg/coordinator/known_entry_hosts.go
@@ -33,10 +33,11 @@
 		if entries == written {
 			continue
 		}
-		written = entries
 		if err := c.writeHint(entryHostsFile, knownEntryHosts{entries}); err != nil {
 			c.cfg.Logger.Warn("failed to write the number of entry hosts", "entry_hosts", entries, "cause", err)
+			continue // the disk may have room again later
 		}
+		written = entries
 	}
 }
 
--- a/pkg/coordinator/known_upstreams.go
+++ b/pkg/coordinator/known_upstreams.go
@@ -38,10 +38,11 @@
 		if revision == written {
 			continue
 		}
-		written = revision
 		if err := c.writeHint(upstreamsFile, us); err != nil {
 			c.cfg.Logger.Warn("failed to write known upstreams", "count", len(us), "cause", err)
+			continue // the disk may have room again later
 		}
+		written = revision
 	}
 }
 
--- a/pkg/coordinator/replace_file.go
+++ b/pkg/coordinator/replace_file.go
@@ -3,8 +3,7 @@
 import "github.com/sesamemux/sesamemux/pkg/disk"
 
 // replaceFile atomically replaces a file, creates its folder if necessary, and syncs it to disk.
-func replaceFile(dir, name string, content []byte) error {
-	files := disk.OS{}
+func replaceFile(files disk.FS, dir, name string, content []byte) error {
 	if err := files.MkdirAll(dir); err != nil {
 		return err
 	}
--- a/pkg/coordinator/replica_manager.go
+++ b/pkg/coordinator/replica_manager.go
@@ -224,7 +224,7 @@
 	if err != nil {
 		return eris.Wrap(err, "encode replica assignment")
 	}
-	return eris.Wrap(replaceFile(m.coordinator.cfg.DataDir, assignmentFile, raw), "write replica assignment")
+	return eris.Wrap(replaceFile(m.coordinator.cfg.FS, m.coordinator.cfg.DataDir, assignmentFile, raw), "write replica assignment")
 }
 
 // dropAssignment deletes the assignment and the replica's data; the next assignment has a folder of
--- a/pkg/coordinator/stalled_disk_test.go
+++ b/pkg/coordinator/stalled_disk_test.go
@@ -1,7 +1,10 @@
 package coordinator
 
 import (
+	"errors"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,9 +17,24 @@
 type stallableDisk struct {
 	disk.OS
 	stalled  atomic.Pointer[chan struct{}] // nil: it answers
+	full     atomic.Int32                  // fullness
+	writes   atomic.Int32                  // while it is almost full
 	syncTime time.Duration                 // that each sync takes
 }
 
+// fullness is what a disk refuses.
+type fullness int32
+
+const (
+	hasRoom      fullness = iota
+	refusesBytes          // writes; files can be made, renamed and shortened
+	refusesAll            // whatever needs room; files can only be removed
+	almostFull            // some writes, as another writer of the disk leaves room in small pieces
+)
+
+// almostFullPeriod is the number of writes of which an almost full disk refuses one.
+const almostFullPeriod = 3
+
 // stall makes all syncs wait for recover.
 func (d *stallableDisk) stall() {
 	answers := make(chan struct{})
@@ -37,6 +55,9 @@
 }
 
 func (d *stallableDisk) Create(name string) (disk.File, error) {
+	if d.refusesFiles() {
+		return nil, syscall.ENOSPC
+	}
 	f, err := d.OS.Create(name)
 	return stallableFile{f, d}, err
 }
@@ -51,11 +72,48 @@
 	return d.OS.SyncDir(dir)
 }
 
+func (d *stallableDisk) MkdirAll(dir string) error {
+	if _, err := os.Stat(dir); err != nil && d.refusesFiles() {
+		return syscall.ENOSPC
+	}
+	return d.OS.MkdirAll(dir)
+}
+
+func (d *stallableDisk) Truncate(name string, size int64) error {
+	if d.refusesFiles() {
+		return syscall.ENOSPC
+	}
+	return d.OS.Truncate(name, size)
+}
+
+func (d *stallableDisk) Rename(from, to string) error {
+	if d.refusesFiles() {
+		return syscall.ENOSPC
+	}
+	return d.OS.Rename(from, to)
+}
+
+func (d *stallableDisk) refusesFiles() bool { return fullness(d.full.Load()) == refusesAll }
+
 type stallableFile struct {
 	disk.File
 	disk *stallableDisk
 }
 
+// Write keeps half of the bytes if the disk is full.
+func (f stallableFile) Write(b []byte) (int, error) {
+	switch fullness(f.disk.full.Load()) {
+	case hasRoom:
+		return f.File.Write(b)
+	case almostFull:
+		if f.disk.writes.Add(1)%almostFullPeriod != 0 {
+			return f.File.Write(b)
+		}
+	}
+	n, err := f.File.Write(b[:len(b)/2])
+	return n, errors.Join(err, syscall.ENOSPC)
+}
+
 func (f stallableFile) Sync() error {
 	f.disk.await()
 	return f.File.Sync()
