--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -514,6 +514,10 @@
 // run answers a request. It returns whether the connection stays open.
 func (h *simulatedHost) run(c net.Conn, r *http.Request, id, body string) bool {
 	attempt := r.Header.Get(testHeaders.Attempt)
+	if isHealthCheck(r) {
+		answerHealthCheck(c, r, id)
+		return true
+	}
 	if r.Header.Get(testHeaders.Incarnation) != id {
 		return fixedAnswer(http.StatusMisdirectedRequest, "", "other")(c, r, attempt)
 	}
--- a/pkg/entry/gateway_test.go
+++ b/pkg/entry/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -63,6 +64,8 @@
 	requests  map[string][]*http.Request // by upstream ID
 	bodies    map[string][]string
 	received  atomic.Int64 // bytes that entry hosts read from upstreams
+	// incarnations are those that have taken the place of upstreams, by the ID of these.
+	incarnations map[string]string
 }
 
 // countingConn counts the bytes that are read.
@@ -97,7 +100,7 @@
 }
 
 func newLoggedHarness(t *testing.T, logger *log.Logger, upstreams map[string]answerFunc) *harness {
-	b := &harness{t: t, network: memconn.New(time.Millisecond), requests: map[string][]*http.Request{}, bodies: map[string][]string{}}
+	b := &harness{t: t, network: memconn.New(time.Millisecond), requests: map[string][]*http.Request{}, bodies: map[string][]string{}, incarnations: map[string]string{}}
 	t.Cleanup(func() {
 		for id := range upstreams {
 			b.network.Kill(id)
@@ -181,6 +184,13 @@
 			fixedAnswer(http.StatusMisdirectedRequest, "", "other")(c, r, "")
 			continue
 		}
+		if isHealthCheck(r) {
+			b.mu.Lock()
+			now := b.incarnations[id]
+			b.mu.Unlock()
+			answerHealthCheck(c, r, cmp.Or(now, id))
+			continue
+		}
 		b.mu.Lock()
 		b.requests[id] = append(b.requests[id], r)
 		b.bodies[id] = append(b.bodies[id], string(body))
@@ -191,6 +201,18 @@
 	}
 }
 
+// isHealthCheck reports whether a request is a health check of the services of testSet, which name no path.
+func isHealthCheck(r *http.Request) bool { return r.Method == http.MethodGet && r.URL.Path == "/" }
+
+// answerHealthCheck answers a health check at an incarnation.
+func answerHealthCheck(c net.Conn, r *http.Request, id string) {
+	status := http.StatusOK
+	if r.Header.Get(testHeaders.Incarnation) != id {
+		status = http.StatusMisdirectedRequest
+	}
+	fixedAnswer(status, "", "health")(c, r, "")
+}
+
 func (b *harness) total() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/entry/unframed_answer_test.go
+++ b/pkg/entry/unframed_answer_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/sesamemux/sesamemux/pkg/control"
-	"github.com/sesamemux/sesamemux/pkg/endcheck"
 	"github.com/sesamemux/sesamemux/pkg/fleet"
 	"github.com/sesamemux/sesamemux/pkg/logging"
 	"github.com/sesamemux/sesamemux/pkg/quarantine"
@@ -324,40 +323,65 @@
 	}
 }
 
-// TestUnframedAnswerWithoutReplyToTheCheckIsComplete: the events are forwarded before the check, and
-// what is not known clears no request.
-func TestUnframedAnswerWithoutReplyToTheCheckIsComplete(t *testing.T) {
-	for kind, body := range soundBodies {
-		t.Run(kind, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				var b *harness
-				var cutAt time.Time
-				var out bytes.Buffer
-				b = newLoggedHarness(t, logging.New(&out, logging.Options{Process: "entry"}), soundUnframed(func() {
-					cutAt = time.Now()
-					b.network.Cut("e1", "p1")
-					b.network.Cut("e1", "head1")
-				}))
-				b.accuse(kind)
-				w := b.send("POST", "/"+kind+"/1", "x", nil)
-				if w.status != 200 || w.cut || w.body.String() != body {
-					t.Errorf("answered %d, cut %v, %q", w.status, w.cut, &w.body)
-				}
-				if took := time.Since(cutAt); took < endcheck.Timeout || took > 2*endcheck.Timeout {
-					t.Errorf("ended %v after the cut", took)
-				}
-				if late := w.lastWrite.Sub(cutAt); kind == "stream" && late > 2*time.Millisecond {
-					t.Errorf("the last event came %v after it was sent", late)
-				}
-				if !b.gateway.guard.Watches() {
-					t.Error("a run whose upstream did not reply clears the request")
-				}
-				assertFields(t, requestLineWith(t, &out, "a-1", "end of an answer without a length could not be checked; taken as complete"), "upstream=", "born=1")
-				b.network.HealAll()
-				time.Sleep(time.Minute)
+// TestUnframedAnswerOfAnUpstreamThatIsNotFoundAliveIsNotComplete: nobody knows whether its connection ended the
+// answer or broke it off. What may run again is served whole by another upstream, and events are forwarded
+// before the check. What is not known clears no request.
+func TestUnframedAnswerOfAnUpstreamThatIsNotFoundAliveIsNotComplete(t *testing.T) {
+	for name, lose := range map[string]func(b *harness, id string){
+		"no reply": func(b *harness, id string) { b.network.Cut("e1", id) },
+		// The entry host stood still while the upstream crashed and came back.
+		"another incarnation": func(b *harness, id string) {
+			b.mu.Lock()
+			b.incarnations[id] = "next"
+			b.mu.Unlock()
+		},
+	} {
+		for kind, body := range soundBodies {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testUpstreamLostBehindAnswer(t, kind, body, lose) })
 			})
-		})
+		}
+	}
+}
+
+func testUpstreamLostBehindAnswer(t *testing.T, kind, body string, lose func(b *harness, id string)) {
+	var b *harness
+	var once sync.Once
+	var lostAt time.Time
+	var out bytes.Buffer
+	answers := map[string]answerFunc{}
+	for _, id := range []string{"p1", "p2", "head1", "head2"} {
+		end := func() {
+			once.Do(func() {
+				lostAt = time.Now()
+				lose(b, id)
+			})
+		}
+		answers[id] = soundUnframed(end)[strings.TrimRight(id, "12")+"1"]
+	}
+	b = newLoggedHarness(t, logging.New(&out, logging.Options{Process: "entry"}), answers)
+	if kind == "once" { // a second crash would withhold what may run again
+		b.accuse(kind)
+	}
+	w := b.send("POST", "/"+kind+"/1", "x", nil)
+	switch {
+	case kind == "once" && (w.status != http.StatusBadGateway || b.total() != 1):
+		t.Errorf("answered %d, %q after %d requests", w.status, &w.body, b.total())
+	case kind != "once" && (w.status != 200 || w.cut || w.body.String() != body || b.total() != 2):
+		t.Errorf("answered %d, cut %v, %q after %d requests", w.status, w.cut, &w.body, b.total())
+	}
+	if took := time.Since(lostAt); took > incarnationTimeout {
+		t.Errorf("ended %v after the loss", took)
+	}
+	if late := w.lastWrite.Sub(lostAt); kind == "stream" && late > 2*time.Millisecond {
+		t.Errorf("the last event came %v after it was sent", late)
+	}
+	if kind == "once" && !b.gateway.guard.Watches() {
+		t.Error("a run whose upstream is not known to be alive clears the request")
 	}
+	assertFields(t, requestLineWith(t, &out, "a-1", "upstream is not known to be alive behind an answer without a length; not taken as complete"), "upstream=", "born=1")
+	b.network.HealAll()
+	time.Sleep(time.Minute)
 }
 
 // accuse holds the crash of an upstream against the request of the given kind that the tests send.
