entry: a process sends cold upstreams nothing in its first second

Cause: an entry host keeps to its part of the bound by what it has sent within the last second, and a new process knows nothing of that.

Change: a process that is younger than that second sends known cold upstreams nothing.

Ruled out: dividing by more hosts than there are. It takes the bound from all at all times.

Conclusion: what becomes cold unannounced stays bounded by the parts alone.

--- a/pkg/entry/balancer.go
+++ b/pkg/entry/balancer.go
@@ -40,7 +40,8 @@
 	mu             sync.Mutex
 	targets        map[string]*target
 	evacuatedZones map[string]bool
-	entryHost      string // name of this entry host
+	entryHost      string        // name of this entry host
+	startedAt      time.Duration // when this process started
 	zone           string
 	entryHosts     int // number of entry hosts in the deployment
 	census         census.Count
--- a/pkg/entry/gateway.go
+++ b/pkg/entry/gateway.go
@@ -80,6 +80,7 @@
 	g.links = newLinkWatcher(cfg, g.now, g.linkQuestion, g.balancer.witnesses, g.linksChanged)
 	g.ends = endcheck.New(cfg.DialBackend, g.now, g.secondOpinion)
 	g.started = g.now()
+	g.balancer.startedAt = g.started
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.firstDocumentReady = make(chan struct{})
 	g.requestLog = &requestLog{logger: cfg.Logger, suppressed: g.metrics.SuppressedLines}
--- a/pkg/entry/warmup.go
+++ b/pkg/entry/warmup.go
@@ -18,12 +18,15 @@
 	// placerShare is the share of the limit for the placer of a model. Two entry hosts may briefly
 	// both act as the placer.
 	placerShare = 0.3
+	// boundWindow is the span over which the requests to a cold upstream are limited. A process that starts
+	// does not know what the one before it at this host has sent within it.
+	boundWindow = time.Second
 )
 
 // mayStartRequest reports whether this entry host may send an upstream another request now, such
 // that all entry hosts together stay within the rate limit of a cold upstream. The placer of a
 // model has one share of the limit; the rest is for entry hosts that can't reach it and for its
-// successor. If the limit allows at least one request per entry host and second, each keeps to its
+// successor. A process that has just started sends a cold upstream nothing. If the limit allows at least one request per entry host and second, each keeps to its
 // share, whether the upstream is known to be cold or not. Otherwise each sends at most one per
 // second, and to a cold upstream only if it belongs to the subset assigned to it.
 func (b *balancer) mayStartRequest(now time.Duration, t *target, req placementRequest) bool {
@@ -33,6 +36,8 @@
 	bound := req.service.WarmupPerSecond*b.coldFactor + b.coldSlack
 	cold := now < t.coldUntil
 	switch {
+	case cold && now-b.startedAt < boundWindow:
+		return false
 	case req.localPlacer && cold:
 		return float64(t.startsInLastSecond(now)+1) <= bound*placerShare
 	case req.localPlacer:
