--- a/pkg/entry/unanswered_run_test.go
+++ b/pkg/entry/unanswered_run_test.go
@@ -73,6 +73,7 @@
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					f := newTestFleet(t, 13, fleetSize{entries: 4, plain: 6, engines: 0})
+					c := c // each subtest has its own kind
 					c.kind = kind
 					var work sync.WaitGroup
 					for range 100 {
