quarantine: parts become suspects with reports only; one way to ask upstreams

Cause: found when reading the change. Tracker.Due also recorded parts of prompts a second after their first crash, without any report, though the change was to be about requests. And answersAs sent its question with a copy of the code of linkWatcher.try.

Change: only requests wait for Due; TestSuspectThatNoRunDisprovesInTimeIsDueOnce asks for that. ask sends both questions. What is read of the answer to a question is bounded by 16 KiB.

--- a/pkg/entry/incarnation_question.go
+++ b/pkg/entry/incarnation_question.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -21,25 +23,17 @@
 		return false
 	}
 	question.Header.Set(g.cfg.Headers.Incarnation, u.ID)
-	question.Close = true
 	ctx, cancel := context.WithTimeout(ctx, incarnationTimeout)
 	defer cancel()
-	conn, err := g.cfg.DialBackend(ctx, u.Address)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = conn.Close() }()
-	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	if err := question.Write(conn); err != nil {
-		return false
-	}
-	answer, err := http.ReadResponse(bufio.NewReaderSize(conn, questionAnswerBytes), question)
-	if err != nil {
-		return false
-	}
-	_ = answer.Body.Close()
-	return answer.StatusCode != http.StatusMisdirectedRequest
+	return ask(ctx, g.cfg.DialBackend, u.Address, question, func(conn net.Conn) bool {
+		answer, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxQuestionAnswer)), question)
+		if err != nil {
+			return false
+		}
+		_ = answer.Body.Close()
+		return answer.StatusCode != http.StatusMisdirectedRequest
+	})
 }
 
-// questionAnswerBytes is the size of the buffer for the answer to a question.
-const questionAnswerBytes = 512
+// maxQuestionAnswer bounds what is read of the answer to a question, in bytes.
+const maxQuestionAnswer = 16 << 10
--- a/pkg/entry/link_watcher.go
+++ b/pkg/entry/link_watcher.go
@@ -261,24 +261,17 @@
 		w.logger.Warn("links can't be checked with an upstream", "address", u.address, "service", u.service, "cause", err)
 		return false
 	}
-	question.Close = true
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := w.connect(ctx, u.address)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = conn.Close() }()
-	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	if err := question.Write(conn); err != nil {
-		return false
-	}
-	var answer [512]byte
-	if n, _ := conn.Read(answer[:]); n == 0 {
-		return false
+	answered := ask(ctx, w.connect, u.address, question, func(conn net.Conn) bool {
+		var answer [512]byte
+		n, _ := conn.Read(answer[:])
+		return n > 0
+	})
+	if answered {
+		w.carried(began)
 	}
-	w.carried(began)
-	return true
+	return answered
 }
 
 // record takes over the result of a round. Without run nothing would notice that the links are back.
--- a/pkg/quarantine/guard_test.go
+++ b/pkg/quarantine/guard_test.go
@@ -159,6 +159,16 @@
 	if due := tr.Due(at); len(due) > 0 {
 		t.Errorf("due again: %v", due)
 	}
+	tr.Completed(2*time.Second, "part", NewProof(time.Second, 2*time.Second))
+	for n := range LimitedCrashes {
+		began := 3*time.Second + time.Duration(n)*100*time.Millisecond
+		c := seen(n, began, began+50*time.Millisecond)
+		c.Request = view.Fingerprint(fmt.Sprint("r", n))
+		tr.Observe(c.At, "part", c)
+	}
+	if due := tr.Due(time.Minute); len(due) > 0 {
+		t.Errorf("a part is due without a report: %v", due)
+	}
 }
 
 func TestPartThatCompletedLatelyHasTimeToDisproveItsCrashes(t *testing.T) {
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -14,7 +14,7 @@
 type Tracker struct {
 	since    time.Duration // the tracker's start; crashes of the list are older
 	requests map[view.Fingerprint]*history
-	waiting  map[view.Fingerprint]bool // become suspects with time, unless a run disproves their crashes
+	waiting  map[view.Fingerprint]bool // requests that become suspects with time, unless a run disproves their crashes
 }
 
 // NewTracker returns a tracker that knows nothing.
@@ -44,14 +44,14 @@
 		return nil, false
 	}
 	at, possible := h.suspiciousAt()
-	if possible && now < at {
+	if possible && now < at && c.Request == "" {
 		t.waiting[f] = true
 	}
 	return plainCrashes(h.crashes), possible && now >= at
 }
 
-// Due returns the crashes of what has become a suspect since they were observed, because no run has
-// disproved them in time. It returns each of them once.
+// Due returns the crashes of requests that have become suspects since they were observed, because no run
+// has disproved them in time. It returns each request once. Parts become suspects with a report only.
 func (t *Tracker) Due(now time.Duration) map[view.Fingerprint][]Crash {
 	var due map[view.Fingerprint][]Crash
 	for f := range t.waiting {
