formation: a join that was not sent is deferred, not unanswered

And a host without a usable report got no join for good once one was not answered, or under a new leader: a join that was not sent, as its report could not be read, counted as one that may still be carried out.

Change: such a join, and one that the host refuses for its precondition, is Deferred.

--- a/pkg/coordinator/decisions.go
+++ b/pkg/coordinator/decisions.go
@@ -237,6 +237,8 @@
 		return "done"
 	case formation.Rejected:
 		return "rejected"
+	case formation.Deferred:
+		return "deferred"
 	}
 	return "unknown"
 }
--- a/pkg/formation/host.go
+++ b/pkg/formation/host.go
@@ -20,13 +20,16 @@
 	stagingDue       time.Duration // when that staging should be complete
 	leftEpoch        int64         // epoch of the group that it last confirmed to have left, 0 if it announced it later
 	freeSince        time.Duration
-	acceptedJoin     int64 // highest epoch of the joins that it accepted in this incarnation
-	unansweredJoin   int64 // highest epoch of the joins that it may still carry out late
+	acceptedJoin     int64         // highest epoch of the joins that it accepted in this incarnation
+	unansweredJoin   int64         // highest epoch of the joins that it may still carry out late
+	unansweredAt     time.Duration // when the last of them was given
 }
 
 // mayJoinLate reports whether the host may still carry out an earlier join. It refuses joins whose
 // epoch is lower than one that it accepted, but not a repetition of the last one.
-func (h *host) mayJoinLate() bool { return h.unansweredJoin > 0 && h.unansweredJoin >= h.acceptedJoin }
+func (h *host) mayJoinLate(now time.Duration) bool {
+	return h.unansweredJoin > 0 && h.unansweredJoin >= h.acceptedJoin && now-h.unansweredAt <= lateOrderTime
+}
 
 // hasWeights reports whether the host has the weights of a model.
 func (h *host) hasWeights(model string) bool { return slices.Contains(h.StagedModels, model) }
--- a/pkg/formation/late_orders_test.go
+++ b/pkg/formation/late_orders_test.go
@@ -54,3 +54,26 @@
 		})
 	}
 }
+
+// A host that does not report how many orders it has begun was given no joins any more once one was not
+// answered, or under a new leader.
+func TestHostsWithoutReportsJoinOnceNoLateOrderIsLeft(t *testing.T) {
+	var served []int
+	for _, noReports := range []bool{false, true} {
+		s := newSimulation48(t, 7)
+		s.noReports = noReports
+		s.replaceLeader()
+		s.planner.SetLoad(map[string]float64{"large": 4.5, "small": 4})
+		for i, h := range s.hostsByID() {
+			if h.IsOpenHead() && i%2 == 0 {
+				s.kill(h)
+			}
+		}
+		s.run(lateOrderTime + time.Minute)
+		n := s.servingGroups()
+		served = append(served, n["large"]+n["small"])
+	}
+	if served[1] < served[0] {
+		t.Errorf("%d groups serve, %d of hosts with reports", served[1], served[0])
+	}
+}
--- a/pkg/formation/order.go
+++ b/pkg/formation/order.go
@@ -37,4 +37,7 @@
 	Rejected
 	// Unknown means that no answer was received; the order may still take effect.
 	Unknown
+	// Deferred means that the host was not known to be free, so that the order was not sent, or was refused
+	// by the host for that reason. It has no effect and may be given again.
+	Deferred
 )
--- a/pkg/formation/planner.go
+++ b/pkg/formation/planner.go
@@ -94,7 +94,7 @@
 		h = &host{freeSince: now}
 		if heard <= p.cfg.StartedAt {
 			// A former leadership may have ordered any of its epochs.
-			h.unansweredJoin = firstEpochOf(p.cfg.Term) - 1
+			h.unansweredJoin, h.unansweredAt = firstEpochOf(p.cfg.Term)-1, p.cfg.StartedAt
 		}
 		p.hosts[u.ID] = h
 		p.sortedHosts = nil
@@ -104,7 +104,7 @@
 		}
 	}
 	if h.StartedMS != u.StartedMS {
-		*h = host{group: h.group, freeSince: now, unansweredJoin: h.unansweredJoin}
+		*h = host{group: h.group, freeSince: now, unansweredJoin: h.unansweredJoin, unansweredAt: h.unansweredAt}
 	}
 	if heard > h.lastAnnouncement {
 		h.dead = false
@@ -201,7 +201,7 @@
 	case o.Kind == Join && r == Accepted:
 		h.acceptedJoin = max(h.acceptedJoin, o.Epoch)
 	case o.Kind == Join && r == Unknown:
-		h.unansweredJoin = max(h.unansweredJoin, o.Epoch)
+		h.unansweredJoin, h.unansweredAt = max(h.unansweredJoin, o.Epoch), now
 	case o.Kind == Join && r == Rejected:
 		if g := p.groups[o.Epoch]; g != nil && g.phase == forming {
 			p.retire(now, g, "a member rejected its join order")
--- a/pkg/formation/simulation_test.go
+++ b/pkg/formation/simulation_test.go
@@ -67,6 +67,7 @@
 	delayProbability float64
 	announcements    []delayedAnnouncement
 	delivered        map[string]int64 // sequence of the newest announcement that arrived, by host
+	noReports        bool             // hosts report nothing on request
 	maxAnnounceDelay time.Duration    // 0: announcements arrive at once and in order
 	term             uint64
 	membersByEpoch   map[int64][]string // members by epoch
@@ -255,8 +256,8 @@
 	}
 	if o.OnlyIfFree {
 		r := s.hosts[o.Host.ID].reportAt(s.now)
-		if r == nil || r.assignment != nil && r.assignment.Epoch != o.Epoch {
-			s.planner.OrderCompleted(s.now, o, Unknown)
+		if s.noReports || r == nil || r.assignment != nil && r.assignment.Epoch != o.Epoch {
+			s.planner.OrderCompleted(s.now, o, Deferred)
 			return
 		}
 		precondition = r.begunOrders
@@ -277,7 +278,7 @@
 		return Unknown
 	}
 	if precondition != noPrecondition && precondition != h.begunOrders {
-		return Unknown
+		return Deferred
 	}
 	mine := h.Assignment != nil && h.Assignment.Group == o.Group && h.Assignment.Epoch == o.Epoch
 	switch o.Kind {
