--- a/pkg/coordinator/full_disk_test.go
+++ b/pkg/coordinator/full_disk_test.go
@@ -23,7 +23,6 @@
 	*cluster
 	random  *rand.Rand
 	version int
-	newest  string // coordinator that was given a replica last
 }
 
 // victim returns a coordinator: the leader, the one with the newest replica, or any other.
