--- a/pkg/coordinator/in_force_test.go
+++ b/pkg/coordinator/in_force_test.go
@@ -142,7 +142,11 @@
 			t.Fatal(err)
 		}
 		e := newEntryHost(c.follower(), "e1")
-		go e.run()
+		ended := make(chan struct{})
+		go func() {
+			e.run()
+			close(ended)
+		}()
 		time.Sleep(3 * time.Second)
 		if err := c.evacuate(context.Background(), "a"); err != nil {
 			t.Error(err)
@@ -153,6 +157,7 @@
 		if err := c.restore(context.Background(), "a"); !errors.Is(err, ErrUnavailable) {
 			t.Errorf("the end of an evacuation is acknowledged that an entry host does not know: %v", err)
 		}
+		<-ended
 		e.stop = make(chan struct{})
 		go e.run()
 		defer func() { close(e.stop) }()
