coordinator: one way to find the leader in tests; no list read when no suspect is due

Cause: found when reading the change once more. fullDiskSeries.leaderNow repeated the loop of cluster.leader, and recordDueSuspects read the quarantine list on each tick of the planner, also when nothing was due.

Change: leaderNow belongs to cluster and leader uses it; recordDueSuspects returns first if nothing is due. No behaviour changes.

--- a/pkg/coordinator/full_disk_test.go
+++ b/pkg/coordinator/full_disk_test.go
@@ -43,19 +43,6 @@
 	return names[s.random.IntN(len(names))]
 }
 
-func (s *fullDiskSeries) leaderNow() string {
-	for _, name := range slices.Sorted(maps.Keys(s.running)) {
-		p := s.running[name]
-		p.mu.Lock()
-		leads := p.leadership != nil
-		p.mu.Unlock()
-		if leads {
-			return name
-		}
-	}
-	return ""
-}
-
 // newestReplica returns the coordinator of the replica with the highest ID.
 func (s *fullDiskSeries) newestReplica() string {
 	found, highest := "", uint64(0)
--- a/pkg/coordinator/quarantine.go
+++ b/pkg/coordinator/quarantine.go
@@ -95,8 +95,12 @@
 // recordDueSuspects records what has become a suspect with time, in the background. The caller holds the
 // lock.
 func (c *Coordinator) recordDueSuspects(ctx context.Context, now time.Duration, l *leadership) {
+	due := l.crashes.Due(now)
+	if len(due) == 0 {
+		return
+	}
 	a := accusations{list: c.quarantineList(), nowMS: time.Now().UnixMilli()}
-	for f, crashes := range l.crashes.Due(now) {
+	for f, crashes := range due {
 		a.record(quarantine.Change{Fingerprint: f, Crashes: crashes})
 		c.cfg.Logger.Warn("request ended upstreams and has not completed since", "fingerprint", f, "crashes", len(crashes))
 	}
--- a/pkg/coordinator/quorum_test.go
+++ b/pkg/coordinator/quorum_test.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -194,13 +196,8 @@
 
 func (c *cluster) leader() string {
 	for range 60 {
-		for name, p := range c.running {
-			p.mu.Lock()
-			leads := p.leadership != nil
-			p.mu.Unlock()
-			if leads {
-				return name
-			}
+		if name := c.leaderNow(); name != "" {
+			return name
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -208,6 +205,20 @@
 	return ""
 }
 
+// leaderNow returns the coordinator that leads, the first by name, or an empty string.
+func (c *cluster) leaderNow() string {
+	for _, name := range slices.Sorted(maps.Keys(c.running)) {
+		p := c.running[name]
+		p.mu.Lock()
+		leads := p.leadership != nil
+		p.mu.Unlock()
+		if leads {
+			return name
+		}
+	}
+	return ""
+}
+
 func (c *cluster) membership() raft.Membership {
 	r := c.running[c.leader()].replica.Load()
 	st, err := r.node.Status(context.Background())
