formation: hosts that follow a new leader join without a question

After a change of leader each join of the next 15 s asked the host for its report first, as any former leader's join might still be carried out late.

Change: a host that has accepted an order of the present leader refuses those of former ones where fencing is enforced, and is no longer asked on their account. That ends when it starts again, which clears its fences. A deferred order is given again after 100 ms.

The simulation now lets a late order reach a host that was started again under its ID.

--- a/cmd/sesame-core/main.go
+++ b/cmd/sesame-core/main.go
@@ -49,6 +49,7 @@
 		DataDir:         settings.DataDir,
 		Voters:          2*max(settings.ToleratedHostLosses, 1) + 1,
 		LoadWindow:      settings.LoadWindow,
+		FencingEnforced: settings.FencingEnforced,
 		Decode:          platform.DecodeAndCheckManifest,
 		Engines:         platform.NewEngineClient(settings.FencingEnforced),
 		Dial:            upstream.DialTCP,
--- a/pkg/coordinator/config.go
+++ b/pkg/coordinator/config.go
@@ -38,6 +38,8 @@
 	Voters          int     // intended number of voters
 
 	LoadWindow time.Duration // see formation.Config
+	// FencingEnforced is set if engine hosts refuse orders of terms before the highest that they have seen.
+	FencingEnforced bool
 	// Decode parses and validates an operator's document.
 	Decode  func(raw []byte) (*catalog.Set, error)
 	Engines EngineClient
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -70,7 +70,7 @@
 		changes:       map[string]*pendingChange{},
 		term:          term,
 		since:         now,
-		planner:       formation.New(formation.Config{Term: term, StartedAt: now, LoadWindow: c.cfg.LoadWindow}),
+		planner:       formation.New(formation.Config{Term: term, StartedAt: now, LoadWindow: c.cfg.LoadWindow, Fenced: c.cfg.FencingEnforced}),
 		orderSlots:    make(chan struct{}, maxOpenOrders),
 		probing:       map[string]bool{},
 		silentHosts:   map[string]bool{},
--- a/pkg/formation/forming.go
+++ b/pkg/formation/forming.go
@@ -232,7 +232,7 @@
 			}
 			m.noOrderBefore = now + joinRetryDelay
 			orders = append(orders, p.newOrder(m, Order{
-				Kind: Join, Group: g.name, Epoch: g.epoch, Model: g.model, Members: g.memberIDs(), OnlyIfFree: m.mayJoinLate(now),
+				Kind: Join, Group: g.name, Epoch: g.epoch, Model: g.model, Members: g.memberIDs(), OnlyIfFree: p.mayJoinLate(now, m),
 				Reason: "group forms",
 			}))
 		}
--- a/pkg/formation/host.go
+++ b/pkg/formation/host.go
@@ -23,11 +23,15 @@
 	acceptedJoin     int64         // highest epoch of the joins that it accepted in this incarnation
 	unansweredJoin   int64         // highest epoch of the joins that it may still carry out late
 	unansweredAt     time.Duration // when the last of them was given
+	fenced           bool          // it refuses the orders of former leaderships, in this incarnation
 }
 
 // mayJoinLate reports whether the host may still carry out an earlier join. It refuses joins whose
 // epoch is lower than one that it accepted, but not a repetition of the last one.
-func (h *host) mayJoinLate(now time.Duration) bool {
+func (p *Planner) mayJoinLate(now time.Duration, h *host) bool {
+	if h.fenced && h.unansweredJoin < firstEpochOf(p.cfg.Term) {
+		return false
+	}
 	return h.unansweredJoin > 0 && h.unansweredJoin >= h.acceptedJoin && now-h.unansweredAt <= lateOrderTime
 }
 
--- a/pkg/formation/planner.go
+++ b/pkg/formation/planner.go
@@ -16,6 +16,8 @@
 	StartedAt time.Duration
 	// LoadWindow is the sliding window within which the number of weight loads is limited.
 	LoadWindow time.Duration
+	// Fenced is set if hosts refuse orders of terms before the highest that they have seen.
+	Fenced bool
 }
 
 // epochsPerTerm is the number of epochs reserved for each term.
@@ -184,7 +186,12 @@
 		return
 	}
 	h.openOrder = nil
-	if r != Accepted {
+	switch r {
+	case Accepted:
+		h.fenced = p.cfg.Fenced
+	case Deferred:
+		h.noOrderBefore = now + deferredRetryDelay
+	default:
 		h.noOrderBefore = now + orderRetryDelay
 	}
 	switch {
--- a/pkg/formation/simulation_test.go
+++ b/pkg/formation/simulation_test.go
@@ -26,6 +26,7 @@
 	nextAnnouncement time.Duration
 	cutUntil         time.Duration // until then it is cut off from the planner; requests still reach it
 	begunOrders      int64         // orders that changed something
+	highestTerm      uint64        // of the orders that it has seen in this incarnation
 	reports          []simReport   // one for each change, the oldest first
 }
 
@@ -40,6 +41,7 @@
 type delayedOrder struct {
 	due          time.Duration
 	order        Order
+	term         uint64
 	precondition int64 // see simulation.execute
 }
 
@@ -68,6 +70,9 @@
 	announcements    []delayedAnnouncement
 	delivered        map[string]int64 // sequence of the newest announcement that arrived, by host
 	noReports        bool             // hosts report nothing on request
+	fenced           bool             // hosts refuse orders of terms before the highest that they have seen
+	restarts         bool             // hosts are started again under their IDs
+	askedIfFree      int              // joins that were OnlyIfFree
 	maxAnnounceDelay time.Duration    // 0: announcements arrive at once and in order
 	term             uint64
 	membersByEpoch   map[int64][]string // members by epoch
@@ -96,7 +101,7 @@
 }
 
 func (s *simulation) newPlanner() {
-	s.planner = New(Config{Term: s.term, StartedAt: s.now, LoadWindow: 5 * time.Second})
+	s.planner = New(Config{Term: s.term, StartedAt: s.now, LoadWindow: 5 * time.Second, Fenced: s.fenced})
 	s.planner.SetService(s.service)
 }
 
@@ -182,7 +187,7 @@
 			kept = append(kept, l)
 			continue
 		}
-		s.execute(l.order, l.precondition)
+		s.execute(l.order, l.term, l.precondition)
 	}
 	s.delayed = kept
 	s.deliverAnnouncements()
@@ -255,6 +260,7 @@
 		return
 	}
 	if o.OnlyIfFree {
+		s.askedIfFree++
 		r := s.hosts[o.Host.ID].reportAt(s.now)
 		if s.noReports || r == nil || r.assignment != nil && r.assignment.Epoch != o.Epoch {
 			s.planner.OrderCompleted(s.now, o, Deferred)
@@ -263,20 +269,24 @@
 		precondition = r.begunOrders
 	}
 	if s.rand.Float64() < s.delayProbability {
-		s.delayed = append(s.delayed, delayedOrder{s.now + 2*time.Second + time.Duration(s.rand.IntN(10_000))*time.Millisecond, o, precondition})
+		s.delayed = append(s.delayed, delayedOrder{s.now + 2*time.Second + time.Duration(s.rand.IntN(10_000))*time.Millisecond, o, s.term, precondition})
 		s.planner.OrderCompleted(s.now, o, Unknown)
 		return
 	}
-	s.planner.OrderCompleted(s.now, o, s.execute(o, precondition))
+	s.planner.OrderCompleted(s.now, o, s.execute(o, s.term, precondition))
 }
 
-// execute executes an order on its host and checks that it is permitted. A host that has begun
+// execute executes an order of a term on its host and checks that it is permitted. A host that has begun
 // another number of orders than the precondition says refuses it.
-func (s *simulation) execute(o Order, precondition int64) OrderResult {
+func (s *simulation) execute(o Order, term uint64, precondition int64) OrderResult {
 	h := s.hosts[o.Host.ID]
-	if h == nil || h.dead || h.StartedMS != o.Host.StartedMS {
-		return Unknown
+	if h == nil || h.dead {
+		return Unknown // another incarnation of the same ID takes the order
 	}
+	if s.fenced && term < h.highestTerm {
+		return Rejected
+	}
+	h.highestTerm = max(h.highestTerm, term)
 	if precondition != noPrecondition && precondition != h.begunOrders {
 		return Deferred
 	}
--- a/pkg/formation/timing.go
+++ b/pkg/formation/timing.go
@@ -7,6 +7,9 @@
 	rejoinTime = 200 * time.Millisecond
 	// orderRetryDelay is the delay before a failed order is repeated.
 	orderRetryDelay = 300 * time.Millisecond
+	// deferredRetryDelay is the delay before a deferred order is given again. Hosts report with some
+	// delay that they are free.
+	deferredRetryDelay = 100 * time.Millisecond
 	// lateOrderTime is how long after it was given an order may still be carried out.
 	lateOrderTime = 15 * time.Second
 	// joinSlack is added to the expected time of a join before the group is abandoned: orders may
