formation: one play of late orders for both tests

Cause: the tests of late orders with and without fences set up the same simulation. Change: playLateOrders.

--- a/pkg/formation/late_orders_test.go
+++ b/pkg/formation/late_orders_test.go
@@ -55,21 +55,26 @@
 	}
 }
 
+// playLateOrders disturbs groups of two hosts.
+func playLateOrders(t *testing.T, seed uint64, fenced, restarts bool) {
+	s := newSimulation(t, seed, catalog.Model{
+		Name: "small", GroupSize: 2, Share: 1, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond,
+	})
+	s.fenced, s.restarts = fenced, restarts
+	s.newPlanner()
+	s.delayProbability = 0.35
+	s.addDomains(2, 6, 1)
+	s.run(8 * time.Second)
+	s.planner.TrafficStarted(s.now)
+	s.planner.SetLoad(map[string]float64{"small": 12})
+	s.disturb(80)
+}
+
 // A join that is executed late puts a host back into the group that it has left. It must not be
 // joined to another group while the head of the first one, which is cut off, still serves.
 func TestHostThatALateOrderPutBackIntoItsGroupLeavesItFirst(t *testing.T) {
 	for seed := range uint64(60) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := newSimulation(t, seed, catalog.Model{
-				Name: "small", GroupSize: 2, Share: 1, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond,
-			})
-			s.delayProbability = 0.35
-			s.addDomains(2, 6, 1)
-			s.run(8 * time.Second)
-			s.planner.TrafficStarted(s.now)
-			s.planner.SetLoad(map[string]float64{"small": 12})
-			s.disturb(80)
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playLateOrders(t, seed, false, false) })
 	}
 }
 
@@ -77,19 +82,7 @@
 // again, and may then carry out joins that were meant for their former incarnation.
 func TestLateOrdersAmongRestartsOfFencedHosts(t *testing.T) {
 	for seed := range uint64(60) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := newSimulation(t, seed, catalog.Model{
-				Name: "small", GroupSize: 2, Share: 1, Pace: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond,
-			})
-			s.fenced, s.restarts = true, true
-			s.newPlanner()
-			s.delayProbability = 0.35
-			s.addDomains(2, 6, 1)
-			s.run(8 * time.Second)
-			s.planner.TrafficStarted(s.now)
-			s.planner.SetLoad(map[string]float64{"small": 12})
-			s.disturb(80)
-		})
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playLateOrders(t, seed, true, true) })
 	}
 }
 
